--- /dev/null
+++ b/proof/fleet/fleet.go
@@ -0,0 +1,429 @@
+// Package fleet starts whole deployments as real processes on loopback, with
+// stand-ins for the world outside, and does harm to them on demand.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/charter"
+)
+
+// Deployment is how many of what there are.
+type Deployment struct {
+	Name         string
+	Domains      []string
+	Fronts       int
+	Stores       int
+	Controls     int
+	Models       int
+	Applications int
+}
+
+// Deployments are those of the brief, and a small one for trials.
+var Deployments = map[string]Deployment{
+	"trial":     {Name: "trial", Domains: []string{"east", "west", "north"}, Fronts: 2, Stores: 3, Controls: 3, Models: 2, Applications: 2},
+	"agency":    {Name: "agency", Domains: []string{"harbour", "centre", "hill"}, Fronts: 7, Stores: 3, Controls: 3, Models: 18, Applications: 7},
+	"logistics": {Name: "logistics", Domains: []string{"north", "middle", "south"}, Fronts: 6, Stores: 3, Controls: 5, Models: 18, Applications: 8},
+}
+
+// Tokens of the trial charter.
+const (
+	RootToken = "trial-root"
+	TeamToken = "trial-team"
+)
+
+// Process is one process of a fleet. Its arguments stay the same over restarts.
+type Process struct {
+	Name      string
+	Role      string
+	Domain    string
+	Address   string
+	Outside   string // public, administration or health address
+	Folder    string
+	binary    string
+	arguments []string
+	log       string
+	command   *exec.Cmd
+	waited    chan struct{}
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Deployment Deployment
+	Folder     string
+	Processes  []*Process
+	Runners    []standin.ListedRunner
+	Platform   string
+}
+
+// reserve finds a free port on a loopback address of its own.
+func reserve(host string) (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+type addresses struct{ failed error }
+
+func (addresses *addresses) next(host string) string {
+	address, err := reserve(host)
+	addresses.failed = errors.Join(addresses.failed, err)
+	return address
+}
+
+// Start starts a deployment with the programs in a folder, and returns once every
+// front is ready.
+//
+//	running, err := fleet.Start(ctx, fleet.Deployments["trial"], "bin", folder, pace)
+//	defer running.Stop()
+func Start(ctx context.Context, deployment Deployment, programs, folder string, pace standin.Pace) (*Fleet, error) {
+	running := &Fleet{Deployment: deployment, Folder: folder}
+	if err := running.plan(programs, pace); err != nil {
+		return nil, err
+	}
+	for _, process := range running.Processes {
+		if err := process.Start(); err != nil {
+			running.Stop()
+			return nil, err
+		}
+	}
+	if err := running.putFirstCharter(ctx); err != nil {
+		running.Stop()
+		return nil, err
+	}
+	for _, front := range running.Of("front") {
+		if err := AwaitReady(ctx, front.Outside); err != nil {
+			running.Stop()
+			return nil, fmt.Errorf("%s: %w", front.Name, err)
+		}
+	}
+	return running, nil
+}
+
+func (running *Fleet) plan(programs string, pace standin.Pace) error {
+	deployment, found := running.Deployment, &addresses{}
+	host := func(kind, index int) string { return fmt.Sprintf("127.%d.%d.%d", 20+kind, os.Getpid()%250, index+1) }
+	domain := func(index int) string { return deployment.Domains[index%len(deployment.Domains)] }
+	controls := []string{}
+	for index := range deployment.Controls {
+		controls = append(controls, found.next(host(0, index)))
+	}
+	running.Platform = found.next(host(1, 0))
+	listFile := filepath.Join(running.Folder, "runners.json")
+	daemon := func(name, role, program string, index int, address, outside string, extra ...string) {
+		process := &Process{Name: name, Role: role, Domain: domain(index), Address: address, Outside: outside, binary: filepath.Join(programs, program), log: filepath.Join(running.Folder, name+".log")}
+		process.arguments = append([]string{"--address", address, "--domain", domain(index), "--seeds", controls[0], controls[1], controls[2]}, extra...)
+		if role != "front" {
+			process.Folder = filepath.Join(running.Folder, name)
+			process.arguments = append(process.arguments, "--folder", process.Folder)
+		}
+		running.Processes = append(running.Processes, process)
+	}
+	for index := range deployment.Controls {
+		outside := found.next(host(0, index))
+		daemon(fmt.Sprintf("control-%d", index+1), "control", "yardrock-control-plane", index, controls[index], outside,
+			"--administration", outside, "--root-token-hash", charter.Hash(RootToken), "--founding-stores", strconv.Itoa(deployment.Stores))
+	}
+	for index := range deployment.Stores {
+		outside := found.next(host(2, index))
+		daemon(fmt.Sprintf("store-%d", index+1), "store", "yardrock-data-plane", index, found.next(host(2, index)), outside, "--role", "store", "--health", outside)
+	}
+	for index := range deployment.Fronts {
+		outside := found.next(host(3, index))
+		daemon(fmt.Sprintf("front-%d", index+1), "front", "yardrock-data-plane", index, found.next(host(3, index)), outside, "--role", "front", "--public", outside)
+	}
+	runner := func(name, group string, kind, index int) {
+		address := found.next(host(kind, index))
+		running.Runners = append(running.Runners, standin.ListedRunner{Address: address, Group: group, Domain: domain(index), State: "serving"})
+		running.Processes = append(running.Processes, &Process{Name: name, Role: "runner", Domain: domain(index), Address: address, binary: filepath.Join(programs, "standin"), log: filepath.Join(running.Folder, name+".log"),
+			arguments: []string{"--address", address, "--first", pace.First.String(), "--piece", pace.Piece.String(), "--plain", pace.Plain.String()}})
+	}
+	for index := range deployment.Models {
+		group := "large"
+		if index%3 != 0 {
+			group = "small"
+		}
+		runner(fmt.Sprintf("model-%d", index+1), group, 4, index)
+	}
+	for index := range deployment.Applications {
+		runner(fmt.Sprintf("application-%d", index+1), "application", 5, index)
+	}
+	running.Processes = append(running.Processes, &Process{Name: "platform", Role: "platform", Address: running.Platform, binary: filepath.Join(programs, "standin"), log: filepath.Join(running.Folder, "platform.log"),
+		arguments: []string{"--serve", "platform", "--address", running.Platform, "--runners", listFile}})
+	list, err := json.Marshal(running.Runners)
+	return errors.Join(err, found.failed, os.WriteFile(listFile, list, 0o600))
+}
+
+// Charter is the charter that a deployment starts with.
+//
+//	source := running.Charter()
+func (running *Fleet) Charter() string {
+	return fmt.Sprintf(`operators: root: token_hashes: [%q]
+teams: depot: token_hashes: [%q]
+programs: {
+	dialogue: {team: "depot", allowance: 100000000, turn_limit: 400}
+	permits: {team: "depot", allowance: 100000000, turn_limit: 400}
+	counter: {team: "depot", allowance: 100000000, turn_limit: 400}
+	tight: {team: "depot", allowance: 200, turn_limit: 30}
+}
+groups: {
+	small: {concurrency: 24, cold_concurrency: 4, ramp: "3s"}
+	large: {concurrency: 24, cold_concurrency: 4, ramp: "3s"}
+	application: {concurrency: 32, cold_concurrency: 8, ramp: "3s"}
+}
+tables: {
+	talk: {small: 2, large: 1}
+	plain: application: 1
+}
+kinds: {
+	talk: {serves: "turn", table: "talk", path: "/turn"}
+	lookup: {serves: "plain", table: "plain", path: "/plain"}
+	receipt: {serves: "plain", table: "plain", path: "/plain", repeatable: false}
+	invoice: {serves: "plain", table: "plain", path: "/plain", repeatable: false, urgency: "bulk"}
+	activation: {serves: "plain", table: "plain", path: "/plain", repeatable: false, urgency: "urgent"}
+}
+platform: runner_list: "http://%s/runners"
+`, charter.Hash(RootToken), charter.Hash(TeamToken), running.Platform)
+}
+
+func (running *Fleet) putFirstCharter(ctx context.Context) error {
+	for {
+		number, _, err := running.ReadCharter(ctx)
+		if err == nil {
+			if _, err = running.PutCharter(ctx, running.Charter(), number); err == nil {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the control plane took no charter: %w", err)
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// Administer sends one administration query to the first control node that
+// answers it with success, and decodes the answer.
+//
+//	err := running.Administer(ctx, http.MethodGet, "/v1/fleet", nil, &told)
+func (running *Fleet) Administer(ctx context.Context, method, path string, body, answer any) error {
+	var failed error
+	for _, control := range running.Of("control") {
+		if failed = Administer(ctx, control.Outside, method, path, body, answer); failed == nil {
+			return nil
+		}
+	}
+	return failed
+}
+
+// Administer sends one administration query to one control node.
+//
+//	err := fleet.Administer(ctx, control.Outside, http.MethodGet, "/v1/fleet", nil, &told)
+func Administer(ctx context.Context, address, method, path string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	query, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	query.Header.Set("Authorization", "Bearer "+RootToken)
+	query.Header.Set("Content-Type", "application/json")
+	got, err := (&http.Client{Timeout: 8 * time.Second}).Do(query)
+	if err != nil {
+		return err
+	}
+	defer got.Body.Close()
+	told, err := io.ReadAll(got.Body)
+	if err != nil {
+		return err
+	}
+	if got.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", got.Status, strings.TrimSpace(string(told)))
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(told, answer)
+}
+
+// ReadCharter reads the newest charter back.
+//
+//	number, source, err := running.ReadCharter(ctx)
+func (running *Fleet) ReadCharter(ctx context.Context) (uint64, string, error) {
+	var told struct {
+		Number uint64 `json:"number"`
+		Source string `json:"source"`
+	}
+	err := running.Administer(ctx, http.MethodGet, "/v1/charter", nil, &told)
+	return told.Number, told.Source, err
+}
+
+// Changed is what a change answers.
+type Changed struct {
+	Number       uint64 `json:"number"`
+	Acknowledged bool   `json:"acknowledged"`
+}
+
+// PutCharter puts a whole charter.
+//
+//	changed, err := running.PutCharter(ctx, source, number)
+func (running *Fleet) PutCharter(ctx context.Context, source string, expected uint64) (Changed, error) {
+	var told Changed
+	err := running.Administer(ctx, http.MethodPut, "/v1/charter", map[string]any{"source": source, "expected": expected}, &told)
+	return told, err
+}
+
+// AwaitReady waits until a process says that it can take work.
+//
+//	err := fleet.AwaitReady(ctx, front.Outside)
+func AwaitReady(ctx context.Context, address string) error {
+	for {
+		query, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+		if err != nil {
+			return err
+		}
+		got, err := http.DefaultClient.Do(query)
+		if err == nil {
+			got.Body.Close()
+			if got.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not ready: %w", ctx.Err())
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// Of lists the processes of a role.
+//
+//	for _, front := range running.Of("front") { ... }
+func (running *Fleet) Of(role string) []*Process {
+	return slices.DeleteFunc(slices.Clone(running.Processes), func(process *Process) bool { return process.Role != role })
+}
+
+// Find gives a process by name.
+//
+//	store := running.Find("store-1")
+func (running *Fleet) Find(name string) *Process {
+	for _, process := range running.Processes {
+		if process.Name == name {
+			return process
+		}
+	}
+	return nil
+}
+
+// Fronts lists the addresses for callers.
+//
+//	addresses := running.Fronts()
+func (running *Fleet) Fronts() []string {
+	found := []string{}
+	for _, front := range running.Of("front") {
+		found = append(found, front.Outside)
+	}
+	return found
+}
+
+// Stop kills every process that is left.
+//
+//	defer running.Stop()
+func (running *Fleet) Stop() {
+	for _, process := range running.Processes {
+		process.Kill()
+	}
+}
+
+// Start starts the process, or starts it again with the same arguments.
+//
+//	err := process.Start()
+func (process *Process) Start() error {
+	output, err := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer output.Close()
+	process.command = exec.Command(process.binary, process.arguments...)
+	process.command.Stdout, process.command.Stderr = output, output
+	process.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := process.command.Start(); err != nil {
+		return err
+	}
+	process.waited = make(chan struct{})
+	command, waited := process.command, process.waited
+	go func() {
+		command.Wait()
+		close(waited)
+	}()
+	return nil
+}
+
+func (process *Process) signal(signal syscall.Signal) {
+	if process.command != nil {
+		process.command.Process.Signal(signal)
+	}
+}
+
+// Kill ends the process at once.
+//
+//	process.Kill()
+func (process *Process) Kill() {
+	if process.command == nil {
+		return
+	}
+	process.signal(syscall.SIGKILL)
+	<-process.waited
+	process.command = nil
+}
+
+// Terminate asks the process to drain and waits until it has gone.
+//
+//	err := process.Terminate(ctx)
+func (process *Process) Terminate(ctx context.Context) error {
+	process.signal(syscall.SIGTERM)
+	select {
+	case <-process.waited:
+		process.command = nil
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Freeze stops the process where it is; Wake lets it go on.
+//
+//	process.Freeze()
+func (process *Process) Freeze() { process.signal(syscall.SIGSTOP) }
+
+// Wake lets a frozen process go on.
+//
+//	process.Wake()
+func (process *Process) Wake() { process.signal(syscall.SIGCONT) }
+
+// Wipe empties the data folder of a process that is not running.
+//
+//	err := process.Wipe()
+func (process *Process) Wipe() error { return os.RemoveAll(process.Folder) }
--- /dev/null
+++ b/proof/standin/platform.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// ListedRunner is one entry of the platform's list.
+type ListedRunner struct {
+	Address string `json:"address"`
+	Group   string `json:"group"`
+	Domain  string `json:"domain"`
+	State   string `json:"state"`
+}
+
+// Platform is a stand-in for the platform's list of runners. It lags behind what
+// was put, and throttles those who ask too often.
+type Platform struct {
+	Lag      time.Duration
+	Throttle time.Duration
+	mutex    sync.Mutex
+	versions []version
+	asked    time.Time
+	asks     int
+	refused  int
+}
+
+type version struct {
+	since   time.Time
+	runners []ListedRunner
+}
+
+// Put replaces the list.
+//
+//	platform.Put([]standin.ListedRunner{{Address: "127.0.0.1:8000", Group: "small", Domain: "east", State: "serving"}})
+func (platform *Platform) Put(runners []ListedRunner) {
+	platform.mutex.Lock()
+	platform.versions = append(platform.versions, version{time.Now(), runners})
+	platform.mutex.Unlock()
+}
+
+// Asks tells how often the list was asked for, and how often that was refused.
+//
+//	asks, refused := platform.Asks()
+func (platform *Platform) Asks() (int, int) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	return platform.asks, platform.refused
+}
+
+// ServeHTTP answers GET and PUT /runners.
+func (platform *Platform) ServeHTTP(writer http.ResponseWriter, query *http.Request) {
+	if query.Method == http.MethodPut {
+		var runners []ListedRunner
+		if err := json.NewDecoder(query.Body).Decode(&runners); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		platform.Put(runners)
+		return
+	}
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.asks++
+	if since := time.Since(platform.asked); since < platform.Throttle {
+		platform.refused++
+		writer.Header().Set("Retry-After", "1")
+		writer.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	platform.asked = time.Now()
+	shown := []ListedRunner{}
+	for position, put := range platform.versions {
+		if position == 0 || time.Since(put.since) >= platform.Lag {
+			shown = put.runners
+		}
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(writer).Encode(map[string]any{"runners": shown})
+}
--- /dev/null
+++ b/proof/standin/runner.go
@@ -0,0 +1,208 @@
+// Package standin holds stand-ins for what is outside yardrock: model runners,
+// application runners and the platform's list of runners.
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"yardrock.example/system/runnerclient"
+)
+
+// Pace is how fast a stand-in runner works.
+type Pace struct {
+	First time.Duration
+	Piece time.Duration
+	Plain time.Duration
+}
+
+// Record is what a runner saw, for the checks.
+type Record struct {
+	// Executions counts how often each program/kind/request key was carried out.
+	Executions map[string]int `json:"executions"`
+	// Arrivals are the Unix nanoseconds at which queries arrived, the last thousands.
+	Arrivals []int64 `json:"arrivals"`
+	Turns    int     `json:"turns"`
+	MostOut  int     `json:"most_out"`
+}
+
+// Runner is a stand-in model and application runner.
+type Runner struct {
+	pace   Pace
+	mutex  sync.Mutex
+	out    int
+	record Record
+}
+
+// NewRunner makes a runner of a pace.
+//
+//	http.Serve(listener, standin.NewRunner(standin.Pace{Piece: time.Millisecond}))
+func NewRunner(pace Pace) *Runner {
+	return &Runner{pace: pace, record: Record{Executions: map[string]int{}}}
+}
+
+// Record gives a copy of what the runner saw.
+//
+//	seen := runner.Record()
+func (runner *Runner) Record() Record {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	copied := runner.record
+	copied.Executions = map[string]int{}
+	for key, count := range runner.record.Executions {
+		copied.Executions[key] = count
+	}
+	copied.Arrivals = append([]int64{}, runner.record.Arrivals...)
+	return copied
+}
+
+const mostArrivals = 50000
+
+func (runner *Runner) enter() {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	runner.out++
+	runner.record.MostOut = max(runner.record.MostOut, runner.out)
+	if len(runner.record.Arrivals) < mostArrivals {
+		runner.record.Arrivals = append(runner.record.Arrivals, time.Now().UnixNano())
+	}
+}
+
+func (runner *Runner) leave() {
+	runner.mutex.Lock()
+	runner.out--
+	runner.mutex.Unlock()
+}
+
+// ServeHTTP answers POST /turn, POST /plain and GET /standin/record.
+func (runner *Runner) ServeHTTP(writer http.ResponseWriter, query *http.Request) {
+	switch query.URL.Path {
+	case "/standin/record":
+		writer.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(writer).Encode(runner.Record())
+	case "/turn":
+		runner.enter()
+		defer runner.leave()
+		runner.turn(writer, query)
+	default:
+		runner.enter()
+		defer runner.leave()
+		runner.plain(writer, query)
+	}
+}
+
+// Answer is what a model runner says to a history and new words. It depends on
+// all of it, so that any difference shows.
+//
+//	pieces := standin.Answer(history, "hello")
+func Answer(history []runnerclient.Message, words string) []string {
+	said, _ := json.Marshal(append(append([]runnerclient.Message{}, history...), runnerclient.Message{Role: "caller", Words: words}))
+	sum := sha256.Sum256(said)
+	pieces := []string{"seen " + hex.EncodeToString(sum[:8])}
+	for position := range 4 + int(sum[0]%12) {
+		pieces = append(pieces, fmt.Sprintf(" word%d", position))
+	}
+	return pieces
+}
+
+// PlainAnswer is what an application runner answers.
+//
+//	answer := standin.PlainAnswer(query)
+func PlainAnswer(query runnerclient.PlainQuery) map[string]string {
+	sum := sha256.Sum256([]byte(query.Kind + "\x00" + query.RequestKey + "\x00" + query.Words))
+	return map[string]string{"done": query.Kind, "proof": hex.EncodeToString(sum[:8])}
+}
+
+func (runner *Runner) turn(writer http.ResponseWriter, query *http.Request) {
+	var asked runnerclient.TurnQuery
+	if err := json.NewDecoder(query.Body).Decode(&asked); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	runner.mutex.Lock()
+	runner.record.Turns++
+	runner.mutex.Unlock()
+	if strings.Contains(asked.Words, "!refuse") {
+		writer.Header().Set(runnerclient.NotRunHeader, "true")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if strings.Contains(asked.Words, "!type") {
+		writer.Header().Set("Content-Type", "text/html")
+		fmt.Fprint(writer, "<p>hello</p>")
+		return
+	}
+	writer.Header().Set("Content-Type", "application/x-ndjson")
+	controller := http.NewResponseController(writer)
+	encoder := json.NewEncoder(writer)
+	say := func(piece string) bool {
+		encoder.Encode(map[string]string{"piece": piece})
+		controller.Flush()
+		select {
+		case <-time.After(runner.pace.Piece):
+			return true
+		case <-query.Context().Done():
+			return false
+		}
+	}
+	time.Sleep(runner.pace.First)
+	for position, piece := range Answer(asked.History, asked.Words) {
+		if !say(piece) {
+			return
+		}
+		if position == 2 && strings.Contains(asked.Words, "!stop") {
+			panic(http.ErrAbortHandler)
+		}
+		if position == 2 && strings.Contains(asked.Words, "!early") {
+			return
+		}
+		if position == 2 && strings.Contains(asked.Words, "!nonsense") {
+			fmt.Fprintln(writer, "{nonsense")
+		}
+	}
+	for strings.Contains(asked.Words, "!endless") {
+		if !say(" more") {
+			return
+		}
+	}
+	encoder.Encode(map[string]bool{"end": true})
+}
+
+func (runner *Runner) plain(writer http.ResponseWriter, query *http.Request) {
+	var asked runnerclient.PlainQuery
+	if err := json.NewDecoder(query.Body).Decode(&asked); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if strings.Contains(asked.Words, "!refuse") {
+		writer.Header().Set(runnerclient.NotRunHeader, "true")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if asked.RequestKey != "" {
+		runner.mutex.Lock()
+		runner.record.Executions[asked.Program+"/"+asked.Kind+"/"+asked.RequestKey]++
+		runner.mutex.Unlock()
+	}
+	time.Sleep(runner.pace.Plain)
+	switch {
+	case strings.Contains(asked.Words, "!lose"):
+		panic(http.ErrAbortHandler)
+	case strings.Contains(asked.Words, "!type"):
+		writer.Header().Set("Content-Type", "text/html")
+		fmt.Fprint(writer, "<p>hello</p>")
+		return
+	case strings.Contains(asked.Words, "!nonsense"):
+		writer.Header().Set("Content-Type", "application/json")
+		fmt.Fprint(writer, "{nonsense")
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(writer).Encode(PlainAnswer(asked))
+}
--- /dev/null
+++ b/system/agreement/types.go
@@ -0,0 +1,206 @@
+// Package agreement is the pure Raft core that both planes share.
+//
+// A Core holds one replica of one group. It owns no goroutine, socket, file or
+// clock: Step takes one input (a message, a tick, a notice that a write was
+// synced, a proposal, ...) and returns what the shell round it must do. The same
+// inputs in the same order always give the same outputs.
+package agreement
+
+import "slices"
+
+// EntryKind tells what a log entry carries.
+type EntryKind uint16
+
+const (
+	// EntryCommand carries an opaque command for the state machine.
+	EntryCommand EntryKind = iota
+	// EntryEmpty is what a new leader appends so that it may commit.
+	EntryEmpty
+	// EntryReplicas changes the replica set by one member.
+	EntryReplicas
+)
+
+// Replicas is the membership of a group.
+type Replicas struct {
+	Voters   []string
+	Learners []string
+}
+
+// Entry is one slot of the replicated log.
+type Entry struct {
+	Index    uint64
+	Term     uint64
+	Kind     EntryKind
+	Data     []byte
+	Replicas Replicas
+}
+
+// State is what a replica must never forget.
+type State struct {
+	Term  uint64
+	Voted string
+}
+
+// Checkpoint is a state machine's whole content as of Index.
+type Checkpoint struct {
+	Index    uint64
+	Term     uint64
+	Replicas Replicas
+	Data     []byte
+}
+
+// MessageKind tells what a message asks or answers.
+type MessageKind uint16
+
+const (
+	// MessagePreVote asks whether an election could be won.
+	MessagePreVote MessageKind = iota
+	// MessagePreVoteReply answers MessagePreVote.
+	MessagePreVoteReply
+	// MessageVote asks for a vote.
+	MessageVote
+	// MessageVoteReply answers MessageVote.
+	MessageVoteReply
+	// MessageAppend carries entries; with none it is the heartbeat.
+	MessageAppend
+	// MessageAppendReply answers MessageAppend and MessageCheckpoint.
+	MessageAppendReply
+	// MessageCheckpoint carries a whole checkpoint to a replica far behind.
+	MessageCheckpoint
+	// MessageElectNow tells a caught-up voter to stand for election at once.
+	MessageElectNow
+)
+
+// Message is what replicas of one group send each other.
+type Message struct {
+	Group      uint32
+	Kind       MessageKind
+	From       string
+	To         string
+	Term       uint64
+	Index      uint64 // last log index, previous index, or matched index
+	LogTerm    uint64 // term at Index
+	Commit     uint64
+	Round      uint64 // read-index round, echoed by the reply
+	Refused    bool
+	Hint       uint64 // a refusing follower's last index
+	Forced     bool   // a handed-over election, which ignores the leader's lease
+	Entries    []Entry
+	Checkpoint Checkpoint
+}
+
+// Write is what must be synced before the messages held back behind it leave.
+// Entries replace every stored entry from Entries[0].Index on.
+type Write struct {
+	Number     uint64
+	State      State
+	Entries    []Entry
+	Checkpoint *Checkpoint
+}
+
+// ReadAnswer tells that a read may be served once Index is applied, or that
+// this replica cannot say.
+type ReadAnswer struct {
+	Context uint64
+	Index   uint64
+	Refused bool
+}
+
+// Output is what the shell must do after a step, in this order: apply Restore
+// and Committed, store Write, send Messages, answer Reads.
+type Output struct {
+	Messages  []Message
+	Write     *Write
+	Restore   *Checkpoint
+	Committed []Entry
+	Reads     []ReadAnswer
+	// ProposedIndex is where a proposal was put; 0 means it was refused.
+	ProposedIndex uint64
+	// ProposedTerm is the term of ProposedIndex.
+	ProposedTerm uint64
+}
+
+// InputKind selects the handler of an input.
+type InputKind uint16
+
+const (
+	// InputTick tells that one tick went by.
+	InputTick InputKind = iota
+	// InputMessage brings a sibling's message.
+	InputMessage
+	// InputSynced tells that the write with this Number lasts.
+	InputSynced
+	// InputPropose asks the leader to append a command.
+	InputPropose
+	// InputReplicas asks the leader for a one-member change.
+	InputReplicas
+	// InputRead asks the leader for a read index.
+	InputRead
+	// InputCompact hands over a checkpoint that replaces the log up to Index.
+	InputCompact
+	// InputHandOver asks the leader to give leadership to Sibling.
+	InputHandOver
+)
+
+// Input is one event for Step.
+type Input struct {
+	Kind     InputKind
+	Message  Message
+	Number   uint64
+	Data     []byte
+	Replicas Replicas
+	Context  uint64
+	Index    uint64
+	Sibling  string
+}
+
+// Stored is what a replica finds on its disk.
+type Stored struct {
+	State      State
+	Checkpoint Checkpoint
+	Entries    []Entry
+}
+
+// Settings fix a replica's name and pace.
+type Settings struct {
+	Group          uint32
+	Name           string
+	ElectionTicks  int
+	HeartbeatTicks int
+	Seed           uint64
+}
+
+// Status is a copy of what a replica believes.
+type Status struct {
+	Term      uint64
+	Leader    string
+	Leading   bool
+	Commit    uint64
+	Last      uint64
+	Replicas  Replicas
+	Matched   map[string]uint64
+	Changing  bool
+	Confirmed bool // the leader has committed an entry of its own term
+}
+
+// With folds a write into what the disk holds.
+//
+//	stored = stored.With(output.Write)
+func (stored Stored) With(write *Write) Stored {
+	stored.State = write.State
+	first := stored.Checkpoint.Index + uint64(len(stored.Entries)) + 1
+	if len(write.Entries) > 0 {
+		first = write.Entries[0].Index
+	}
+	if write.Checkpoint != nil {
+		stored.Checkpoint = *write.Checkpoint
+		if len(write.Entries) == 0 {
+			first = write.Checkpoint.Index + 1
+		}
+	}
+	kept := slices.DeleteFunc(slices.Clone(stored.Entries), func(entry Entry) bool {
+		return entry.Index <= stored.Checkpoint.Index || entry.Index >= first
+	})
+	stored.Entries = append(kept, write.Entries...)
+	return stored
+}
--- /dev/null
+++ b/system/charter/charter_test.go
@@ -0,0 +1,47 @@
+package charter
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"yardrock.example/system/mishap"
+)
+
+const good = `
+operators: root: token_hashes: []
+teams: depot: token_hashes: []
+programs: manifest: {team: "depot", allowance: 100, turn_limit: 10}
+groups: {small: {}, large: concurrency: 3}
+tables: chat: {small: 3, large: 1}
+kinds: chat: {serves: "turn", table: "chat"}
+`
+
+func TestCharterIsCheckedWithPathAndRemedy(t *testing.T) {
+	made, compiled, err := Compile(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Decode(compiled)
+	if err != nil || again.Groups["large"].Concurrency != 3 || time.Duration(again.Programs["manifest"].Keep) != 24*time.Hour {
+		t.Fatalf("compiled form differs: %+v %v", again, err)
+	}
+	if made.Kinds["chat"].Repeatable != true || made.Limits.Queue != 200 {
+		t.Fatalf("defaults are missing: %+v", made)
+	}
+	for broken, path := range map[string]string{
+		good + `programs: manifest: allowance: -1`:                         "programs.manifest.allowance",
+		good + `tables: chat: huge: 1`:                                     "tables.chat.huge",
+		good + `kinds: late: {serves: "turn", table: "none"}`:              "kinds.late.table",
+		good + `tables: chat: small: 4`:                                    "tables.chat.small",
+		good + `colour: "red"`:                                             "colour",
+		good + `programs: other: {team: "x", allowance: 1, turn_limit: 1}`: "programs.other.team",
+		good + `limits: queue_patience: "soon"`:                            "limits.queue_patience",
+		`teams: {`:                                                         "line 1",
+	} {
+		_, _, err := Compile(broken)
+		if !mishap.Is(err, mishap.Invalid) || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), "remedy") {
+			t.Errorf("%q: %v", strings.TrimPrefix(broken, good), err)
+		}
+	}
+}
--- /dev/null
+++ b/system/cmd/yardrock-control-plane/main.go
@@ -0,0 +1,61 @@
+// Command yardrock-control-plane runs a control node.
+package main
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"os"
+
+	"yardrock.example/system/controlplane"
+	"yardrock.example/system/daemon"
+	"yardrock.example/system/files"
+	"yardrock.example/system/link"
+	"yardrock.example/system/replica"
+	"yardrock.example/system/settings"
+)
+
+func main() {
+	if err := run(); err != nil {
+		os.Exit(daemon.Fail(err))
+	}
+}
+
+func run() error {
+	loaded, err := settings.LoadControlPlane(os.Args[1:], os.Stdout)
+	if err != nil {
+		return err
+	}
+	daemon.Logs(loaded.Log)
+	folder, err := files.Open(loaded.Folder)
+	if err != nil {
+		return err
+	}
+	node, err := controlplane.Start(controlplane.Settings{
+		Address: loaded.Address, Administration: loaded.Administration, Domain: loaded.Domain, Seeds: loaded.Seeds,
+		FoundingStores: loaded.FoundingStores, Groups: loaded.Groups, MostControls: loaded.MostControls, Replica: replica.Usual(rand.Uint64()),
+	}, folder, link.TCP{})
+	if err != nil {
+		return err
+	}
+	server, err := controlplane.Serve(node, loaded.RootTokenHash)
+	if err != nil {
+		node.Close()
+		return err
+	}
+	daemon.Wait(daemon.Running{
+		Reread: node.SetSeeds,
+		Drain: func(ctx context.Context) {
+			node.Drain()
+			server.Drain(ctx)
+		},
+		Close: func() {
+			server.Close()
+			node.Close()
+		},
+	}, func() ([]string, error) {
+		again, err := settings.LoadControlPlane(os.Args[1:], io.Discard)
+		return again.Seeds, err
+	})
+	return nil
+}
--- /dev/null
+++ b/system/cmd/yardrock-data-plane/main.go
@@ -0,0 +1,82 @@
+// Command yardrock-data-plane runs a front node or a store node, by its settings.
+package main
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+
+	"yardrock.example/system/daemon"
+	"yardrock.example/system/files"
+	"yardrock.example/system/front"
+	"yardrock.example/system/httpface"
+	"yardrock.example/system/link"
+	"yardrock.example/system/replica"
+	"yardrock.example/system/settings"
+	"yardrock.example/system/store"
+)
+
+func main() {
+	if err := run(); err != nil {
+		os.Exit(daemon.Fail(err))
+	}
+}
+
+var roles = map[string]func(*settings.DataPlane) (daemon.Running, error){"front": startFront, "store": startStore}
+
+func run() error {
+	loaded, err := settings.LoadDataPlane(os.Args[1:], os.Stdout)
+	if err != nil {
+		return err
+	}
+	daemon.Logs(loaded.Log)
+	running, err := roles[loaded.Role](loaded)
+	if err != nil {
+		return err
+	}
+	daemon.Wait(running, func() ([]string, error) {
+		again, err := settings.LoadDataPlane(os.Args[1:], io.Discard)
+		return again.Seeds, err
+	})
+	return nil
+}
+
+func startFront(loaded *settings.DataPlane) (daemon.Running, error) {
+	node, err := front.Start(front.Settings{Address: loaded.Address, Public: loaded.Public, Domain: loaded.Domain, Seeds: loaded.Seeds}, link.TCP{})
+	if err != nil {
+		return daemon.Running{}, err
+	}
+	return daemon.Running{Reread: node.SetSeeds, Drain: node.Drain, Close: node.Close}, nil
+}
+
+func startStore(loaded *settings.DataPlane) (daemon.Running, error) {
+	folder, err := files.Open(loaded.Folder)
+	if err != nil {
+		return daemon.Running{}, err
+	}
+	coldFolder, err := files.Open(filepath.Join(loaded.Folder, "cold"))
+	if err != nil {
+		return daemon.Running{}, err
+	}
+	node, err := store.Start(store.Settings{Address: loaded.Address, Domain: loaded.Domain, Seeds: loaded.Seeds, Replica: replica.Usual(rand.Uint64())}, folder, coldFolder, link.TCP{})
+	if err != nil {
+		return daemon.Running{}, err
+	}
+	running := daemon.Running{Reread: node.SetSeeds, Drain: func(context.Context) { node.Drain() }, Close: node.Close}
+	if loaded.Health == "" {
+		return running, nil
+	}
+	listener, err := link.TCP{}.Listen(loaded.Health)
+	if err != nil {
+		node.Close()
+		return daemon.Running{}, err
+	}
+	server := httpface.Serve(listener, httpface.HealthHandler(node.Ready), func() int64 { return 1024 })
+	running.Close = func() {
+		server.Close()
+		node.Close()
+	}
+	return running, nil
+}
--- /dev/null
+++ b/system/controlplane/machine.go
@@ -0,0 +1,136 @@
+// Package controlplane is a control node: one replica of the group that orders
+// the feed, the sessions of nodes, and the duties that steer the fleet.
+package controlplane
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+
+	"yardrock.example/system/agreement"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+const (
+	controlGroup       = 0
+	controlImageFormat = 1
+	changesKept        = 512
+)
+
+// changeOutcome is what applying a change answers.
+type changeOutcome struct {
+	number uint64
+	err    error
+}
+
+type feedState struct {
+	view    *feed.View
+	changes []feed.Change
+}
+
+// feedMachine folds committed changes into the view, and gives them their
+// numbers.
+type feedMachine struct{ published atomic.Pointer[feedState] }
+
+func newFeedMachine() *feedMachine {
+	machine := &feedMachine{}
+	machine.published.Store(&feedState{view: &feed.View{}})
+	return machine
+}
+
+func (machine *feedMachine) state() *feedState { return machine.published.Load() }
+
+func expectation(view *feed.View, change feed.Change) uint64 {
+	if change.Kind == feed.ChangeCharter {
+		return view.CharterNumber
+	}
+	return view.Number
+}
+
+var changeGuards = map[feed.ChangeKind]func(*feed.View, feed.Change) error{
+	feed.ChangeDuty: func(view *feed.View, change feed.Change) error {
+		if held := view.DutyOf(change.Duty.Key); change.Duty.Fence != held.Fence+1 {
+			return mishap.New(mishap.Conflict, fmt.Sprintf("duty %s is at fence %d", change.Duty.Key, held.Fence), "read the duty again")
+		}
+		return nil
+	},
+	feed.ChangeRoster: func(view *feed.View, change feed.Change) error {
+		if held := view.DutyOf(change.Duty.Key); change.Duty.Fence != held.Fence || change.Duty.Owner != held.Owner {
+			return mishap.New(mishap.Conflict, fmt.Sprintf("duty %s is held by %s under fence %d", change.Duty.Key, held.Owner, held.Fence), "stop this duty; another node has it")
+		}
+		return nil
+	},
+	feed.ChangeRecovered: func(view *feed.View, change feed.Change) error {
+		if view.Number != 1 || change.View.Number <= 1 {
+			return mishap.New(mishap.Conflict, "the feed has gone on already", "nothing is left to recover")
+		}
+		return nil
+	},
+}
+
+// Apply gives a committed change its number, or refuses it.
+func (machine *feedMachine) Apply(entry agreement.Entry) any {
+	var change feed.Change
+	if err := wire.Decode(schema.Change_TypeID, entry.Data, &change); err != nil {
+		return changeOutcome{err: err}
+	}
+	state := machine.state()
+	if change.Expects && change.Expected != expectation(state.view, change) {
+		return changeOutcome{number: state.view.Number, err: mishap.New(mishap.Conflict,
+			fmt.Sprintf("expected number %d, but %d is in force", change.Expected, expectation(state.view, change)), "read what is in force and decide anew")}
+	}
+	if guard, guarded := changeGuards[change.Kind]; guarded {
+		if err := guard(state.view, change); err != nil {
+			return changeOutcome{number: state.view.Number, err: err}
+		}
+	}
+	change.Number = state.view.Number + 1
+	if change.Kind == feed.ChangeRecovered {
+		change.Number = change.View.Number
+	}
+	view := feed.Fold(*state.view, change)
+	change.View = feed.View{}
+	next := &feedState{view: &view, changes: append(slices.Clip(state.changes), change)}
+	if change.Kind == feed.ChangeRecovered || change.Kind == feed.ChangeFounded {
+		next.changes = nil
+	}
+	if len(next.changes) > changesKept {
+		next.changes = slices.Clone(next.changes[len(next.changes)-changesKept:])
+	}
+	machine.published.Store(next)
+	return changeOutcome{number: change.Number}
+}
+
+// since gives the changes after a number, or false if a snapshot is needed.
+func (state *feedState) since(number uint64) ([]feed.Change, bool) {
+	if number == state.view.Number {
+		return nil, true
+	}
+	at := slices.IndexFunc(state.changes, func(change feed.Change) bool { return change.Number == number+1 })
+	if at < 0 {
+		return nil, false
+	}
+	return state.changes[at:], true
+}
+
+// Image is the checkpoint of the control group.
+func (machine *feedMachine) Image() []byte {
+	state := machine.state()
+	return wire.MustEncode(schema.ControlImage_TypeID, &wire.ControlImage{Version: controlImageFormat, View: *state.view, Changes: state.changes})
+}
+
+// Restore replaces the content by a checkpoint's.
+func (machine *feedMachine) Restore(data []byte) error {
+	var image wire.ControlImage
+	if err := wire.Decode(schema.ControlImage_TypeID, data, &image); err != nil {
+		return err
+	}
+	if image.Version > controlImageFormat {
+		return mishap.New(mishap.FormatTooNew, fmt.Sprintf("control checkpoint of format %d", image.Version), "run the newer version of the program")
+	}
+	machine.published.Store(&feedState{view: &image.View, changes: image.Changes})
+	return nil
+}
--- /dev/null
+++ b/system/controlplane/node.go
@@ -0,0 +1,420 @@
+package controlplane
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/durablelog"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/files"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/replica"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+const (
+	sessionPatience  = 3 * time.Second
+	gossipInterval   = 500 * time.Millisecond
+	steerInterval    = 500 * time.Millisecond
+	foundingInterval = 500 * time.Millisecond
+	callPatience     = 2 * time.Second
+)
+
+// Settings place a control node.
+type Settings struct {
+	Address        string
+	Administration string
+	Domain         string
+	Seeds          []string
+	FoundingStores int
+	Groups         uint32
+	MostControls   int
+	Replica        replica.Settings
+}
+
+type session struct {
+	member feed.Member
+	heard  time.Time
+	direct bool
+}
+
+// Node is a running control node.
+type Node struct {
+	settings Settings
+	network  link.Network
+	caller   *link.Caller
+	host     *replica.Host
+	machine  *feedMachine
+	server   *link.Server
+	seeds    atomic.Pointer[[]string]
+
+	mutex    sync.Mutex
+	sessions map[string]session
+	acked    map[string]uint64
+	changed  chan struct{} // closed and replaced whenever acked grows
+
+	context context.Context
+	stop    context.CancelFunc
+	tasks   sync.WaitGroup
+	roster  rosterState
+}
+
+// Start opens the data folder and runs a control node until Close.
+//
+//	node, err := controlplane.Start(settings, folder, link.TCP{})
+//	defer node.Close()
+func Start(settings Settings, folder files.Folder, network link.Network) (*Node, error) {
+	durable, records, err := durablelog.Open(folder, feed.RoleControl)
+	if err != nil {
+		return nil, err
+	}
+	node := &Node{
+		settings: settings, network: network, caller: link.NewCaller(network), machine: newFeedMachine(),
+		sessions: map[string]session{}, acked: map[string]uint64{}, changed: make(chan struct{}),
+	}
+	node.SetSeeds(settings.Seeds)
+	node.context, node.stop = context.WithCancel(context.Background())
+	courier := replica.NewCourier(node.caller, node.addressOf, func() string { return node.View().Fleet })
+	node.host, err = replica.Open(settings.Replica, durable, records, func(uint32) replica.Machine { return node.machine }, courier)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := network.Listen(settings.Address)
+	if err != nil {
+		node.host.Close()
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "choose an address of this machine that is free")
+	}
+	node.server = link.Serve(listener, node.Answer)
+	for _, task := range []struct {
+		interval time.Duration
+		run      func()
+	}{
+		{foundingInterval, node.found}, {gossipInterval, node.gossip}, {steerInterval, node.steer}, {steerInterval, node.runDuties},
+	} {
+		node.tasks.Add(1)
+		go node.repeat(task.interval, task.run)
+	}
+	log.WithFields(log.Fields{"node": node.Name(), "address": settings.Address}).Info("control_started")
+	return node, nil
+}
+
+func (node *Node) repeat(interval time.Duration, task func()) {
+	defer node.tasks.Done()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-node.context.Done():
+			return
+		case <-timer.C:
+			task()
+			timer.Reset(interval)
+		}
+	}
+}
+
+// SetSeeds replaces the seed addresses, as SIGHUP does.
+//
+//	node.SetSeeds(settings.Seeds)
+func (node *Node) SetSeeds(seeds []string) {
+	seeds = slices.Clone(seeds)
+	node.seeds.Store(&seeds)
+}
+
+// Name is the identity of the node's disk.
+//
+//	name := node.Name()
+func (node *Node) Name() string { return node.host.Name() }
+
+// View gives the newest view this replica has applied.
+//
+//	view := node.View()
+func (node *Node) View() *feed.View { return node.machine.state().view }
+
+// Leading tells whether this node leads the control group.
+//
+//	if node.Leading() { ... }
+func (node *Node) Leading() bool { return node.host.Statuses()[controlGroup].Leading }
+
+// Ready tells whether the control group has a leader that this node knows.
+//
+//	if node.Ready() { ... }
+func (node *Node) Ready() bool { return node.host.Statuses()[controlGroup].Leader != "" }
+
+// Close stops the node at once; what is not synced may be lost.
+//
+//	node.Close()
+func (node *Node) Close() {
+	node.stop()
+	node.server.Close()
+	node.caller.Close()
+	node.tasks.Wait()
+	node.host.Close()
+}
+
+// Drain gives up leadership before a stop.
+//
+//	node.Drain()
+func (node *Node) Drain() { node.host.HandOverAll() }
+
+func (node *Node) self() feed.Member {
+	return feed.Member{Name: node.Name(), Role: feed.RoleControl, Address: node.settings.Address, Domain: node.settings.Domain, Administration: node.settings.Administration}
+}
+
+func (node *Node) addressOf(name string) string {
+	node.mutex.Lock()
+	known, found := node.sessions[name]
+	node.mutex.Unlock()
+	if found && known.member.Address != "" {
+		return known.member.Address
+	}
+	return node.View().AddressOf(name)
+}
+
+var answers = map[schema.Query_Which]func(*Node, context.Context, *wire.Query) (*wire.Reply, error){
+	schema.Query_Which_status:    (*Node).answerStatus,
+	schema.Query_Which_agreement: (*Node).answerAgreement,
+	schema.Query_Which_follow:    (*Node).answerFollow,
+	schema.Query_Which_sessions:  (*Node).answerSessions,
+	schema.Query_Which_change:    (*Node).answerChange,
+}
+
+// Answer answers one query of another process.
+//
+//	reply := node.Answer(ctx, query)
+func (node *Node) Answer(ctx context.Context, query *wire.Query) *wire.Reply {
+	answer, known := answers[query.Which]
+	if !known {
+		return wire.Failed(mishap.New(mishap.Invalid, "a control node does not answer this query", "ask a store node"))
+	}
+	if fleet := node.View().Fleet; query.Fleet != "" && fleet != "" && query.Fleet != fleet {
+		return wire.Failed(mishap.New(mishap.ForeignFleet, "the asking process belongs to fleet "+query.Fleet+", this one to "+fleet, "correct its seeds, or empty its data folder so that it joins this fleet"))
+	}
+	reply, err := answer(node, ctx, query)
+	if err != nil {
+		return wire.Failed(err)
+	}
+	return reply
+}
+
+func (node *Node) empty() bool { return node.host.Statuses()[controlGroup].Last == 0 }
+
+func (node *Node) answerStatus(_ context.Context, _ *wire.Query) (*wire.Reply, error) {
+	view := node.View()
+	return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
+		Name: node.Name(), Role: feed.RoleControl, Address: node.settings.Address, Domain: node.settings.Domain, Empty: node.empty(),
+		Fleet: view.Fleet, Number: view.Number, Leader: node.host.Statuses()[controlGroup].Leader, Controls: view.Controls, Founding: view.Founding,
+	}}, nil
+}
+
+func (node *Node) answerAgreement(_ context.Context, query *wire.Query) (*wire.Reply, error) {
+	node.host.Receive(query.Agreement.Messages)
+	return &wire.Reply{}, nil
+}
+
+// found founds the fleet when all three seeds answer and all are empty, or takes
+// its part when another seed has founded it with this disk's name in it.
+func (node *Node) found() {
+	if !node.empty() || !slices.Contains(*node.seeds.Load(), node.settings.Address) {
+		return
+	}
+	statuses := []*wire.StatusReply{}
+	for _, seed := range *node.seeds.Load() {
+		ctx, cancel := context.WithTimeout(node.context, callPatience)
+		reply, err := node.caller.Call(ctx, seed, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+		cancel()
+		if err != nil || reply.Status == nil {
+			continue
+		}
+		if !reply.Status.Empty && slices.Contains(reply.Status.Founding, node.Name()) {
+			node.foundWith(foundingView(reply.Status.Founding, reply.Status.Controls, node.settings.Groups))
+			return
+		}
+		if reply.Status.Role == feed.RoleControl && reply.Status.Empty {
+			statuses = append(statuses, reply.Status)
+		}
+	}
+	if len(statuses) < 3 || len(statuses) != len(*node.seeds.Load()) {
+		return
+	}
+	members, names := []feed.Member{}, []string{}
+	for _, status := range statuses {
+		if slices.Contains(names, status.Name) {
+			return
+		}
+		names = append(names, status.Name)
+		members = append(members, feed.Member{Name: status.Name, Role: feed.RoleControl, Address: status.Address, Domain: status.Domain})
+	}
+	node.foundWith(foundingView(names, members, node.settings.Groups))
+}
+
+// foundingView is the same on every founder.
+func foundingView(names []string, members []feed.Member, groups uint32) feed.View {
+	names = slices.Sorted(slices.Values(names))
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(left, right feed.Member) int { return strings.Compare(left.Name, right.Name) })
+	sum := sha256.Sum256([]byte(strings.Join(names, " ")))
+	return feed.View{Fleet: hex.EncodeToString(sum[:8]), Number: 1, Controls: members, Groups: groups, Founding: names}
+}
+
+func (node *Node) foundWith(view feed.View) {
+	image := wire.MustEncode(schema.ControlImage_TypeID, &wire.ControlImage{Version: controlImageFormat, View: view})
+	node.host.Found(controlGroup, view.Founding, image)
+	log.WithFields(log.Fields{"node": node.Name(), "fleet": view.Fleet}).Info("fleet_founded")
+}
+
+// leaderAddress tells where the control leader is; "" if it is here or unknown.
+func (node *Node) leaderAddress() string {
+	leader := node.host.Statuses()[controlGroup].Leader
+	if leader == "" || leader == node.Name() {
+		return ""
+	}
+	return node.addressOf(leader)
+}
+
+// viaLeader asks the leader to answer what only it can.
+func (node *Node) viaLeader(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
+	address := node.leaderAddress()
+	if address == "" {
+		return nil, noQuorum()
+	}
+	forwarded := *query
+	forwarded.Fleet = node.View().Fleet
+	return node.caller.Call(ctx, address, &forwarded)
+}
+
+func noQuorum() error {
+	return mishap.Later(mishap.NoQuorum, "the control plane has no leader with a quorum now", "ask again in a second; if it stays, start the missing control nodes", time.Second)
+}
+
+// answerFollow renews the session here and has the leader confirm the number.
+func (node *Node) answerFollow(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
+	follow := query.Follow
+	if !follow.SessionOnly {
+		node.renew(follow.Member, 0, true)
+	}
+	if !node.Leading() {
+		forwarded := *follow
+		forwarded.SessionOnly = true
+		reply, err := node.viaLeader(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &forwarded})
+		if err == nil && reply.Follow != nil {
+			reply.Follow.Members = node.Live()
+		}
+		return reply, err
+	}
+	if err := node.host.Read(ctx, controlGroup); err != nil {
+		return nil, err
+	}
+	state := node.machine.state()
+	answer := &wire.FollowReply{Newest: state.view.Number, Members: node.Live()}
+	changes, complete := state.since(follow.After)
+	if follow.After == 0 || !complete {
+		answer.Reset, answer.View = true, *state.view
+	} else {
+		answer.Changes = changes
+	}
+	return &wire.Reply{Which: schema.Reply_Which_follow, Follow: answer}, nil
+}
+
+func (node *Node) renew(member feed.Member, age time.Duration, direct bool) {
+	if member.Name == "" {
+		return
+	}
+	heard := time.Now().Add(-age)
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if known, found := node.sessions[member.Name]; !found || heard.After(known.heard) {
+		node.sessions[member.Name] = session{member: member, heard: heard, direct: direct}
+	}
+}
+
+// Live gives the members whose sessions stand, by name.
+//
+//	for _, member := range node.Live() { ... }
+func (node *Node) Live() []feed.Member {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	live := []feed.Member{node.self()}
+	for name, known := range node.sessions {
+		switch age := time.Since(known.heard); {
+		case age > 10*sessionPatience:
+			delete(node.sessions, name)
+		case age < sessionPatience && name != node.Name():
+			live = append(live, known.member)
+		}
+	}
+	slices.SortFunc(live, func(left, right feed.Member) int { return strings.Compare(left.Name, right.Name) })
+	return live
+}
+
+func (node *Node) answerSessions(_ context.Context, query *wire.Query) (*wire.Reply, error) {
+	for _, note := range query.Sessions.Sessions {
+		node.renew(note.Member, note.Age, false)
+	}
+	return &wire.Reply{}, nil
+}
+
+// gossip tells the other control nodes the sessions that this one holds, its own
+// among them. A control node that is no member yet tells the members.
+func (node *Node) gossip() {
+	notes := []wire.SessionNote{{Member: node.self()}}
+	node.mutex.Lock()
+	for _, known := range node.sessions {
+		if age := time.Since(known.heard); known.direct && age < sessionPatience {
+			notes = append(notes, wire.SessionNote{Member: known.member, Age: age})
+		}
+	}
+	node.mutex.Unlock()
+	batch := &wire.SessionBatch{From: node.Name(), Sessions: notes}
+	targets := map[string]bool{}
+	for _, member := range node.View().Controls {
+		targets[member.Address] = true
+	}
+	for _, member := range node.Live() {
+		if member.Role == feed.RoleControl {
+			targets[member.Address] = true
+		}
+	}
+	if len(node.View().Controls) == 0 {
+		for _, address := range node.knownControls() {
+			targets[address] = true
+		}
+	}
+	delete(targets, node.settings.Address)
+	var told sync.WaitGroup
+	for address := range targets {
+		told.Go(func() {
+			ctx, cancel := context.WithTimeout(node.context, gossipInterval)
+			defer cancel()
+			if _, err := node.caller.Call(ctx, address, &wire.Query{Fleet: node.View().Fleet, Which: schema.Query_Which_sessions, Sessions: batch}); err != nil && ctx.Err() != nil {
+				node.caller.Drop(address)
+			}
+		})
+	}
+	told.Wait()
+}
+
+func (node *Node) knownControls() []string {
+	found := []string{}
+	for _, seed := range *node.seeds.Load() {
+		ctx, cancel := context.WithTimeout(node.context, gossipInterval)
+		reply, err := node.caller.Call(ctx, seed, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+		cancel()
+		if err == nil && reply.Status != nil {
+			for _, member := range reply.Status.Controls {
+				found = append(found, member.Address)
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/system/conversation/conversation.go
@@ -0,0 +1,166 @@
+// Package conversation folds a line's events into the view that turns need: which
+// turns there are, how each ended, and what was said up to one of them.
+package conversation
+
+import (
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+
+	"yardrock.example/system/line"
+	"yardrock.example/system/runnerclient"
+)
+
+// Turn is one run of a line: a turn, a tool call, or work that runs once.
+type Turn struct {
+	Begun  line.Event
+	Pieces []line.Event
+	Ended  *line.Event
+}
+
+// Complete tells whether the turn ended as it should.
+//
+//	if !turn.Complete() { ... }
+func (turn *Turn) Complete() bool {
+	return turn.Ended != nil && turn.Ended.Outcome == line.OutcomeComplete
+}
+
+// Overdue tells whether the turn is open though its runner's time is over.
+//
+//	if turn.Overdue(time.Now()) { ... }
+func (turn *Turn) Overdue(now time.Time) bool {
+	return turn.Ended == nil && now.After(time.Unix(0, turn.Begun.Deadline))
+}
+
+// View is a line's events, folded.
+type View struct {
+	Head   uint64
+	turns  map[uint64]*Turn
+	order  []*Turn
+	opened map[string]line.Event
+}
+
+// Fold makes the view of a line's events, which must be all from the first on.
+//
+//	view := conversation.Fold(events)
+func Fold(events []line.Event) *View {
+	view := &View{turns: map[uint64]*Turn{}, opened: map[string]line.Event{}}
+	for _, event := range events {
+		view.Head = event.Seq
+		switch event.Kind {
+		case line.TurnBegun, line.ToolCalled:
+			turn := &Turn{Begun: event}
+			view.turns[event.Seq] = turn
+			view.opened[event.Producer] = event
+			view.order = append(view.order, turn)
+		case line.Fenced:
+			view.opened[event.Producer] = event
+		case line.Piece:
+			view.turns[event.Turn].Pieces = append(view.turns[event.Turn].Pieces, event)
+		case line.TurnEnded, line.ToolAnswered:
+			view.turns[event.Turn].Ended = &event
+		}
+	}
+	return view
+}
+
+// Turn finds a turn by its name, the seq of its first event.
+//
+//	turn, found := view.Turn(7)
+func (view *View) Turn(name uint64) (*Turn, bool) {
+	turn, found := view.turns[name]
+	return turn, found && turn.Begun.Kind == line.TurnBegun
+}
+
+// Followers gives the turns that follow a turn, in order.
+//
+//	for _, sibling := range view.Followers(7) { ... }
+func (view *View) Followers(name uint64) []*Turn {
+	found := []*Turn{}
+	for _, turn := range view.order {
+		if turn.Begun.Kind == line.TurnBegun && turn.Begun.Follows == name {
+			found = append(found, turn)
+		}
+	}
+	return found
+}
+
+// Said gives what was said up to and with a turn: the chain of turns that it
+// follows, with the tools that those called, in the order of the line.
+//
+//	history := view.Said(7)
+func (view *View) Said(name uint64) []runnerclient.Message {
+	chain := map[uint64]bool{}
+	for at := name; at != 0; {
+		turn, found := view.Turn(at)
+		if !found {
+			break
+		}
+		chain[at] = true
+		at = turn.Begun.Follows
+	}
+	said := []runnerclient.Message{}
+	for _, turn := range view.order {
+		switch {
+		case turn.Begun.Kind == line.TurnBegun && chain[turn.Begun.Seq]:
+			said = append(said, runnerclient.Message{Role: "caller", Words: turn.Begun.Words}, runnerclient.Message{Role: "model", Words: turn.Words()})
+		case turn.Begun.Kind == line.ToolCalled && chain[turn.Begun.Follows] && turn.Complete():
+			said = append(said, runnerclient.Message{Role: "tool_call", Name: turn.Begun.Name, Words: turn.Begun.Words}, runnerclient.Message{Role: "tool_result", Name: turn.Begun.Name, Words: turn.Ended.Words})
+		}
+	}
+	return said
+}
+
+// Words joins a turn's pieces.
+//
+//	answer := turn.Words()
+func (turn *Turn) Words() string {
+	var text strings.Builder
+	pieces := slices.Clone(turn.Pieces)
+	slices.SortFunc(pieces, func(left, right line.Event) int { return int(left.Part) - int(right.Part) })
+	for _, piece := range pieces {
+		text.WriteString(piece.Words)
+	}
+	return text.String()
+}
+
+// Counter counts words over pieces that may split them. A word is a longest run
+// of characters that are no white space.
+type Counter struct {
+	Count  uint64
+	inside bool
+}
+
+// Take counts a piece as far as a limit allows and gives that part of it; false
+// tells that the piece was cut.
+//
+//	kept, whole := counter.Take(piece, 500)
+func (counter *Counter) Take(piece string, limit uint64) (string, bool) {
+	for position, character := range piece {
+		space := unicode.IsSpace(character)
+		if !space && !counter.inside {
+			if counter.Count == limit {
+				return piece[:position], false
+			}
+			counter.Count++
+		}
+		counter.inside = !space
+	}
+	return piece, true
+}
+
+// CountWords counts the words of a whole text.
+//
+//	words := conversation.CountWords("three short words")
+func CountWords(text string) uint64 {
+	return uint64(len(strings.Fields(text)))
+}
+
+// ByProducer finds the event that opened a run for a producer, or fenced it off.
+//
+//	event, found := view.ByProducer("manifest/once/key-7")
+func (view *View) ByProducer(name string) (line.Event, bool) {
+	event, found := view.opened[name]
+	return event, found
+}
--- /dev/null
+++ b/system/daemon/daemon.go
@@ -0,0 +1,78 @@
+// Package daemon is what both programs do round their node: logs, signals,
+// settings that are read again, and a drained stop.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/settings"
+)
+
+const drainPatience = 25 * time.Second
+
+// Running is a started node as the program sees it.
+type Running struct {
+	Reread func(seeds []string)
+	Drain  func(ctx context.Context)
+	Close  func()
+}
+
+// Logs sends one key=value line per event to standard error.
+//
+//	daemon.Logs("info")
+func Logs(level string) {
+	log.SetHandler(logfmt.New(os.Stderr))
+	if level == "" {
+		level = "info"
+	}
+	log.SetLevelFromString(level)
+}
+
+// Fail tells a failure with its remedy and gives the exit code.
+//
+//	os.Exit(daemon.Fail(err))
+func Fail(err error) int {
+	if errors.Is(err, settings.ErrShown) {
+		return 0
+	}
+	failed := mishap.Of(err)
+	fmt.Fprintf(os.Stderr, "%s\nremedy: %s\n", failed.Message, failed.Remedy)
+	return 2
+}
+
+// Wait serves until SIGTERM or SIGINT, then drains. SIGHUP reads the settings
+// again; what is wrong with them is told and the old ones stay.
+//
+//	daemon.Wait(running, func() ([]string, error) { ... })
+func Wait(running Running, seeds func() ([]string, error)) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			break
+		}
+		read, err := seeds()
+		if err != nil {
+			log.WithField("error", err.Error()).Error("settings_refused")
+			continue
+		}
+		running.Reread(read)
+		log.WithField("seeds", fmt.Sprint(read)).Info("settings_reread")
+	}
+	log.Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), drainPatience)
+	defer cancel()
+	running.Drain(ctx)
+	running.Close()
+	log.Info("stopped")
+}
--- /dev/null
+++ b/system/feed/feed.go
@@ -0,0 +1,229 @@
+// Package feed holds the numbered feed of changes that orders all that must not
+// be obeyed late: charter, domains, runner roster, store list, duties. A View is
+// the fold of all changes up to its number; views are never changed in place.
+package feed
+
+import (
+	"iter"
+	"slices"
+
+	"yardrock.example/system/placement"
+)
+
+// The states of domains, runners and stores.
+const (
+	Serving  = "serving"
+	Emptied  = "emptied"
+	Leaving  = "leaving"
+	Cold     = "cold"
+	Retiring = "retiring"
+	Retired  = "retired"
+)
+
+// The roles of nodes.
+const (
+	RoleFront   = "front"
+	RoleStore   = "store"
+	RoleControl = "control"
+)
+
+// Member is one node of the fleet.
+type Member struct {
+	Name           string
+	Role           string
+	Address        string
+	Domain         string
+	State          string
+	Administration string
+}
+
+// Runner is one model or application runner of the platform's list.
+type Runner struct {
+	Address string
+	Group   string
+	Domain  string
+	State   string
+	Since   int64
+}
+
+// Domain is a zone, and whether it takes work.
+type Domain struct {
+	Name  string
+	State string
+	Since int64
+}
+
+// Duty is a single-node duty: its owner holds it under a fence number.
+type Duty struct {
+	Key   string
+	Owner string
+	Fence uint64
+}
+
+// ChangeKind selects how a change folds.
+type ChangeKind uint16
+
+// The kinds of change.
+const (
+	ChangeFounded ChangeKind = iota + 1
+	ChangeCharter
+	ChangeDomain
+	ChangeRoster
+	ChangeStores
+	ChangeControls
+	ChangeDuty
+	ChangeRecovered
+)
+
+// Change is one numbered change of the feed. Expected guards against a second
+// writer: the change is refused unless the part it replaces is of that number.
+type Change struct {
+	Number   uint64
+	Kind     ChangeKind
+	At       int64
+	By       string
+	Expects  bool
+	Expected uint64
+	Source   string
+	Compiled []byte
+	Domain   Domain
+	Runners  []Runner
+	Member   Member
+	Members  []Member
+	Duty     Duty
+	View     View
+	Query    string
+}
+
+// View is everything in force at one number.
+type View struct {
+	Fleet          string
+	Number         uint64
+	CharterNumber  uint64
+	Source         string
+	Compiled       []byte
+	Domains        []Domain
+	Runners        []Runner
+	FoundingStores []Member
+	Stores         []Member
+	Controls       []Member
+	Duties         []Duty
+	Groups         uint32
+	Founding       []string
+}
+
+var folds = map[ChangeKind]func(*View, Change){
+	ChangeFounded:   func(view *View, change Change) { *view = change.View },
+	ChangeRecovered: func(view *View, change Change) { *view = change.View },
+	ChangeCharter: func(view *View, change Change) {
+		view.Source, view.Compiled, view.CharterNumber = change.Source, change.Compiled, change.Number
+	},
+	ChangeDomain: func(view *View, change Change) {
+		view.Domains = replace(view.Domains, change.Domain, func(domain Domain) bool { return domain.Name == change.Domain.Name })
+	},
+	ChangeRoster: func(view *View, change Change) { view.Runners = change.Runners },
+	ChangeStores: func(view *View, change Change) {
+		if len(view.FoundingStores) == 0 {
+			view.FoundingStores = change.Members
+		}
+		view.Stores = change.Members
+	},
+	ChangeControls: func(view *View, change Change) { view.Controls = change.Members },
+	ChangeDuty: func(view *View, change Change) {
+		view.Duties = replace(view.Duties, change.Duty, func(duty Duty) bool { return duty.Key == change.Duty.Key })
+	},
+}
+
+func replace[Item any](items []Item, item Item, same func(Item) bool) []Item {
+	items = slices.Clone(items)
+	if at := slices.IndexFunc(items, same); at >= 0 {
+		items[at] = item
+		return items
+	}
+	return append(items, item)
+}
+
+// Fold gives the view after a change. A change that is not newer changes nothing.
+//
+//	view = feed.Fold(view, change)
+func Fold(view View, change Change) View {
+	fold, known := folds[change.Kind]
+	if !known || change.Number <= view.Number {
+		return view
+	}
+	fold(&view, change)
+	view.Number = change.Number
+	return view
+}
+
+// DomainEmptied tells whether a domain takes no new work.
+//
+//	if view.DomainEmptied(runner.Domain) { continue }
+func (view *View) DomainEmptied(name string) bool {
+	for _, domain := range view.Domains {
+		if domain.Name == name {
+			return domain.State == Emptied
+		}
+	}
+	return false
+}
+
+// DutyOf finds who holds a duty.
+//
+//	duty := view.DutyOf("roster")
+func (view *View) DutyOf(key string) Duty {
+	for _, duty := range view.Duties {
+		if duty.Key == key {
+			return duty
+		}
+	}
+	return Duty{Key: key}
+}
+
+// StorePlaces lists the stores that replicas may be put on.
+//
+//	names := placement.ReplicasOf(group, view.StorePlaces())
+func (view *View) StorePlaces() []placement.Place { return Places(view.Stores) }
+
+// Places turns members into places, leaving out those that go away.
+//
+//	places := feed.Places(view.FoundingStores)
+func Places(members []Member) []placement.Place {
+	places := []placement.Place{}
+	for _, member := range members {
+		if member.State != Retiring && member.State != Retired {
+			places = append(places, placement.Place{Name: member.Name, Domain: member.Domain})
+		}
+	}
+	return places
+}
+
+// AddressOf finds a store's or control node's address.
+//
+//	address := view.AddressOf(name)
+func (view *View) AddressOf(name string) string {
+	for member := range view.Members() {
+		if member.Name == name {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// Members iterates over the enrolled stores and control nodes.
+//
+//	for member := range view.Members() { ... }
+func (view *View) Members() iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for _, member := range view.Stores {
+			if !yield(member) {
+				return
+			}
+		}
+		for _, member := range view.Controls {
+			if !yield(member) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/system/files/files.go
@@ -0,0 +1,127 @@
+// Package files is the narrow view of a data folder that the rest of yardrock
+// uses, so that tests can put a failing disk in its place.
+package files
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// Folder is a flat folder of named files. Nothing lasts before Sync returned.
+type Folder interface {
+	// ReadFile gives a whole file; a missing one is fs.ErrNotExist.
+	ReadFile(name string) ([]byte, error)
+	// ReadPart gives length bytes from an offset on.
+	ReadPart(name string, offset int64, length int) ([]byte, error)
+	// WriteAt writes at an offset and makes the file if it is missing.
+	WriteAt(name string, offset int64, data []byte) error
+	// Truncate cuts a file to a size.
+	Truncate(name string, size int64) error
+	// Sync makes a file's content, and its presence in the folder, last.
+	Sync(name string) error
+	// Remove deletes a file; a missing one is no failure.
+	Remove(name string) error
+	// Names lists the files in order.
+	Names() ([]string, error)
+}
+
+// OnDisk is a Folder in the machine's file system.
+type OnDisk struct{ path string }
+
+// Open makes the folder if it is missing.
+//
+//	folder, err := files.Open("/var/lib/yardrock")
+func Open(path string) (*OnDisk, error) {
+	if err := os.MkdirAll(path, 0o750); err != nil {
+		return nil, err
+	}
+	return &OnDisk{path: path}, nil
+}
+
+func (folder *OnDisk) at(name string) string { return filepath.Join(folder.path, name) }
+
+// ReadFile gives a whole file.
+//
+//	data, err := folder.ReadFile("identity")
+func (folder *OnDisk) ReadFile(name string) ([]byte, error) { return os.ReadFile(folder.at(name)) }
+
+// ReadPart gives a part of a file.
+//
+//	data, err := folder.ReadPart("cold-7", 128, 64)
+func (folder *OnDisk) ReadPart(name string, offset int64, length int) ([]byte, error) {
+	file, err := os.Open(folder.at(name))
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	data := make([]byte, length)
+	_, err = file.ReadAt(data, offset)
+	return data, err
+}
+
+// WriteAt writes without syncing.
+//
+//	err := folder.WriteAt("log-1", 0, header)
+func (folder *OnDisk) WriteAt(name string, offset int64, data []byte) error {
+	file, err := os.OpenFile(folder.at(name), os.O_WRONLY|os.O_CREATE, 0o640)
+	if err != nil {
+		return err
+	}
+	_, err = file.WriteAt(data, offset)
+	return errors.Join(err, file.Close())
+}
+
+// Truncate cuts a file.
+//
+//	err := folder.Truncate("log-1", 4096)
+func (folder *OnDisk) Truncate(name string, size int64) error {
+	return os.Truncate(folder.at(name), size)
+}
+
+// Sync syncs the file and the folder that names it.
+//
+//	err := folder.Sync("log-1")
+func (folder *OnDisk) Sync(name string) error {
+	for _, path := range []string{folder.at(name), folder.path} {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(file.Sync(), file.Close()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Remove deletes a file.
+//
+//	err := folder.Remove("log-1")
+func (folder *OnDisk) Remove(name string) error {
+	if err := os.Remove(folder.at(name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+// Names lists the regular files.
+//
+//	names, err := folder.Names()
+func (folder *OnDisk) Names() ([]string, error) {
+	found, err := os.ReadDir(folder.path)
+	if err != nil {
+		return nil, err
+	}
+	names := []string{}
+	for _, entry := range found {
+		if entry.Type().IsRegular() && !strings.HasPrefix(entry.Name(), ".") {
+			names = append(names, entry.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
--- /dev/null
+++ b/system/follower/follower.go
@@ -0,0 +1,282 @@
+// Package follower keeps a node's view of the feed: it renews the node's session
+// with a control node, takes changes from its place on, and knows until when the
+// view may be acted on.
+package follower
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+const (
+	// Window is how long one confirmation that nothing newer exists holds,
+	// counted from when it was asked for.
+	Window       = 1500 * time.Millisecond
+	interval     = 300 * time.Millisecond
+	askPatience  = 700 * time.Millisecond
+	hedgeAfter   = 250 * time.Millisecond
+	seedPatience = time.Second
+)
+
+// Follower follows the feed for one node.
+type Follower struct {
+	caller     *link.Caller
+	member     feed.Member
+	onView     func(*feed.View)
+	began      time.Time
+	seeds      atomic.Pointer[[]string]
+	view       atomic.Pointer[feed.View]
+	members    atomic.Pointer[[]feed.Member]
+	freshUntil atomic.Int64 // since began, on the monotonic clock
+	adopting   sync.Mutex
+	control    string
+	known      []string
+	context    context.Context
+	stop       context.CancelFunc
+	done       chan struct{}
+}
+
+// Start begins to follow. The view given, if any, is what the node's disk held;
+// onView is called with every newer one, in order, before it is shown.
+//
+//	following := follower.Start(caller, member, seeds, held, func(view *feed.View) { ... })
+func Start(caller *link.Caller, member feed.Member, seeds []string, held *feed.View, onView func(*feed.View)) *Follower {
+	follower := &Follower{caller: caller, member: member, onView: onView, began: time.Now(), done: make(chan struct{})}
+	if held == nil {
+		held = &feed.View{}
+	}
+	follower.view.Store(held)
+	follower.members.Store(&[]feed.Member{})
+	follower.SetSeeds(seeds)
+	follower.context, follower.stop = context.WithCancel(context.Background())
+	go follower.run()
+	return follower
+}
+
+// SetSeeds replaces the seed addresses, as SIGHUP does.
+//
+//	following.SetSeeds([]string{"10.0.0.1:7000"})
+func (follower *Follower) SetSeeds(seeds []string) {
+	seeds = slices.Clone(seeds)
+	follower.seeds.Store(&seeds)
+}
+
+// View gives the newest view held, fresh or not.
+//
+//	view := following.View()
+func (follower *Follower) View() *feed.View { return follower.view.Load() }
+
+// Members gives the live nodes, by the control nodes' sessions.
+//
+//	for _, member := range following.Members() { ... }
+func (follower *Follower) Members() []feed.Member { return *follower.members.Load() }
+
+// Fresh gives the view if it may be acted on: within the window, a control
+// quorum or a store majority said that nothing newer exists.
+//
+//	view, err := following.Fresh()
+func (follower *Follower) Fresh() (*feed.View, error) {
+	view := follower.view.Load()
+	if view.Number == 0 || int64(time.Since(follower.began)) >= follower.freshUntil.Load() {
+		return nil, mishap.Later(mishap.NotRun, "this node cannot tell whether its configuration is still in force", "ask again or at another node", time.Second)
+	}
+	return view, nil
+}
+
+// Adopt takes a view if it is newer, whoever brought it.
+//
+//	following.Adopt(view)
+func (follower *Follower) Adopt(view *feed.View) {
+	follower.adopting.Lock()
+	defer follower.adopting.Unlock()
+	held := follower.view.Load()
+	if view.Number <= held.Number || (held.Fleet != "" && held.Fleet != view.Fleet) {
+		return
+	}
+	follower.onView(view)
+	follower.view.Store(view)
+}
+
+func (follower *Follower) confirm(asked time.Time) {
+	until := int64(asked.Sub(follower.began) + Window)
+	if until > follower.freshUntil.Load() {
+		follower.freshUntil.Store(until)
+	}
+}
+
+// Stop ends following.
+//
+//	defer following.Stop()
+func (follower *Follower) Stop() {
+	follower.stop()
+	<-follower.done
+}
+
+func (follower *Follower) run() {
+	defer close(follower.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-follower.context.Done():
+			return
+		case <-timer.C:
+		}
+		follower.round()
+		timer.Reset(interval)
+	}
+}
+
+// round asks a control node, and after a short while the stores too.
+func (follower *Follower) round() {
+	asked := time.Now()
+	byControl := make(chan bool, 1)
+	go func() { byControl <- follower.askControl(asked) }()
+	hedge := time.NewTimer(hedgeAfter)
+	defer hedge.Stop()
+	select {
+	case confirmed := <-byControl:
+		if !confirmed {
+			follower.askStores(asked)
+		}
+	case <-hedge.C:
+		follower.askStores(asked)
+		<-byControl
+	}
+}
+
+func (follower *Follower) askControl(asked time.Time) bool {
+	address := follower.pickControl()
+	if address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(follower.context, askPatience)
+	defer cancel()
+	view := follower.view.Load()
+	reply, err := follower.caller.Call(ctx, address, &wire.Query{Fleet: view.Fleet, Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{Member: follower.member, After: view.Number}})
+	if err != nil {
+		if ctx.Err() != nil {
+			follower.caller.Drop(address)
+		}
+		if follower.context.Err() == nil {
+			log.WithFields(log.Fields{"node": follower.member.Name, "control": address, "error": err.Error()}).Warn("follow_failed")
+		}
+		follower.control = ""
+		return false
+	}
+	if reply.Follow == nil {
+		return false
+	}
+	follower.members.Store(&reply.Follow.Members)
+	next := *view
+	if reply.Follow.Reset {
+		next = reply.Follow.View
+	}
+	for _, change := range reply.Follow.Changes {
+		next = feed.Fold(next, change)
+	}
+	if next.Number < reply.Follow.Newest {
+		return false
+	}
+	follower.Adopt(&next)
+	follower.confirm(asked)
+	return true
+}
+
+// pickControl keeps to one control node while it answers; else it takes the next
+// of those the view or the seeds name.
+func (follower *Follower) pickControl() string {
+	if follower.control != "" {
+		return follower.control
+	}
+	if len(follower.known) == 0 {
+		for _, member := range follower.view.Load().Controls {
+			follower.known = append(follower.known, member.Address)
+		}
+		if len(follower.known) == 0 {
+			follower.known = follower.askSeeds()
+		}
+	}
+	if len(follower.known) == 0 {
+		return ""
+	}
+	follower.control, follower.known = follower.known[0], follower.known[1:]
+	return follower.control
+}
+
+func (follower *Follower) askSeeds() []string {
+	found := []string{}
+	for _, seed := range *follower.seeds.Load() {
+		ctx, cancel := context.WithTimeout(follower.context, seedPatience)
+		reply, err := follower.caller.Call(ctx, seed, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+		cancel()
+		if err != nil || reply.Status == nil {
+			continue
+		}
+		if reply.Status.Role == feed.RoleControl && !reply.Status.Empty {
+			found = append(found, seed)
+		}
+		for _, member := range reply.Status.Controls {
+			found = append(found, member.Address)
+		}
+		if len(found) > 0 {
+			break
+		}
+	}
+	return found
+}
+
+// askStores takes the newest view of a store majority; that majority meets every
+// one that a change was acknowledged by.
+func (follower *Follower) askStores(asked time.Time) {
+	view := follower.view.Load()
+	stores := view.Stores
+	if len(stores) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(follower.context, askPatience)
+	defer cancel()
+	answers := make(chan *wire.NewestReply, len(stores))
+	for _, store := range stores {
+		go func() {
+			reply, err := follower.caller.Call(ctx, store.Address, &wire.Query{Fleet: view.Fleet, Which: schema.Query_Which_newest, Newest: &wire.NewestQuery{After: view.Number}})
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- reply.Newest
+		}()
+	}
+	heard, newest := 0, view
+	for range stores {
+		answer := <-answers
+		if answer == nil {
+			continue
+		}
+		heard++
+		if answer.Number > newest.Number {
+			newest = &answer.View
+		}
+		if heard >= len(stores)/2+1 {
+			break
+		}
+	}
+	if heard < len(stores)/2+1 {
+		return
+	}
+	follower.Adopt(newest)
+	if newest == view {
+		follower.confirm(asked)
+	}
+}
--- /dev/null
+++ b/system/front/node.go
@@ -0,0 +1,179 @@
+// Package front is a front node: the caller API, the chain of filters that each
+// query passes, turns and their runs.
+package front
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+
+	"yardrock.example/system/charter"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/follower"
+	"yardrock.example/system/httpface"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
+	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/scheduling"
+	"yardrock.example/system/storeclient"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+// Settings place a front node.
+type Settings struct {
+	Address string // for other processes
+	Public  string // for callers
+	Domain  string
+	Seeds   []string
+}
+
+// inForce is a view with its decoded charter. It is replaced whole.
+type inForce struct {
+	view    *feed.View
+	charter *charter.Charter
+}
+
+// Node is a running front node.
+type Node struct {
+	settings Settings
+	name     string
+	caller   *link.Caller
+	follow   *follower.Follower
+	stores   *storeclient.Client
+	runners  *runnerclient.Client
+	board    *scheduling.Board
+	linked   *link.Server
+	public   *httpface.Server
+	rules    atomic.Pointer[inForce]
+	draining atomic.Bool
+
+	context context.Context
+	stop    context.CancelFunc
+	runs    sync.WaitGroup
+}
+
+// Start runs a front node until Close.
+//
+//	node, err := front.Start(settings, link.TCP{})
+//	defer node.Close()
+func Start(settings Settings, network link.Network) (*Node, error) {
+	node := &Node{settings: settings, name: "front-" + uuid.NewString(), caller: link.NewCaller(network), runners: runnerclient.New(network)}
+	node.context, node.stop = context.WithCancel(context.Background())
+	node.rules.Store(&inForce{view: &feed.View{}, charter: &charter.Charter{}})
+	node.stores = storeclient.New(node.caller, func() *feed.View { return node.rules.Load().view })
+	node.board = scheduling.NewBoard(node.name, settings.Domain, node.boardState)
+	linkListener, err := network.Listen(settings.Address)
+	if err != nil {
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "choose an address of this machine that is free")
+	}
+	publicListener, err := network.Listen(settings.Public)
+	if err != nil {
+		linkListener.Close()
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Public+": "+err.Error(), "choose an address of this machine that is free")
+	}
+	member := feed.Member{Name: node.name, Role: feed.RoleFront, Address: settings.Address, Domain: settings.Domain}
+	node.follow = follower.Start(node.caller, member, settings.Seeds, nil, node.take)
+	node.linked = link.Serve(linkListener, node.answer)
+	node.public = httpface.Serve(publicListener, node.handler(), func() int64 {
+		return max(node.rules.Load().charter.Limits.BodyBytes, 1024)
+	})
+	log.WithFields(log.Fields{"node": node.name, "address": settings.Address, "public": settings.Public}).Info("front_started")
+	return node, nil
+}
+
+// take decodes a newer view's charter and puts both in force.
+func (node *Node) take(view *feed.View) {
+	made, err := charter.Decode(view.Compiled)
+	if err != nil {
+		log.WithFields(log.Fields{"node": node.name, "number": view.Number, "error": err.Error()}).Error("charter_unreadable")
+		return
+	}
+	node.rules.Store(&inForce{view: view, charter: made})
+	log.WithFields(log.Fields{"node": node.name, "number": view.Number, "charter": view.CharterNumber}).Info("view_taken")
+}
+
+func (node *Node) boardState() scheduling.State {
+	rules := node.rules.Load()
+	fronts := []placement.Place{}
+	for _, member := range node.follow.Members() {
+		if member.Role == feed.RoleFront {
+			fronts = append(fronts, placement.Place{Name: member.Name, Domain: member.Domain})
+		}
+	}
+	return scheduling.State{View: rules.view, Charter: rules.charter, Fronts: fronts}
+}
+
+// answer tells other processes who this is, so that it may serve as a seed.
+func (node *Node) answer(_ context.Context, query *wire.Query) *wire.Reply {
+	if query.Which != schema.Query_Which_status {
+		return wire.Failed(mishap.New(mishap.Invalid, "a front node answers only who it is", "ask a store or control node"))
+	}
+	view := node.follow.View()
+	return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
+		Name: node.name, Role: feed.RoleFront, Address: node.settings.Address, Domain: node.settings.Domain,
+		Fleet: view.Fleet, Number: view.Number, Controls: view.Controls,
+	}}
+}
+
+// Name is the node's name, made anew at each start.
+//
+//	name := node.Name()
+func (node *Node) Name() string { return node.name }
+
+// SetSeeds replaces the seed addresses, as SIGHUP does.
+//
+//	node.SetSeeds(settings.Seeds)
+func (node *Node) SetSeeds(seeds []string) { node.follow.SetSeeds(seeds) }
+
+// Ready tells whether the node may take work now.
+//
+//	if node.Ready() { ... }
+func (node *Node) Ready() bool {
+	view, err := node.follow.Fresh()
+	return err == nil && view.CharterNumber > 0 && len(view.Stores) > 0 && !node.draining.Load()
+}
+
+// Drain refuses new work and waits until the runs under way have ended.
+//
+//	node.Drain(ctx)
+func (node *Node) Drain(ctx context.Context) {
+	node.draining.Store(true)
+	ended := make(chan struct{})
+	go func() {
+		node.runs.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	if err := node.public.Drain(ctx); err != nil {
+		log.WithFields(log.Fields{"node": node.name, "error": err.Error()}).Warn("drain_cut_short")
+	}
+}
+
+// Close stops the node at once. Runs under way are broken off.
+//
+//	node.Close()
+func (node *Node) Close() {
+	node.draining.Store(true)
+	node.stop()
+	node.public.Close()
+	node.follow.Stop()
+	node.linked.Close()
+	node.runs.Wait()
+	node.caller.Close()
+}
+
+const (
+	commitPatience = 6 * time.Second
+	fencePatience  = 4 * time.Second
+	deadlineMargin = 5 * time.Second
+	settlePatience = 30 * time.Second
+)
--- /dev/null
+++ b/system/front/plain.go
@@ -0,0 +1,103 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/api/gen/work"
+	"yardrock.example/system/line"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/runnerclient"
+)
+
+func (query *query) plain() runnerclient.PlainQuery {
+	return runnerclient.PlainQuery{Program: query.program, Kind: query.kind, RequestKey: query.requestKey, Words: query.words}
+}
+
+// ask sends plain work to a runner, and to another only while provably nothing
+// was sent.
+func (node *Node) ask(ctx context.Context, query *query) (json.RawMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(query.work.Patience))
+	defer cancel()
+	for dial := 1; ; dial++ {
+		answer, err := node.runners.Ask(ctx, query.slot.Runner.Address, query.work.Path, query.plain())
+		if err == nil || !mishap.Of(err).NeverSent || dial == mostDials {
+			query.slot.Release(err != nil)
+			return answer, err
+		}
+		query.slot.Release(true)
+		slot, refused := node.board.Acquire(ctx, query.work)
+		if refused != nil {
+			return nil, err
+		}
+		query.slot = slot
+	}
+}
+
+// askRunner answers a lookup. It may be asked again, so it leaves no record.
+func askRunner(node *Node, ctx context.Context, query *query) (any, error) {
+	answer, err := node.ask(ctx, query)
+	if err != nil && mishap.Of(err).NeverSent {
+		return nil, asNotRun(err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &work.Outcome{Outcome: line.OutcomeComplete, Answer: answer}, nil
+}
+
+// runOnce dispatches work that is recorded as begun, and tells its outcome only
+// once that is recorded too. It goes on if the caller leaves.
+func runOnce(node *Node, ctx context.Context, query *query) (any, error) {
+	query.undo = nil
+	type result struct {
+		told any
+		err  error
+	}
+	done := make(chan result, 1)
+	node.runs.Go(func() {
+		told, err := node.dispatchOnce(query)
+		done <- result{told, err}
+	})
+	select {
+	case finished := <-done:
+		return finished.told, finished.err
+	case <-ctx.Done():
+		return nil, mishap.New(mishap.Unknown, "the caller left before the outcome", "ask again with the same request key")
+	}
+}
+
+func (node *Node) dispatchOnce(query *query) (any, error) {
+	answer, failed := node.ask(node.context, query)
+	ended := line.Event{Outcome: line.OutcomeComplete, Words: string(answer)}
+	switch {
+	case failed == nil:
+	case mishap.Of(failed).NeverSent || mishap.Is(failed, mishap.NotRun):
+		ended = line.Event{Outcome: line.OutcomeNotRun, Name: mishap.Of(failed).Message}
+	default:
+		ended = line.Event{Outcome: line.OutcomeUnknown, Name: mishap.Of(failed).Message}
+		log.WithFields(log.Fields{"node": node.name, "line": query.line(), "runner": query.slot.Runner.Address, "error": failed.Error()}).Warn("outcome_unknown")
+	}
+	ctx, cancel := context.WithTimeout(node.context, settlePatience)
+	defer cancel()
+	if _, err := node.closeRun(ctx, query, 2, ended.Outcome, ended.Words, ended.Name); err != nil {
+		return nil, mishap.New(mishap.Unknown, "the outcome could not be recorded: "+err.Error(), "ask again with the same request key")
+	}
+	return node.told(query, ended, false)
+}
+
+// told turns a recorded outcome into one of the three answers.
+func (node *Node) told(query *query, ended line.Event, repeated bool) (any, error) {
+	switch ended.Outcome {
+	case line.OutcomeComplete:
+		name := query.conversation
+		return &work.Outcome{Outcome: ended.Outcome, Line: &name, Answer: json.RawMessage(ended.Words), Repeated: &repeated}, nil
+	case line.OutcomeNotRun:
+		return nil, mishap.Later(mishap.NotRun, "the work did not run: "+ended.Name, "send it under a new request key", time.Second)
+	default:
+		return nil, mishap.New(mishap.Unknown, "whether the work ran is not known: "+ended.Name, "find out at its receiver; it is never sent again under this request key")
+	}
+}
--- /dev/null
+++ b/system/front/run.go
@@ -0,0 +1,355 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/conversation"
+	"yardrock.example/system/line"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/wire"
+)
+
+const (
+	tailWait   = 5 * time.Second
+	mostDials  = 3
+	pieceQueue = 256
+)
+
+// journal holds the committed events of one run, in memory, for those who stream
+// it. It only grows.
+type journal struct {
+	mutex  sync.Mutex
+	events []line.Event
+	failed error
+	ended  bool
+	grown  chan struct{}
+}
+
+func newJournal() *journal { return &journal{grown: make(chan struct{})} }
+
+func (journal *journal) append(failed error, ended bool, events ...line.Event) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	journal.events = append(journal.events, events...)
+	journal.failed, journal.ended = failed, ended
+	close(journal.grown)
+	journal.grown = make(chan struct{})
+}
+
+// after waits for events beyond a place.
+func (journal *journal) after(ctx context.Context, place int) ([]line.Event, bool, error) {
+	for {
+		journal.mutex.Lock()
+		events, ended, failed, grown := journal.events[place:], journal.ended, journal.failed, journal.grown
+		journal.mutex.Unlock()
+		if len(events) > 0 || ended {
+			return events, ended, failed
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+			return nil, true, ctx.Err()
+		}
+	}
+}
+
+var errCutAtLimit = errors.New("the answer reached its reservation")
+
+// run is one turn that this front feeds from a runner into the line.
+type run struct {
+	node     *Node
+	query    *query
+	journal  *journal
+	counter  conversation.Counter
+	pieces   chan string
+	next     uint64 // producer seq of the next append
+	parts    uint64
+	first    time.Duration
+	troubled bool
+}
+
+// startRun takes over slot and reservation and feeds the turn whether or not the
+// caller stays. It answers once there is something to stream.
+func startRun(node *Node, ctx context.Context, query *query) (any, error) {
+	running := &run{node: node, query: query, journal: newJournal(), pieces: make(chan string, pieceQueue), next: 2}
+	query.undo = nil
+	node.runs.Go(running.do)
+	_, ended, failed := running.journal.after(ctx, 0)
+	if ended && mishap.Is(failed, mishap.NotRun) {
+		return nil, failed
+	}
+	place := 0
+	return &stream{conversation: query.conversation, turn: query.begun.Seq, next: func(ctx context.Context) ([]line.Event, bool, error) {
+		events, ended, failed := running.journal.after(ctx, place)
+		place += len(events)
+		return events, ended, failed
+	}}, nil
+}
+
+// do dispatches, commits pieces as they come, and closes the turn.
+func (running *run) do() {
+	query, node := running.query, running.node
+	ctx, cancel := context.WithTimeout(node.context, time.Duration(query.work.Patience))
+	defer cancel()
+	dispatched := make(chan error, 1)
+	go func() {
+		defer close(running.pieces)
+		dispatched <- running.dispatch(ctx)
+	}()
+	committed := running.commitPieces(cancel)
+	failed := <-dispatched
+	defer func() { query.slot.Release(running.troubled || (failed != nil && !errors.Is(failed, errCutAtLimit))) }()
+	running.close(failed, committed)
+}
+
+// dispatch sends the turn to a runner, and to another one only while provably
+// nothing was sent.
+func (running *run) dispatch(ctx context.Context) error {
+	query, node := running.query, running.node
+	asked := runnerclient.TurnQuery{Conversation: query.conversation, Turn: query.begun.Seq, History: query.said.Said(query.follows), Words: query.words, Limit: query.terms.TurnLimit}
+	for dial := 1; ; dial++ {
+		began := time.Now()
+		err := node.runners.Stream(ctx, query.slot.Runner.Address, query.work.Path, asked, func(words string) error {
+			if running.first == 0 {
+				running.first = time.Since(began)
+			}
+			kept, whole := running.counter.Take(words, query.terms.TurnLimit)
+			if kept != "" {
+				select {
+				case running.pieces <- kept:
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+			if !whole {
+				return errCutAtLimit
+			}
+			return nil
+		})
+		if err == nil || !mishap.Of(err).NeverSent || dial == mostDials {
+			return err
+		}
+		query.slot.Release(true)
+		slot, refused := node.board.Acquire(ctx, query.work)
+		if refused != nil {
+			return err
+		}
+		query.slot = slot
+	}
+}
+
+// commitPieces commits whatever has come since the last commit as one append, and
+// only then lets it be streamed.
+func (running *run) commitPieces(stop context.CancelFunc) error {
+	for words := range running.pieces {
+		batch := []string{words}
+		for more := true; more && len(batch) < pieceQueue; {
+			select {
+			case words, open := <-running.pieces:
+				if more = open; open {
+					batch = append(batch, words)
+				}
+			default:
+				more = false
+			}
+		}
+		if err := running.commit(batch); err != nil {
+			stop()
+			for range running.pieces {
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+func (running *run) commit(batch []string) error {
+	query := running.query
+	events := make([]line.Event, len(batch))
+	for position, words := range batch {
+		running.parts++
+		events[position] = line.Event{Kind: line.Piece, Turn: query.begun.Seq, Words: words, Part: running.parts}
+	}
+	ctx, cancel := context.WithTimeout(running.node.context, commitPatience)
+	defer cancel()
+	outcomes, err := running.node.stores.Command(ctx, query.line(), line.Command{Kind: line.AppendEvents, Producer: query.producer, ProducerSeq: running.next, Events: events})
+	if err != nil {
+		return err
+	}
+	if outcomes[0].Status != line.Done {
+		return mishap.New(mishap.Unknown, "the turn was closed by another node meanwhile", "read the history")
+	}
+	running.next++
+	for position := range events {
+		events[position].Seq = outcomes[0].Seq + uint64(position)
+	}
+	running.journal.append(nil, false, events...)
+	return nil
+}
+
+// close records how the turn ended. An answer counts as complete only once that
+// is committed.
+func (running *run) close(failed, uncommitted error) {
+	query, node := running.query, running.node
+	ctx, cancel := context.WithTimeout(node.context, commitPatience)
+	defer cancel()
+	words := conversation.CountWords(query.words) + running.counter.Count
+	if uncommitted != nil {
+		node.settle(query, words)
+		running.journal.append(mishap.New(mishap.Unknown, "the answer's pieces could not be committed: "+uncommitted.Error(), "tail the conversation from the last seq you have"), true)
+		return
+	}
+	outcome, detail := line.OutcomeComplete, ""
+	switch {
+	case errors.Is(failed, errCutAtLimit):
+		outcome, detail = line.OutcomeCut, "turn_limit"
+	case failed != nil && running.parts == 0 && (mishap.Of(failed).NeverSent || mishap.Is(failed, mishap.NotRun)):
+		outcome, detail, words = line.OutcomeNotRun, "runner_unreachable", 0
+	case failed != nil:
+		outcome, detail = line.OutcomeCut, "runner_mishap"
+		log.WithFields(log.Fields{"node": node.name, "line": query.line(), "turn": query.begun.Seq, "runner": query.slot.Runner.Address, "error": failed.Error()}).Warn("turn_cut")
+	}
+	seq, err := node.closeRun(ctx, query, running.next, outcome, "", detail)
+	node.settle(query, words)
+	if err != nil {
+		running.journal.append(mishap.New(mishap.Unknown, "the end of the answer could not be committed: "+err.Error(), "tail the conversation from the last seq you have"), true)
+		return
+	}
+	var told error
+	if outcome == line.OutcomeNotRun {
+		told = asNotRun(failed)
+	}
+	running.journal.append(told, true, line.Event{Seq: seq, Kind: line.TurnEnded, Turn: query.begun.Seq, Outcome: outcome, Name: detail})
+}
+
+// tail streams committed events of a line after a cursor, from the stores. With a
+// turn it stops at that turn's end, and skips what is not that turn's.
+func (node *Node) tail(name, conversationName string, cursor, turn uint64) *stream {
+	var deadline int64
+	return &stream{conversation: conversationName, turn: turn, next: func(ctx context.Context) ([]line.Event, bool, error) {
+		waiting, cancel := context.WithTimeout(ctx, commitPatience+tailWait)
+		defer cancel()
+		reply, err := node.stores.Read(waiting, wire.ReadQuery{Line: name, After: cursor, Limit: eventsAtOnce, Wait: tailWait})
+		if err != nil {
+			return nil, true, err
+		}
+		found, ended := []line.Event{}, false
+		for _, event := range reply.Events {
+			cursor = event.Seq
+			if turn != 0 && event.Turn != turn {
+				continue
+			}
+			if event.Kind == line.TurnBegun {
+				deadline = event.Deadline
+			}
+			found = append(found, event)
+			ended = ended || (turn != 0 && event.Kind == line.TurnEnded)
+		}
+		if !ended && turn != 0 && deadline != 0 && time.Now().After(time.Unix(0, deadline)) {
+			overdue := line.Event{Seq: turn, Kind: line.TurnBegun}
+			if err := node.closeOverdue(ctx, name, overdue, line.OutcomeCut); err != nil {
+				return found, true, err
+			}
+		}
+		return found, ended, nil
+	}}
+}
+
+// stream writes events as one JSON object a line. It ends with an explicit mark,
+// or with a failure in the same form.
+type stream struct {
+	conversation string
+	turn         uint64
+	next         func(ctx context.Context) ([]line.Event, bool, error)
+	context      context.Context
+}
+
+// Read is never used: goa calls WriteTo.
+func (stream *stream) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close has nothing to give back.
+func (stream *stream) Close() error { return nil }
+
+type streamed struct {
+	Conversation string `json:"conversation,omitempty"`
+	Turn         uint64 `json:"turn,omitempty"`
+	Seq          uint64 `json:"seq,omitempty"`
+	Event        string `json:"event,omitempty"`
+	Follows      uint64 `json:"follows,omitempty"`
+	Name         string `json:"name,omitempty"`
+	Words        string `json:"words,omitempty"`
+	End          string `json:"end,omitempty"`
+	Reason       string `json:"reason,omitempty"`
+	Kind         string `json:"kind,omitempty"`
+	Message      string `json:"message,omitempty"`
+	Remedy       string `json:"remedy,omitempty"`
+}
+
+var eventNames = map[line.EventKind]string{
+	line.TurnBegun: "turn_begun", line.Piece: "piece", line.TurnEnded: "turn_ended", line.ToolCalled: "tool_called",
+	line.ToolAnswered: "tool_answered", line.HelperStarted: "helper_started", line.Fenced: "fenced",
+}
+
+// WriteTo streams until the end mark, a failure or the caller's leaving.
+func (stream *stream) WriteTo(target io.Writer) (int64, error) {
+	ctx := stream.context
+	written := int64(0)
+	flush := func() {}
+	if writer, isHTTP := target.(http.ResponseWriter); isHTTP {
+		controller := http.NewResponseController(writer)
+		flush = func() {
+			if err := controller.Flush(); err != nil && ctx.Err() == nil {
+				log.WithField("error", err.Error()).Debug("flush_failed")
+			}
+		}
+	}
+	encoder := json.NewEncoder(countingWriter{target, &written})
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(streamed{Conversation: stream.conversation, Turn: stream.turn}); err != nil {
+		return written, err
+	}
+	for {
+		events, ended, failed := stream.next(ctx)
+		for _, event := range events {
+			if err := encoder.Encode(toStreamed(event)); err != nil {
+				return written, err
+			}
+		}
+		if failed != nil && ctx.Err() == nil {
+			told := mishap.Of(failed)
+			return written, encoder.Encode(streamed{End: "failed", Kind: string(told.Kind), Message: told.Message, Remedy: told.Remedy})
+		}
+		flush()
+		if ended || ctx.Err() != nil {
+			return written, ctx.Err()
+		}
+	}
+}
+
+func toStreamed(event line.Event) streamed {
+	told := streamed{Seq: event.Seq, Event: eventNames[event.Kind], Turn: event.Turn, Follows: event.Follows, Name: event.Name, Words: event.Words}
+	if event.Kind == line.TurnEnded {
+		told.End, told.Reason, told.Name = event.Outcome, event.Name, ""
+	}
+	return told
+}
+
+type countingWriter struct {
+	target io.Writer
+	count  *int64
+}
+
+func (writer countingWriter) Write(data []byte) (int, error) {
+	written, err := writer.target.Write(data)
+	*writer.count += int64(written)
+	return written, err
+}
--- /dev/null
+++ b/system/httpface/httpface.go
@@ -0,0 +1,152 @@
+// Package httpface is what both planes' HTTP interfaces share: typed failures as
+// JSON bodies, body limits, and a server that can be drained.
+package httpface
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	"yardrock.example/system/api/gen/health"
+	healthserver "yardrock.example/system/api/gen/http/health/server"
+	"yardrock.example/system/mishap"
+)
+
+// statuses maps kinds of failure to HTTP statuses.
+var statuses = map[mishap.Kind]int{
+	mishap.Invalid: http.StatusBadRequest, mishap.Unauthorized: http.StatusUnauthorized, mishap.Forbidden: http.StatusForbidden,
+	mishap.NotFound: http.StatusNotFound, mishap.Conflict: http.StatusConflict, mishap.TooLarge: http.StatusRequestEntityTooLarge,
+	mishap.Exhausted: http.StatusForbidden, mishap.NotRun: http.StatusServiceUnavailable, mishap.NoQuorum: http.StatusServiceUnavailable,
+	mishap.Gap: http.StatusServiceUnavailable, mishap.Unavailable: http.StatusServiceUnavailable, mishap.NotLeader: http.StatusServiceUnavailable,
+	mishap.Unknown: http.StatusBadGateway, mishap.RunnerMishap: http.StatusBadGateway, mishap.Unclear: http.StatusGatewayTimeout,
+}
+
+// Failure is the body of every answer that is no success.
+type Failure struct {
+	Kind       string `json:"kind"`
+	Message    string `json:"message"`
+	Remedy     string `json:"remedy"`
+	RetryAfter int64  `json:"retry_after_ms,omitempty"`
+	status     int
+}
+
+// StatusCode is the HTTP status of the failure.
+//
+//	status := failure.StatusCode()
+func (failure *Failure) StatusCode() int { return failure.status }
+
+type writerKey struct{}
+
+// Format turns an error into a failure body; goa calls it.
+//
+//	server := workserver.New(endpoints, mux, decoder, encoder, nil, httpface.Format, nil)
+func Format(ctx context.Context, err error) goahttp.Statuser {
+	failed := mishap.Of(err)
+	var service *goa.ServiceError
+	if errors.As(err, &service) {
+		failed = &mishap.Mishap{Kind: mishap.Invalid, Message: service.Message, Remedy: "correct the query as the message says"}
+		if strings.Contains(service.Message, "request body too large") {
+			failed = &mishap.Mishap{Kind: mishap.TooLarge, Message: "the body is larger than the charter allows", Remedy: "send less in one query"}
+		}
+	}
+	status, known := statuses[failed.Kind]
+	if !known {
+		status = http.StatusInternalServerError
+	}
+	if writer, found := ctx.Value(writerKey{}).(http.ResponseWriter); found && failed.RetryAfter > 0 {
+		writer.Header().Set("Retry-After", strconv.Itoa(int((failed.RetryAfter+time.Second-1)/time.Second)))
+	}
+	return &Failure{Kind: string(failed.Kind), Message: failed.Message, Remedy: failed.Remedy, RetryAfter: failed.RetryAfter.Milliseconds(), status: status}
+}
+
+// Token reads the token of a bearer header.
+//
+//	token, err := httpface.Token(payload.Authorization)
+func Token(header *string) (string, error) {
+	if header != nil {
+		if token, found := strings.CutPrefix(*header, "Bearer "); found && token != "" {
+			return token, nil
+		}
+	}
+	return "", mishap.New(mishap.Unauthorized, "the query has no bearer token", "send the header Authorization: Bearer TOKEN")
+}
+
+// Server is one HTTP listener.
+type Server struct {
+	http *http.Server
+	done chan struct{}
+}
+
+// Serve answers on a listener. Limit gives the largest body taken now.
+//
+//	server := httpface.Serve(listener, mux, func() int64 { return 1 << 20 })
+func Serve(listener net.Listener, handler http.Handler, limit func() int64) *Server {
+	server := &Server{done: make(chan struct{})}
+	server.http = &http.Server{ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, Handler: http.HandlerFunc(func(writer http.ResponseWriter, query *http.Request) {
+		query.Body = http.MaxBytesReader(writer, query.Body, limit())
+		ctx := context.WithValue(query.Context(), writerKey{}, writer)
+		handler.ServeHTTP(writer, query.WithContext(ctx))
+	})}
+	go func() {
+		defer close(server.done)
+		if err := server.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.WithField("error", err.Error()).Error("http_server_failed")
+		}
+	}()
+	return server
+}
+
+// Drain stops taking connections and waits for the queries under way.
+//
+//	err := server.Drain(ctx)
+func (server *Server) Drain(ctx context.Context) error { return server.http.Shutdown(ctx) }
+
+// Close ends at once.
+//
+//	server.Close()
+func (server *Server) Close() {
+	server.http.Close()
+	<-server.done
+}
+
+// Health answers the platform's questions about one process.
+type Health struct{ IsReady func() bool }
+
+// Alive answers as long as the process does.
+//
+//	state, err := Health{}.Alive(ctx)
+func (Health) Alive(context.Context) (string, error) { return "alive", nil }
+
+// Ready refuses while the process cannot take work.
+//
+//	state, err := health.Ready(ctx)
+func (health Health) Ready(context.Context) (string, error) {
+	if !health.IsReady() {
+		return "", mishap.Later(mishap.Unavailable, "this process cannot take work now", "wait; its log tells what is missing", time.Second)
+	}
+	return "ready", nil
+}
+
+// HealthHandler serves only health queries, for a node with no other interface.
+//
+//	server := httpface.Serve(listener, httpface.HealthHandler(node.Ready), limit)
+func HealthHandler(isReady func() bool) http.Handler {
+	mux := goahttp.NewMuxer()
+	MountHealth(mux, isReady)
+	return mux
+}
+
+// MountHealth adds the health queries to a node's interface.
+//
+//	httpface.MountHealth(mux, node.Ready)
+func MountHealth(mux goahttp.Muxer, isReady func() bool) {
+	healthserver.Mount(mux, healthserver.New(health.NewEndpoints(Health{IsReady: isReady}), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, Format))
+}
--- /dev/null
+++ b/system/line/types.go
@@ -0,0 +1,175 @@
+// Package line is the state machine of one group of lines: sessions with their
+// ordered events, producer dedupe, archive progress, and spending tallies. It is
+// pure: time comes only from the leader's commands, so replicas agree.
+package line
+
+import "time"
+
+// EventKind tells what an event of a line records.
+type EventKind uint16
+
+// The kinds of event.
+const (
+	TurnBegun EventKind = iota + 1
+	Piece
+	TurnEnded
+	ToolCalled
+	ToolAnswered
+	HelperStarted
+	// Fenced takes the place of a TurnBegun, so that it can never begin later.
+	Fenced
+)
+
+// The outcomes that a TurnEnded or ToolAnswered event may record.
+const (
+	OutcomeComplete = "complete"
+	OutcomeCut      = "cut"
+	OutcomeNotRun   = "not_run"
+	OutcomeUnknown  = "unknown"
+)
+
+// Event is one entry of a line. Its Seq is given by the group's leader.
+type Event struct {
+	Seq         uint64
+	At          int64
+	Kind        EventKind
+	Turn        uint64
+	Follows     uint64
+	Words       string
+	Outcome     string
+	Runner      string
+	Dispatch    string
+	Digest      string
+	Name        string
+	Part        uint64
+	Producer    string
+	ProducerSeq uint64
+	Charter     uint64
+	Deadline    int64
+}
+
+// CommandKind selects what a command does.
+type CommandKind uint16
+
+// The commands. The first four are Starcite's; the last two keep tallies.
+const (
+	CreateSession CommandKind = iota + 1
+	AppendEvent
+	AppendEvents
+	AckArchived
+	Reserve
+	Settle
+)
+
+// Ack tells how far a line's events are in the cold store.
+type Ack struct {
+	Line        string
+	ArchivedSeq uint64
+}
+
+// Command is what the leader puts into the log. Now is the leader's clock.
+type Command struct {
+	Kind        CommandKind
+	Line        string
+	Now         int64
+	KeepFor     time.Duration
+	Team        string
+	Program     string
+	WorkKind    string
+	Producer    string
+	ProducerSeq uint64
+	Expects     bool
+	ExpectedSeq uint64
+	Events      []Event
+	Reservation string
+	Words       uint64
+	Allowance   uint64
+	Acks        []Ack
+}
+
+// Status tells how a command ended.
+type Status uint16
+
+// The ways a command can end.
+const (
+	Done Status = iota
+	UnknownLine
+	UnexpectedSeq
+	TurnClosed
+	StaleProducer
+	AllowanceExhausted
+	BadCommand
+)
+
+// Outcome is what applying a command answers.
+type Outcome struct {
+	Status   Status
+	Seq      uint64
+	Head     uint64
+	Deduped  bool
+	Spent    uint64
+	Reserved uint64
+}
+
+// Producer is the last append that one producer made.
+type Producer struct {
+	Name        string
+	ProducerSeq uint64
+	Seq         uint64
+	At          int64
+}
+
+// Session is one line as of a snapshot. It is never changed once published.
+type Session struct {
+	Line        string
+	Team        string
+	Program     string
+	WorkKind    string
+	CreatedAt   int64
+	KeepFor     time.Duration
+	TouchedAt   int64
+	Head        uint64
+	ArchivedSeq uint64
+	Producers   []Producer
+	Hot         []Event
+	OpenTurns   []uint64
+}
+
+// Expires tells when the line's keeping time ends.
+//
+//	if session.Expires().Before(now) { ... }
+func (session *Session) Expires() time.Time {
+	return time.Unix(0, session.TouchedAt).Add(session.KeepFor)
+}
+
+// Reservation is what a running turn may still speak.
+type Reservation struct {
+	Name  string
+	Words uint64
+}
+
+// Tally is a program's spending. What is reserved counts as spent.
+type Tally struct {
+	Name         string
+	Spent        uint64
+	Reservations []Reservation
+}
+
+// Reserved sums what running turns may still speak.
+//
+//	used := tally.Spent + tally.Reserved()
+func (tally *Tally) Reserved() uint64 {
+	total := uint64(0)
+	for _, reservation := range tally.Reservations {
+		total += reservation.Words
+	}
+	return total
+}
+
+// Image is a group's whole content, as checkpoints carry it.
+type Image struct {
+	Version  uint32
+	Clock    int64
+	Sessions []Session
+	Tallies  []Tally
+}
--- /dev/null
+++ b/system/link/link.go
@@ -0,0 +1,301 @@
+// Package link carries queries between yardrock processes by Cap'n Proto's own
+// remote calls, over any network that can dial and listen.
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"capnproto.org/go/capnp/v3"
+	"capnproto.org/go/capnp/v3/pogs"
+	"capnproto.org/go/capnp/v3/rpc"
+
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+// Network is where processes reach each other.
+type Network interface {
+	Dial(ctx context.Context, address string) (net.Conn, error)
+	Listen(address string) (net.Listener, error)
+}
+
+// TCP is the real network.
+type TCP struct{}
+
+// Dial connects by IP and port.
+//
+//	connection, err := link.TCP{}.Dial(ctx, "127.0.0.1:7000")
+func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+// Listen opens a port.
+//
+//	listener, err := link.TCP{}.Listen("127.0.0.1:7000")
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Handler answers one query.
+type Handler func(ctx context.Context, query *wire.Query) *wire.Reply
+
+// Caller asks other processes, over one connection to each.
+type Caller struct {
+	network Network
+	mutex   sync.Mutex
+	lines   map[string]*connection
+	calls   atomic.Uint64
+}
+
+type connection struct {
+	ready  chan struct{}
+	rpc    *rpc.Conn
+	node   schema.Node
+	failed error
+}
+
+// NewCaller makes a caller on a network.
+//
+//	caller := link.NewCaller(link.TCP{})
+func NewCaller(network Network) *Caller {
+	return &Caller{network: network, lines: map[string]*connection{}}
+}
+
+// Calls counts the queries that were sent.
+//
+//	before := caller.Calls()
+func (caller *Caller) Calls() uint64 { return caller.calls.Load() }
+
+func (caller *Caller) connect(ctx context.Context, address string) (*connection, error) {
+	caller.mutex.Lock()
+	line, found := caller.lines[address]
+	if found && line.dead() {
+		found = false
+	}
+	if !found {
+		line = &connection{ready: make(chan struct{})}
+		caller.lines[address] = line
+		go caller.open(line, address)
+	}
+	caller.mutex.Unlock()
+	select {
+	case <-line.ready:
+		return line, line.failed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+const dialPatience = 2 * time.Second
+
+func (caller *Caller) open(line *connection, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialPatience)
+	defer cancel()
+	stream, err := caller.network.Dial(ctx, address)
+	if err != nil {
+		line.failed = err
+		caller.forget(address, line)
+		close(line.ready)
+		return
+	}
+	line.rpc = rpc.NewConn(rpc.NewStreamTransport(stream), nil)
+	line.node = schema.Node(line.rpc.Bootstrap(context.Background()))
+	close(line.ready)
+}
+
+func (line *connection) dead() bool {
+	select {
+	case <-line.ready:
+	default:
+		return false
+	}
+	if line.failed != nil {
+		return true
+	}
+	select {
+	case <-line.rpc.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func (caller *Caller) forget(address string, line *connection) {
+	caller.mutex.Lock()
+	if caller.lines[address] == line {
+		delete(caller.lines, address)
+	}
+	caller.mutex.Unlock()
+}
+
+// Drop closes the connection to an address, so that the next call dials anew. A
+// call that ran out of time uses it: the other side may be frozen or gone.
+//
+//	caller.Drop("10.0.0.7:7000")
+func (caller *Caller) Drop(address string) {
+	caller.mutex.Lock()
+	line := caller.lines[address]
+	delete(caller.lines, address)
+	caller.mutex.Unlock()
+	if line != nil {
+		go line.close()
+	}
+}
+
+func (line *connection) close() {
+	<-line.ready
+	if line.failed == nil {
+		line.rpc.Close()
+	}
+}
+
+// Close ends all connections.
+//
+//	defer caller.Close()
+func (caller *Caller) Close() {
+	caller.mutex.Lock()
+	lines := caller.lines
+	caller.lines = map[string]*connection{}
+	caller.mutex.Unlock()
+	for _, line := range lines {
+		line.close()
+	}
+}
+
+// Call asks one process and gives its reply, or its typed failure. A failure
+// marked NeverSent provably left nothing at the other side.
+//
+//	reply, err := caller.Call(ctx, "10.0.0.7:7000", &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+func (caller *Caller) Call(ctx context.Context, address string, query *wire.Query) (*wire.Reply, error) {
+	line, err := caller.connect(ctx, address)
+	if err != nil {
+		return nil, &mishap.Mishap{Kind: mishap.Unavailable, Message: "cannot reach " + address + ": " + err.Error(), Remedy: "check that the process runs and that its address is right", NeverSent: true}
+	}
+	query.Version = wire.Version
+	caller.calls.Add(1)
+	future, release := line.node.Deliver(ctx, func(params schema.Node_deliver_Params) error {
+		target, err := params.NewQuery()
+		if err != nil {
+			return err
+		}
+		return pogs.Insert(schema.Query_TypeID, capnp.Struct(target), query)
+	})
+	defer release()
+	results, err := future.Struct()
+	if err != nil {
+		select {
+		case <-line.rpc.Done():
+			caller.forget(address, line)
+		default:
+		}
+		return nil, mishap.New(mishap.Unavailable, "no answer from "+address+": "+err.Error(), "ask again; whether the query arrived is not known")
+	}
+	source, err := results.Reply()
+	if err != nil {
+		return nil, mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")
+	}
+	reply := &wire.Reply{}
+	if err := wire.Take(schema.Reply_TypeID, capnp.Struct(source), reply); err != nil {
+		return nil, mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")
+	}
+	return reply, reply.Err()
+}
+
+// Server answers queries that come over a listener.
+type Server struct {
+	listener net.Listener
+	handler  Handler
+	mutex    sync.Mutex
+	open     map[*rpc.Conn]bool
+	closed   bool
+	done     sync.WaitGroup
+}
+
+// Serve starts answering.
+//
+//	server := link.Serve(listener, node.Answer)
+//	defer server.Close()
+func Serve(listener net.Listener, handler Handler) *Server {
+	server := &Server{listener: listener, handler: handler, open: map[*rpc.Conn]bool{}}
+	server.done.Add(1)
+	go server.accept()
+	return server
+}
+
+func (server *Server) accept() {
+	defer server.done.Done()
+	for {
+		stream, err := server.listener.Accept()
+		if err != nil {
+			return
+		}
+		line := rpc.NewConn(rpc.NewStreamTransport(stream), &rpc.Options{BootstrapClient: capnp.Client(schema.Node_ServerToClient(server))})
+		server.mutex.Lock()
+		if server.closed {
+			server.mutex.Unlock()
+			line.Close()
+			return
+		}
+		server.open[line] = true
+		server.mutex.Unlock()
+		server.done.Add(1)
+		go func() {
+			defer server.done.Done()
+			<-line.Done()
+			server.mutex.Lock()
+			delete(server.open, line)
+			server.mutex.Unlock()
+		}()
+	}
+}
+
+// Deliver is what Cap'n Proto calls for each query.
+//
+//	err := server.Deliver(ctx, call)
+func (server *Server) Deliver(ctx context.Context, call schema.Node_deliver) error {
+	source, err := call.Args().Query()
+	if err != nil {
+		return err
+	}
+	query := &wire.Query{}
+	if err := wire.Take(schema.Query_TypeID, capnp.Struct(source), query); err != nil {
+		return err
+	}
+	call.Go()
+	reply := server.answer(ctx, query)
+	results, err := call.AllocResults()
+	if err != nil {
+		return err
+	}
+	target, err := results.NewReply()
+	if err != nil {
+		return err
+	}
+	return pogs.Insert(schema.Reply_TypeID, capnp.Struct(target), reply)
+}
+
+func (server *Server) answer(ctx context.Context, query *wire.Query) *wire.Reply {
+	if query.Version > wire.Version {
+		return wire.Failed(mishap.New(mishap.FormatTooNew, "the query is of a newer form", "update this process to the version of its siblings"))
+	}
+	return server.handler(ctx, query)
+}
+
+// Close stops answering and ends all connections.
+//
+//	server.Close()
+func (server *Server) Close() {
+	server.listener.Close()
+	server.mutex.Lock()
+	server.closed = true
+	lines := server.open
+	server.open = map[*rpc.Conn]bool{}
+	server.mutex.Unlock()
+	for line := range lines {
+		line.Close()
+	}
+	server.done.Wait()
+}
--- /dev/null
+++ b/system/mishap/mishap.go
@@ -0,0 +1,90 @@
+// Package mishap holds the typed failures that yardrock tells: each has a kind
+// that programs can switch on and a message that names the remedy.
+package mishap
+
+import (
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Kind names what sort of failure happened.
+type Kind string
+
+// The kinds that cross process borders.
+const (
+	NotRun          Kind = "not_run"
+	Unknown         Kind = "unknown"
+	Invalid         Kind = "invalid"
+	Unauthorized    Kind = "unauthorized"
+	Forbidden       Kind = "forbidden"
+	NotFound        Kind = "not_found"
+	Conflict        Kind = "conflict"
+	TooLarge        Kind = "too_large"
+	Exhausted       Kind = "allowance_exhausted"
+	NotLeader       Kind = "not_leader"
+	NoQuorum        Kind = "no_quorum"
+	Unclear         Kind = "unclear"
+	Gap             Kind = "gap"
+	Damaged         Kind = "damaged"
+	FormatTooNew    Kind = "format_too_new"
+	BadSettings     Kind = "bad_settings"
+	Unavailable     Kind = "unavailable"
+	RunnerMishap    Kind = "runner_mishap"
+	ForeignFleet    Kind = "foreign_fleet"
+	DiskUnavailable Kind = "disk_unavailable"
+	Cancelled       Kind = "cancelled"
+)
+
+// Mishap is one typed failure.
+type Mishap struct {
+	Kind       Kind
+	Message    string
+	Remedy     string
+	RetryAfter time.Duration
+	// Leader is where a not_leader reply points, if it knows.
+	Leader string
+	// NeverSent tells that the query provably did not reach the other side.
+	NeverSent bool
+}
+
+// Error gives the message with its remedy.
+//
+//	fmt.Println(mishap.New(mishap.Invalid, "follows is negative", "name an earlier turn").Error())
+func (failed *Mishap) Error() string {
+	return failed.Message + " [" + string(failed.Kind) + "; remedy: " + failed.Remedy + "]"
+}
+
+// New makes a typed failure, with the place where it arose.
+//
+//	return mishap.New(mishap.Conflict, "turn 7 was already followed", "read the history and follow its last turn")
+func New(kind Kind, message, remedy string) error {
+	return merry.WrapSkipping(&Mishap{Kind: kind, Message: message, Remedy: remedy}, 1)
+}
+
+// Later makes a typed failure that tells when to come back.
+//
+//	return mishap.Later(mishap.NotRun, "the queue is full", "ask again later", 2*time.Second)
+func Later(kind Kind, message, remedy string, retryAfter time.Duration) error {
+	return merry.WrapSkipping(&Mishap{Kind: kind, Message: message, Remedy: remedy, RetryAfter: retryAfter}, 1)
+}
+
+// Of finds the typed failure in an error; an untyped one becomes Unavailable.
+//
+//	if mishap.Of(err).Kind == mishap.NotLeader { ... }
+func Of(err error) *Mishap {
+	var found *Mishap
+	if errors.As(err, &found) {
+		return found
+	}
+	return &Mishap{Kind: Unavailable, Message: err.Error(), Remedy: "ask again; if it stays, read the log of the node that answered"}
+}
+
+// Is tells whether an error is of the kind.
+//
+//	if mishap.Is(err, mishap.NoQuorum) { ... }
+func Is(err error, kind Kind) bool {
+	var found *Mishap
+	return errors.As(err, &found) && found.Kind == kind
+}
--- /dev/null
+++ b/system/scheduling/board.go
@@ -0,0 +1,308 @@
+// Package scheduling chooses runners: weight tables share work among groups,
+// each runner bears so much and less while cold, and who must wait does so in a
+// bounded queue by urgency.
+package scheduling
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"yardrock.example/system/charter"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
+)
+
+const (
+	mishapBackoff = time.Second
+	rampRecheck   = 250 * time.Millisecond
+)
+
+// Urgencies from first served to last.
+var urgencies = map[string]int{"urgent": 0, "normal": 1, "bulk": 2}
+
+// State is what the choice rests on; it is replaced whole.
+type State struct {
+	View    *feed.View
+	Charter *charter.Charter
+	Fronts  []placement.Place
+}
+
+type runnerUse struct {
+	out   int
+	avoid time.Time
+}
+
+type waiter struct {
+	group  string
+	chosen chan feed.Runner
+}
+
+// Board hands out slots on runners for one front.
+type Board struct {
+	front   string
+	domain  string
+	state   func() State
+	mutex   sync.Mutex
+	wheels  map[string]map[string]float64
+	uses    map[string]*runnerUse
+	waiting [3][]*waiter
+}
+
+// Slot is the right to send one query to a runner. Release must be called once.
+type Slot struct {
+	board  *Board
+	Runner feed.Runner
+	Group  string
+	once   sync.Once
+}
+
+// NewBoard makes a board for a front; state gives what is in force.
+//
+//	board := scheduling.NewBoard("front-1", "east", state)
+func NewBoard(front, domain string, state func() State) *Board {
+	return &Board{front: front, domain: domain, state: state, wheels: map[string]map[string]float64{}, uses: map[string]*runnerUse{}}
+}
+
+// Usable tells whether a runner may get new work under a view.
+//
+//	if !scheduling.Usable(view, slot.Runner) { ... }
+func Usable(view *feed.View, runner feed.Runner) bool {
+	listed := slices.ContainsFunc(view.Runners, func(one feed.Runner) bool {
+		return one.Address == runner.Address && one.State != feed.Leaving
+	})
+	return listed && !view.DomainEmptied(runner.Domain)
+}
+
+// limit is how many queries a runner bears now, over all fronts.
+func limit(runner feed.Runner, bears charter.Group, now time.Time) int {
+	if runner.State == feed.Cold {
+		return bears.ColdConcurrency
+	}
+	since := now.Sub(time.Unix(0, runner.Since))
+	ramp := time.Duration(bears.Ramp)
+	if since >= ramp || bears.Concurrency <= bears.ColdConcurrency {
+		return bears.Concurrency
+	}
+	return bears.ColdConcurrency + int(float64(bears.Concurrency-bears.ColdConcurrency)*float64(max(since, 0))/float64(ramp))
+}
+
+// share cuts a runner's limit by key over the live fronts, so that all fronts
+// together keep to it. A warm runner gives every front at least one.
+func (board *Board) share(runner feed.Runner, total int, warm bool, fronts []placement.Place) int {
+	ranked := placement.Ranked(runner.Address, fronts)
+	rank := slices.IndexFunc(ranked, func(place placement.Place) bool { return place.Name == board.front })
+	if rank < 0 {
+		return 0
+	}
+	share := total / len(ranked)
+	if rank < total%len(ranked) {
+		share++
+	}
+	if warm {
+		share = max(share, 1)
+	}
+	return share
+}
+
+func (board *Board) free(state State, group string, now time.Time) (feed.Runner, bool) {
+	bears := state.Charter.Groups[group]
+	best, bestScore, found := feed.Runner{}, -1.0, false
+	for _, runner := range state.View.Runners {
+		if runner.Group != group || !Usable(state.View, runner) {
+			continue
+		}
+		total := limit(runner, bears, now)
+		share := board.share(runner, total, total >= bears.Concurrency, state.Fronts)
+		use := board.use(runner.Address)
+		if use.out >= share {
+			continue
+		}
+		score := float64(share-use.out) / float64(share)
+		if runner.Domain == board.domain {
+			score += 0.25
+		}
+		if now.Before(use.avoid) {
+			score /= 16
+		}
+		if score > bestScore {
+			best, bestScore, found = runner, score, true
+		}
+	}
+	return best, found
+}
+
+func (board *Board) use(address string) *runnerUse {
+	use, found := board.uses[address]
+	if !found {
+		use = &runnerUse{}
+		board.uses[address] = use
+	}
+	return use
+}
+
+// pick turns the wheel of a weight table over the groups that have usable
+// runners: over any window each group's share stays within one of its weight.
+func (board *Board) pick(state State, table string) (string, bool) {
+	weights := map[string]float64{}
+	total := 0.0
+	for group, weight := range state.Charter.Tables[table] {
+		usable := slices.ContainsFunc(state.View.Runners, func(runner feed.Runner) bool {
+			return runner.Group == group && Usable(state.View, runner)
+		})
+		if usable && weight > 0 {
+			weights[group] = weight
+			total += weight
+		}
+	}
+	wheel, found := board.wheels[table]
+	if !found {
+		wheel = map[string]float64{}
+		board.wheels[table] = wheel
+	}
+	for group := range wheel {
+		if _, still := weights[group]; !still {
+			delete(wheel, group)
+		}
+	}
+	best := ""
+	for _, group := range slices.Sorted(maps.Keys(weights)) {
+		wheel[group] += weights[group] / total
+		if best == "" || wheel[group] > wheel[best] {
+			best = group
+		}
+	}
+	if best != "" {
+		wheel[best]--
+	}
+	return best, best != ""
+}
+
+// Acquire waits for a slot on a runner for a kind of work. A refusal is NotRun
+// and tells when to come back.
+//
+//	slot, err := board.Acquire(ctx, kind)
+//	defer slot.Release(false)
+func (board *Board) Acquire(ctx context.Context, kind charter.WorkKind) (*Slot, error) {
+	state := board.state()
+	board.mutex.Lock()
+	group, found := board.pick(state, kind.Table)
+	if !found {
+		board.mutex.Unlock()
+		return nil, mishap.Later(mishap.NotRun, "no runner of table "+kind.Table+" takes work now", "ask again later; operators: check the runner list and emptied domains", 2*time.Second)
+	}
+	urgency := urgencies[kind.Urgency]
+	if !board.queued(urgency, group) {
+		if runner, free := board.free(state, group, time.Now()); free {
+			board.use(runner.Address).out++
+			board.mutex.Unlock()
+			return &Slot{board: board, Runner: runner, Group: group}, nil
+		}
+	}
+	if len(board.waiting[urgency]) >= state.Charter.Limits.Queue {
+		board.mutex.Unlock()
+		return nil, overload(group)
+	}
+	waiting := &waiter{group: group, chosen: make(chan feed.Runner, 1)}
+	board.waiting[urgency] = append(board.waiting[urgency], waiting)
+	board.mutex.Unlock()
+	return board.await(ctx, waiting, urgency, time.Duration(state.Charter.Limits.QueuePatience))
+}
+
+func overload(group string) error {
+	return mishap.Later(mishap.NotRun, "all runners of group "+group+" are busy", "ask again later", time.Second)
+}
+
+// queued tells whether someone as urgent already waits for the group.
+func (board *Board) queued(urgency int, group string) bool {
+	for _, queue := range board.waiting[:urgency+1] {
+		if slices.ContainsFunc(queue, func(waiting *waiter) bool { return waiting.group == group }) {
+			return true
+		}
+	}
+	return false
+}
+
+func (board *Board) await(ctx context.Context, waiting *waiter, urgency int, patience time.Duration) (*Slot, error) {
+	expired := time.NewTimer(patience)
+	defer expired.Stop()
+	recheck := time.NewTicker(rampRecheck)
+	defer recheck.Stop()
+	for {
+		select {
+		case runner := <-waiting.chosen:
+			return &Slot{board: board, Runner: runner, Group: waiting.group}, nil
+		case <-recheck.C:
+			board.mutex.Lock()
+			board.serveWaiting()
+			board.mutex.Unlock()
+			continue
+		case <-expired.C:
+		case <-ctx.Done():
+		}
+		board.mutex.Lock()
+		defer board.mutex.Unlock()
+		select {
+		case runner := <-waiting.chosen:
+			return &Slot{board: board, Runner: runner, Group: waiting.group}, nil
+		default:
+		}
+		board.waiting[urgency] = slices.DeleteFunc(board.waiting[urgency], func(one *waiter) bool { return one == waiting })
+		return nil, overload(waiting.group)
+	}
+}
+
+// serveWaiting gives free slots to those who wait, the most urgent first.
+func (board *Board) serveWaiting() {
+	state := board.state()
+	now := time.Now()
+	for urgency, queue := range board.waiting {
+		board.waiting[urgency] = slices.DeleteFunc(queue, func(waiting *waiter) bool {
+			runner, free := board.free(state, waiting.group, now)
+			if free {
+				board.use(runner.Address).out++
+				waiting.chosen <- runner
+			}
+			return free
+		})
+	}
+}
+
+// Release gives the slot back; troubled tells that the runner refused, broke off
+// or was slow with its first piece, so that it is chosen less for a while.
+//
+//	slot.Release(err != nil)
+func (slot *Slot) Release(troubled bool) {
+	slot.once.Do(func() {
+		board := slot.board
+		board.mutex.Lock()
+		defer board.mutex.Unlock()
+		use := board.use(slot.Runner.Address)
+		use.out--
+		if troubled {
+			use.avoid = time.Now().Add(mishapBackoff)
+		}
+		board.serveWaiting()
+	})
+}
+
+// Demand tells how many queries are out to each runner, and how many wait.
+//
+//	out, waiting := board.Demand()
+func (board *Board) Demand() (map[string]int, int) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	out, waiting := map[string]int{}, 0
+	for address, use := range board.uses {
+		if use.out > 0 {
+			out[address] = use.out
+		}
+	}
+	for _, queue := range board.waiting {
+		waiting += len(queue)
+	}
+	return out, waiting
+}
--- /dev/null
+++ b/system/settings/settings.go
@@ -0,0 +1,210 @@
+// Package settings reads a daemon's settings from a file and from flags, checks
+// them, and names the field and the remedy of what is wrong.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+
+	"yardrock.example/system/mishap"
+)
+
+// Version is what --version tells.
+const Version = "0.1.0"
+
+// Common is what every daemon is told.
+type Common struct {
+	File    string   `arg:"--settings" json:"-" help:"settings file (JSON); flags win over it"`
+	Address string   `arg:"--address" json:"address" help:"IP and port for other processes"`
+	Domain  string   `arg:"--domain" json:"domain" help:"domain (zone) of this machine"`
+	Seeds   []string `arg:"--seeds" json:"seeds" help:"three addresses of other processes"`
+	Folder  string   `arg:"--folder" json:"folder" help:"data folder"`
+	Log     string   `arg:"--log" json:"log" help:"log level: debug, info, warn or error"`
+}
+
+// DataPlane is what yardrock-data-plane is told.
+type DataPlane struct {
+	Common
+	Role   string `arg:"--role" json:"role" help:"front or store"`
+	Public string `arg:"--public" json:"public" help:"IP and port for callers (front)"`
+	Health string `arg:"--health" json:"health" help:"IP and port for health queries (store)"`
+}
+
+// Version tells the program's version; go-arg calls it.
+//
+//	fmt.Println(DataPlane{}.Version())
+func (DataPlane) Version() string { return "yardrock-data-plane " + Version }
+
+// Description tells what the program does; go-arg calls it.
+//
+//	fmt.Println(DataPlane{}.Description())
+func (DataPlane) Description() string {
+	return "A front node takes callers' work; a store node keeps lines of record."
+}
+
+// ControlPlane is what yardrock-control-plane is told.
+type ControlPlane struct {
+	Common
+	Administration string `arg:"--administration" json:"administration" help:"IP and port for operators"`
+	FoundingStores int    `arg:"--founding-stores" json:"founding_stores" help:"stores that must be there to found the store list [default: 3]"`
+	Groups         uint32 `arg:"--groups" json:"groups" help:"groups of lines, fixed when the fleet is founded [default: 32]"`
+	MostControls   int    `arg:"--most-controls" json:"most_controls" help:"voters of the control group at most [default: 5]"`
+	RootTokenHash  string `arg:"--root-token-hash" json:"root_token_hash" help:"SHA-256 (hex) of the token that administers until a charter names operators"`
+}
+
+// Version tells the program's version; go-arg calls it.
+//
+//	fmt.Println(ControlPlane{}.Version())
+func (ControlPlane) Version() string { return "yardrock-control-plane " + Version }
+
+// Description tells what the program does; go-arg calls it.
+//
+//	fmt.Println(ControlPlane{}.Description())
+func (ControlPlane) Description() string {
+	return "A control node orders charter, domains, runners and store list, and answers operators."
+}
+
+type checked interface {
+	common() *Common
+	check() error
+}
+
+func (common *Common) common() *Common { return common }
+
+func bad(field, message, remedy string) error {
+	return mishap.New(mishap.BadSettings, field+": "+message, remedy)
+}
+
+func checkAddress(field, address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return bad(field, strconv.Quote(address)+" is no IP and port", "write it like 10.0.0.1:7000")
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return bad(field, strconv.Quote(port)+" is no port", "use a port from 1 to 65535")
+	}
+	return nil
+}
+
+func (common *Common) checkCommon() error {
+	if err := checkAddress("address", common.Address); err != nil {
+		return err
+	}
+	if common.Domain == "" {
+		return bad("domain", "is missing", "name the zone of this machine")
+	}
+	if len(common.Seeds) != 3 {
+		return bad("seeds", fmt.Sprintf("has %d addresses", len(common.Seeds)), "name three addresses of other processes")
+	}
+	for _, seed := range common.Seeds {
+		if err := checkAddress("seeds", seed); err != nil {
+			return err
+		}
+	}
+	if sorted := slices.Sorted(slices.Values(common.Seeds)); len(slices.Compact(sorted)) != 3 {
+		return bad("seeds", "names an address twice", "name three different addresses")
+	}
+	if !slices.Contains([]string{"", "debug", "info", "warn", "error"}, common.Log) {
+		return bad("log", strconv.Quote(common.Log)+" is no level", "use debug, info, warn or error")
+	}
+	return nil
+}
+
+func (settings *DataPlane) check() error {
+	if err := settings.checkCommon(); err != nil {
+		return err
+	}
+	switch settings.Role {
+	case "front":
+		return checkAddress("public", settings.Public)
+	case "store":
+		if settings.Folder == "" {
+			return bad("folder", "is missing", "name the data folder of this store")
+		}
+		if settings.Health != "" {
+			return checkAddress("health", settings.Health)
+		}
+		return nil
+	}
+	return bad("role", strconv.Quote(settings.Role)+" is no role", "use front or store")
+}
+
+func (settings *ControlPlane) check() error {
+	if err := settings.checkCommon(); err != nil {
+		return err
+	}
+	if settings.Folder == "" {
+		return bad("folder", "is missing", "name the data folder of this control node")
+	}
+	if settings.FoundingStores < 1 {
+		return bad("founding_stores", "is below 1", "use 3, or the number of stores at the start")
+	}
+	if settings.Groups < 1 || settings.Groups > 4096 {
+		return bad("groups", "is out of range", "use 1 to 4096")
+	}
+	if settings.MostControls < 1 || settings.MostControls > 9 {
+		return bad("most_controls", "is out of range", "use 1 to 9, best 3 or 5")
+	}
+	return checkAddress("administration", settings.Administration)
+}
+
+// LoadDataPlane reads the settings of yardrock-data-plane.
+//
+//	loaded, err := settings.LoadDataPlane(os.Args[1:], os.Stdout)
+func LoadDataPlane(arguments []string, output io.Writer) (*DataPlane, error) {
+	loaded := &DataPlane{}
+	return loaded, load(loaded, "yardrock-data-plane", arguments, output)
+}
+
+// LoadControlPlane reads the settings of yardrock-control-plane.
+//
+//	loaded, err := settings.LoadControlPlane(os.Args[1:], os.Stdout)
+func LoadControlPlane(arguments []string, output io.Writer) (*ControlPlane, error) {
+	loaded := &ControlPlane{FoundingStores: 3, Groups: 32, MostControls: 5}
+	return loaded, load(loaded, "yardrock-control-plane", arguments, output)
+}
+
+// ErrShown tells that help or version was asked for and shown.
+var ErrShown = errors.New("shown")
+
+// load reads flags to find the file, then the file, then the flags again over it.
+func load(target checked, program string, arguments []string, output io.Writer) error {
+	parser, err := arg.NewParser(arg.Config{Program: program, IgnoreDefault: true}, target)
+	if err != nil {
+		return err
+	}
+	switch err := parser.Parse(arguments); {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(output)
+		return ErrShown
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(output, target.(interface{ Version() string }).Version())
+		return ErrShown
+	case err != nil:
+		return bad("flags", err.Error(), "see --help")
+	}
+	if file := target.common().File; file != "" {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return bad("settings", err.Error(), "name a file that can be read")
+		}
+		decoder := json.NewDecoder(strings.NewReader(string(data)))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(target); err != nil {
+			return bad("settings", file+": "+err.Error(), "correct the named key; --help lists the keys")
+		}
+		if err := parser.Parse(arguments); err != nil {
+			return bad("flags", err.Error(), "see --help")
+		}
+	}
+	return target.check()
+}
--- /dev/null
+++ b/system/store/node.go
@@ -0,0 +1,463 @@
+// Package store is a store node: it holds replicas of the groups that keep lines
+// and tallies, the cold store beside them, and the newest view of the feed.
+package store
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/agreement"
+	"yardrock.example/system/coldstore"
+	"yardrock.example/system/durablelog"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/files"
+	"yardrock.example/system/follower"
+	"yardrock.example/system/line"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
+	"yardrock.example/system/replica"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+const (
+	feedPin         = 1 << 31
+	archiveInterval = 5 * time.Second
+	archiveBatch    = 5000
+	// CatchUp is how long a tail reader waits at most before it reads again.
+	CatchUp         = 5 * time.Second
+	callPatience    = 2 * time.Second
+	commandPatience = 3 * time.Second
+	pinPatience     = 5 * time.Second
+	mostEvents      = 4096
+)
+
+// Settings place a store node.
+type Settings struct {
+	Address string
+	Domain  string
+	Seeds   []string
+	Replica replica.Settings
+}
+
+// Node is a running store node.
+type Node struct {
+	settings Settings
+	caller   *link.Caller
+	host     *replica.Host
+	cold     *coldstore.Store
+	server   *link.Server
+	follow   *follower.Follower
+	machines sync.Map // group number to *lineMachine
+	held     atomic.Pointer[feed.View]
+
+	mutex   sync.Mutex
+	waiters map[string]chan struct{}
+
+	context context.Context
+	stop    context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// lineMachine puts a line.Machine under the host.
+type lineMachine struct {
+	*line.Machine
+	applied func(name string)
+}
+
+// Apply carries out a committed command.
+func (machine *lineMachine) Apply(entry agreement.Entry) any {
+	var command line.Command
+	if err := wire.Decode(schema.Command_TypeID, entry.Data, &command); err != nil {
+		return line.Outcome{Status: line.BadCommand}
+	}
+	outcome := machine.Machine.Apply(&command)
+	machine.applied(command.Line)
+	return outcome
+}
+
+// Image gives the checkpoint.
+func (machine *lineMachine) Image() []byte {
+	image := machine.Snapshot().Image()
+	return wire.MustEncode(schema.LineImage_TypeID, &image)
+}
+
+// Restore takes a checkpoint.
+func (machine *lineMachine) Restore(data []byte) error {
+	var image line.Image
+	if err := wire.Decode(schema.LineImage_TypeID, data, &image); err != nil {
+		return err
+	}
+	return machine.Machine.Restore(image)
+}
+
+// Start opens the data folder and runs a store node until Close.
+//
+//	node, err := store.Start(settings, folder, coldFolder, link.TCP{})
+//	defer node.Close()
+func Start(settings Settings, folder, coldFolder files.Folder, network link.Network) (*Node, error) {
+	durable, records, err := durablelog.Open(folder, feed.RoleStore)
+	if err != nil {
+		return nil, err
+	}
+	cold, err := coldstore.Open(coldFolder)
+	if err != nil {
+		return nil, err
+	}
+	node := &Node{settings: settings, caller: link.NewCaller(network), cold: cold, waiters: map[string]chan struct{}{}}
+	node.context, node.stop = context.WithCancel(context.Background())
+	node.held.Store(&feed.View{})
+	courier := replica.NewCourier(node.caller, node.addressOf, func() string { return node.held.Load().Fleet })
+	node.host, err = replica.Open(settings.Replica, durable, records, node.newMachine, courier)
+	if err != nil {
+		return nil, err
+	}
+	held := &feed.View{}
+	if data := node.host.Pinned(feedPin); data != nil {
+		if err := wire.Decode(schema.View_TypeID, data, held); err != nil {
+			node.host.Close()
+			return nil, mishap.New(mishap.Damaged, "the held view cannot be read: "+err.Error(), "run the version of the program that wrote it")
+		}
+	}
+	node.held.Store(held)
+	listener, err := network.Listen(settings.Address)
+	if err != nil {
+		node.host.Close()
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "choose an address of this machine that is free")
+	}
+	member := feed.Member{Name: node.Name(), Role: feed.RoleStore, Address: settings.Address, Domain: settings.Domain}
+	node.follow = follower.Start(node.caller, member, settings.Seeds, held, node.take)
+	node.server = link.Serve(listener, node.Answer)
+	node.foundGroups(held)
+	node.tasks.Add(1)
+	go node.archiveLoop()
+	log.WithFields(log.Fields{"node": node.Name(), "address": settings.Address}).Info("store_started")
+	return node, nil
+}
+
+func (node *Node) newMachine(group uint32) replica.Machine {
+	machine := &lineMachine{Machine: line.NewMachine(), applied: node.wake}
+	node.machines.Store(group, machine)
+	return machine
+}
+
+func (node *Node) machine(group uint32) *lineMachine {
+	machine, found := node.machines.Load(group)
+	if !found {
+		return nil
+	}
+	return machine.(*lineMachine)
+}
+
+// Name is the identity of the node's disk.
+//
+//	name := node.Name()
+func (node *Node) Name() string { return node.host.Name() }
+
+// SetSeeds replaces the seed addresses, as SIGHUP does.
+//
+//	node.SetSeeds(settings.Seeds)
+func (node *Node) SetSeeds(seeds []string) { node.follow.SetSeeds(seeds) }
+
+// Ready tells whether every group that has a replica here knows a leader.
+//
+//	if node.Ready() { ... }
+func (node *Node) Ready() bool {
+	statuses := node.host.Statuses()
+	for _, status := range statuses {
+		if status.Leader == "" {
+			return false
+		}
+	}
+	return len(statuses) > 0
+}
+
+// Host gives the node's replicas, for measuring.
+//
+//	syncs := node.Host().Syncs()
+func (node *Node) Host() *replica.Host { return node.host }
+
+// Drain gives up leadership before a stop.
+//
+//	node.Drain()
+func (node *Node) Drain() { node.host.HandOverAll() }
+
+// Close stops the node at once; what is not synced may be lost.
+//
+//	node.Close()
+func (node *Node) Close() {
+	node.stop()
+	node.follow.Stop()
+	node.server.Close()
+	node.caller.Close()
+	node.tasks.Wait()
+	node.host.Close()
+}
+
+func (node *Node) addressOf(name string) string { return node.held.Load().AddressOf(name) }
+
+// take syncs a newer view before anyone may count on it, then founds the groups
+// that belong here.
+func (node *Node) take(view *feed.View) {
+	ctx, cancel := context.WithTimeout(node.context, pinPatience)
+	defer cancel()
+	if err := node.host.Pin(ctx, feedPin, wire.MustEncode(schema.View_TypeID, view)); err != nil {
+		return
+	}
+	node.held.Store(view)
+	node.foundGroups(view)
+}
+
+func (node *Node) foundGroups(view *feed.View) {
+	founders := feed.Places(view.FoundingStores)
+	for group := uint32(0); len(founders) > 0 && group < view.Groups; group++ {
+		voters := placement.ReplicasOf(group, founders)
+		if slices.Contains(voters, node.Name()) {
+			node.host.Found(group, voters, nil)
+		}
+	}
+}
+
+var answers = map[schema.Query_Which]func(*Node, context.Context, *wire.Query) (*wire.Reply, error){
+	schema.Query_Which_status:    (*Node).answerStatus,
+	schema.Query_Which_agreement: (*Node).answerAgreement,
+	schema.Query_Which_command:   (*Node).answerCommand,
+	schema.Query_Which_read:      (*Node).answerRead,
+	schema.Query_Which_hold:      (*Node).answerHold,
+	schema.Query_Which_newest:    (*Node).answerNewest,
+	schema.Query_Which_putCold:   (*Node).answerPutCold,
+	schema.Query_Which_getCold:   (*Node).answerGetCold,
+	schema.Query_Which_digests:   (*Node).answerDigests,
+}
+
+// Answer answers one query of another process.
+//
+//	reply := node.Answer(ctx, query)
+func (node *Node) Answer(ctx context.Context, query *wire.Query) *wire.Reply {
+	answer, known := answers[query.Which]
+	if !known {
+		return wire.Failed(mishap.New(mishap.Invalid, "a store node does not answer this query", "ask a control node"))
+	}
+	if fleet := node.held.Load().Fleet; query.Fleet != "" && fleet != "" && query.Fleet != fleet {
+		return wire.Failed(mishap.New(mishap.ForeignFleet, "the asking process belongs to fleet "+query.Fleet+", this one to "+fleet, "correct its seeds, or empty its data folder so that it joins this fleet"))
+	}
+	reply, err := answer(node, ctx, query)
+	if err != nil {
+		return wire.Failed(err)
+	}
+	return reply
+}
+
+func (node *Node) answerStatus(context.Context, *wire.Query) (*wire.Reply, error) {
+	view := node.held.Load()
+	return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
+		Name: node.Name(), Role: feed.RoleStore, Address: node.settings.Address, Domain: node.settings.Domain,
+		Empty: view.Number == 0, Fleet: view.Fleet, Number: view.Number, Controls: view.Controls,
+	}}, nil
+}
+
+func (node *Node) answerAgreement(_ context.Context, query *wire.Query) (*wire.Reply, error) {
+	node.host.Receive(query.Agreement.Messages)
+	return &wire.Reply{}, nil
+}
+
+// answerHold returns only once the view, or a newer one, is synced here.
+func (node *Node) answerHold(_ context.Context, query *wire.Query) (*wire.Reply, error) {
+	view := query.Hold.View
+	node.follow.Adopt(&view)
+	if node.held.Load().Number < view.Number {
+		return nil, mishap.Later(mishap.DiskUnavailable, "the view was not synced here", "ask again", time.Second)
+	}
+	return &wire.Reply{}, nil
+}
+
+func (node *Node) answerNewest(_ context.Context, query *wire.Query) (*wire.Reply, error) {
+	view := node.held.Load()
+	answer := &wire.NewestReply{Number: view.Number}
+	if view.Number > query.Newest.After {
+		answer.View = *view
+	}
+	return &wire.Reply{Which: schema.Reply_Which_newest, Newest: answer}, nil
+}
+
+// answerCommand stamps the leader's time on commands and commits them in order.
+func (node *Node) answerCommand(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandPatience)
+	defer cancel()
+	commands := make([][]byte, len(query.Command.Commands))
+	for position, command := range query.Command.Commands {
+		command.Now = time.Now().UnixNano()
+		commands[position] = wire.MustEncode(schema.Command_TypeID, &command)
+	}
+	outcomes, err := node.host.Propose(ctx, query.Command.Group, commands)
+	if err != nil {
+		return nil, err
+	}
+	list := &wire.OutcomeList{}
+	for _, outcome := range outcomes {
+		list.Outcomes = append(list.Outcomes, outcome.(line.Outcome))
+	}
+	return &wire.Reply{Which: schema.Reply_Which_outcomes, Outcomes: list}, nil
+}
+
+// wake is the cursor update: it lets the tail readers of a line look again.
+func (node *Node) wake(name string) {
+	node.mutex.Lock()
+	if waiting, found := node.waiters[name]; found {
+		close(waiting)
+		delete(node.waiters, name)
+	}
+	node.mutex.Unlock()
+}
+
+func (node *Node) waiter(name string) chan struct{} {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if _, found := node.waiters[name]; !found {
+		node.waiters[name] = make(chan struct{})
+	}
+	return node.waiters[name]
+}
+
+// answerRead serves a quorum read. With Wait, it holds the answer until there is
+// news or the catch-up time is over, and then confirms again.
+func (node *Node) answerRead(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
+	read := query.Read
+	group := placement.GroupOf(read.Line, node.held.Load().Groups)
+	var woken chan struct{}
+	if read.Wait > 0 {
+		woken = node.waiter(read.Line)
+	}
+	snapshot, err := node.confirmed(ctx, group)
+	if err != nil {
+		return nil, err
+	}
+	if read.Tally {
+		tally := snapshot.Tally(read.Line)
+		return &wire.Reply{Which: schema.Reply_Which_read, Read: &wire.ReadReply{Spent: tally.Spent, Reserved: tally.Reserved()}}, nil
+	}
+	session, found := snapshot.Session(read.Line)
+	if read.Wait > 0 && found && session.Head <= read.After {
+		timer := time.NewTimer(min(read.Wait, CatchUp))
+		defer timer.Stop()
+		select {
+		case <-woken:
+		case <-timer.C:
+			node.wake(read.Line)
+		case <-ctx.Done():
+		case <-node.context.Done():
+		}
+		if snapshot, err = node.confirmed(ctx, group); err != nil {
+			return nil, err
+		}
+		session, found = snapshot.Session(read.Line)
+	}
+	if !found {
+		return nil, mishap.New(mishap.NotFound, "no line is named "+read.Line, "check the name; a line is forgotten when its keeping time is over")
+	}
+	events, err := node.merged(ctx, group, session, read.After, read.Limit)
+	if err != nil {
+		return nil, err
+	}
+	told := *session
+	told.Hot = nil
+	return &wire.Reply{Which: schema.Reply_Which_read, Read: &wire.ReadReply{Session: told, Events: events}}, nil
+}
+
+func (node *Node) confirmed(ctx context.Context, group uint32) (*line.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandPatience)
+	defer cancel()
+	if err := node.host.Read(ctx, group); err != nil {
+		return nil, err
+	}
+	return node.machine(group).Snapshot(), nil
+}
+
+// merged joins hot events with cold ones, asks siblings for cold events that are
+// missing here, and refuses a range that still has a gap.
+func (node *Node) merged(ctx context.Context, group uint32, session *line.Session, after, limit uint64) ([]line.Event, error) {
+	if limit == 0 || limit > mostEvents {
+		limit = mostEvents
+	}
+	if after >= session.Head {
+		return nil, nil
+	}
+	through := min(session.Head, after+limit)
+	events := []line.Event{}
+	if after < session.ArchivedSeq {
+		last := min(session.ArchivedSeq, through)
+		found, err := node.cold.Read(session.Line, after, last)
+		if err != nil {
+			return nil, err
+		}
+		if uint64(len(found)) != last-after {
+			found = node.coldFromSiblings(ctx, group, session.Line, after, last, found)
+		}
+		events = found
+	}
+	for _, event := range session.Hot {
+		if event.Seq > after && event.Seq <= through {
+			events = append(events, event)
+		}
+	}
+	for position, event := range events {
+		if event.Seq != after+uint64(position)+1 {
+			return nil, gapMishap(session.Line)
+		}
+	}
+	if uint64(len(events)) != through-after {
+		return nil, gapMishap(session.Line)
+	}
+	return events, nil
+}
+
+func gapMishap(name string) error {
+	return mishap.Later(mishap.Gap, "a part of "+name+" cannot be read now", "ask again; the store nodes mend their copies from each other", time.Second)
+}
+
+func (node *Node) coldFromSiblings(ctx context.Context, group uint32, name string, after, through uint64, found []line.Event) []line.Event {
+	bySeq := map[uint64]line.Event{}
+	for _, event := range found {
+		bySeq[event.Seq] = event
+	}
+	for _, sibling := range node.host.Statuses()[group].Replicas.Voters {
+		if sibling == node.Name() || uint64(len(bySeq)) == through-after {
+			continue
+		}
+		asked, cancel := context.WithTimeout(ctx, callPatience)
+		reply, err := node.caller.Call(asked, node.addressOf(sibling), &wire.Query{Fleet: node.held.Load().Fleet, Which: schema.Query_Which_getCold, GetCold: &wire.GetColdQuery{Line: name, After: after, Through: through}})
+		cancel()
+		if err != nil || reply.Read == nil {
+			continue
+		}
+		for _, event := range reply.Read.Events {
+			bySeq[event.Seq] = event
+		}
+	}
+	events := []line.Event{}
+	for seq := after + 1; seq <= through; seq++ {
+		if event, known := bySeq[seq]; known {
+			events = append(events, event)
+		}
+	}
+	return events
+}
+
+func (node *Node) answerPutCold(_ context.Context, query *wire.Query) (*wire.Reply, error) {
+	return &wire.Reply{}, node.cold.Put(query.PutCold.Chunks)
+}
+
+func (node *Node) answerGetCold(_ context.Context, query *wire.Query) (*wire.Reply, error) {
+	events, err := node.cold.Read(query.GetCold.Line, query.GetCold.After, query.GetCold.Through)
+	return &wire.Reply{Which: schema.Reply_Which_read, Read: &wire.ReadReply{Events: events}}, err
+}
+
+func (node *Node) answerDigests(_ context.Context, query *wire.Query) (*wire.Reply, error) {
+	return &wire.Reply{Which: schema.Reply_Which_digests, Digests: &wire.DigestReply{Ranges: node.cold.Digests(query.Digests.Group)}}, nil
+}
--- /dev/null
+++ b/system/wire/schema/wire.capnp
@@ -0,0 +1,396 @@
+@0xd1f7a2c3b4e59601;
+# What yardrock processes say to each other, and what they keep on disk.
+
+using Go = import "/go.capnp";
+$Go.package("schema");
+$Go.import("yardrock.example/system/wire/schema");
+
+interface Node {
+  deliver @0 (query :Query) -> (reply :Reply);
+}
+
+struct Query {
+  version @0 :UInt32;
+  fleet @1 :Text;
+  union {
+    status @2 :StatusQuery;
+    agreement @3 :AgreementBatch;
+    command @4 :CommandQuery;
+    read @5 :ReadQuery;
+    follow @6 :FollowQuery;
+    hold @7 :HoldQuery;
+    newest @8 :NewestQuery;
+    sessions @9 :SessionBatch;
+    putCold @10 :ColdChunkBatch;
+    change @11 :ChangeQuery;
+    digests @12 :DigestQuery;
+    getCold @13 :GetColdQuery;
+  }
+}
+
+struct Reply {
+  mishap @0 :Mishap;
+  union {
+    nothing @1 :Void;
+    status @2 :StatusReply;
+    outcomes @3 :OutcomeList;
+    read @4 :ReadReply;
+    follow @5 :FollowReply;
+    newest @6 :NewestReply;
+    change @7 :ChangeReply;
+    digests @8 :DigestReply;
+    chunks @9 :ColdChunkBatch;
+  }
+}
+
+struct Mishap {
+  kind @0 :Text;
+  message @1 :Text;
+  remedy @2 :Text;
+  leader @3 :Text;
+  retryAfter @4 :Int64;
+}
+
+# --- agreement ---
+
+struct Replicas {
+  voters @0 :List(Text);
+  learners @1 :List(Text);
+}
+
+struct Entry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  kind @2 :UInt16;
+  data @3 :Data;
+  replicas @4 :Replicas;
+}
+
+struct Checkpoint {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  replicas @2 :Replicas;
+  data @3 :Data;
+}
+
+struct State {
+  term @0 :UInt64;
+  voted @1 :Text;
+}
+
+struct AgreementMessage {
+  group @0 :UInt32;
+  kind @1 :UInt16;
+  from @2 :Text;
+  to @3 :Text;
+  term @4 :UInt64;
+  index @5 :UInt64;
+  logTerm @6 :UInt64;
+  commit @7 :UInt64;
+  round @8 :UInt64;
+  refused @9 :Bool;
+  hint @10 :UInt64;
+  forced @11 :Bool;
+  entries @12 :List(Entry);
+  checkpoint @13 :Checkpoint;
+}
+
+struct AgreementBatch {
+  messages @0 :List(AgreementMessage);
+}
+
+struct StoredWrite {
+  state @0 :State;
+  entries @1 :List(Entry);
+  pointed @2 :Bool;
+  checkpoint @3 :Checkpoint;
+}
+
+# --- who is there ---
+
+struct StatusQuery {
+  address @0 :Text;
+}
+
+struct StatusReply {
+  name @0 :Text;
+  role @1 :Text;
+  address @2 :Text;
+  domain @3 :Text;
+  empty @4 :Bool;
+  fleet @5 :Text;
+  number @6 :UInt64;
+  leader @7 :Text;
+  controls @8 :List(Member);
+  founding @9 :List(Text);
+}
+
+struct Member {
+  name @0 :Text;
+  role @1 :Text;
+  address @2 :Text;
+  domain @3 :Text;
+  state @4 :Text;
+  administration @5 :Text;
+}
+
+# --- lines ---
+
+struct Event {
+  seq @0 :UInt64;
+  at @1 :Int64;
+  kind @2 :UInt16;
+  turn @3 :UInt64;
+  follows @4 :UInt64;
+  words @5 :Text;
+  outcome @6 :Text;
+  runner @7 :Text;
+  dispatch @8 :Text;
+  digest @9 :Text;
+  name @10 :Text;
+  part @11 :UInt64;
+  producer @12 :Text;
+  producerSeq @13 :UInt64;
+  charter @14 :UInt64;
+  deadline @15 :Int64;
+}
+
+struct Command {
+  kind @0 :UInt16;
+  line @1 :Text;
+  now @2 :Int64;
+  keepFor @3 :Int64;
+  team @4 :Text;
+  program @5 :Text;
+  workKind @6 :Text;
+  producer @7 :Text;
+  producerSeq @8 :UInt64;
+  expects @9 :Bool;
+  expectedSeq @10 :UInt64;
+  events @11 :List(Event);
+  archivedSeq @12 :UInt64;
+  reservation @13 :Text;
+  words @14 :UInt64;
+  allowance @15 :UInt64;
+  acks @16 :List(Ack);
+}
+
+struct Ack {
+  line @0 :Text;
+  archivedSeq @1 :UInt64;
+}
+
+struct Outcome {
+  status @0 :UInt16;
+  seq @1 :UInt64;
+  head @2 :UInt64;
+  deduped @3 :Bool;
+  spent @4 :UInt64;
+  reserved @5 :UInt64;
+}
+
+struct OutcomeList {
+  outcomes @0 :List(Outcome);
+}
+
+struct Producer {
+  name @0 :Text;
+  producerSeq @1 :UInt64;
+  seq @2 :UInt64;
+  at @3 :Int64;
+}
+
+struct Session {
+  line @0 :Text;
+  team @1 :Text;
+  program @2 :Text;
+  workKind @3 :Text;
+  createdAt @4 :Int64;
+  keepFor @5 :Int64;
+  touchedAt @6 :Int64;
+  head @7 :UInt64;
+  archivedSeq @8 :UInt64;
+  producers @9 :List(Producer);
+  hot @10 :List(Event);
+  openTurns @11 :List(UInt64);
+}
+
+struct Reservation {
+  name @0 :Text;
+  words @1 :UInt64;
+}
+
+struct Tally {
+  name @0 :Text;
+  spent @1 :UInt64;
+  reservations @2 :List(Reservation);
+}
+
+struct LineImage {
+  version @0 :UInt32;
+  clock @1 :Int64;
+  sessions @2 :List(Session);
+  tallies @3 :List(Tally);
+}
+
+struct CommandQuery {
+  group @0 :UInt32;
+  commands @1 :List(Command);
+}
+
+struct ReadQuery {
+  line @0 :Text;
+  after @1 :UInt64;
+  limit @2 :UInt64;
+  wait @3 :Int64;
+  tally @4 :Bool;
+}
+
+struct ReadReply {
+  session @0 :Session;
+  events @1 :List(Event);
+  spent @2 :UInt64;
+  reserved @3 :UInt64;
+}
+
+struct ColdChunk {
+  group @0 :UInt32;
+  line @1 :Text;
+  first @2 :UInt64;
+  last @3 :UInt64;
+  expires @4 :Int64;
+  events @5 :List(Event);
+}
+
+struct ColdChunkBatch {
+  chunks @0 :List(ColdChunk);
+}
+
+struct DigestQuery {
+  group @0 :UInt32;
+}
+
+struct RangeDigest {
+  line @0 :Text;
+  first @1 :UInt64;
+  last @2 :UInt64;
+  digest @3 :Data;
+}
+
+struct DigestReply {
+  ranges @0 :List(RangeDigest);
+}
+
+struct GetColdQuery {
+  line @0 :Text;
+  after @1 :UInt64;
+  through @2 :UInt64;
+}
+
+# --- the feed ---
+
+struct Runner {
+  address @0 :Text;
+  group @1 :Text;
+  domain @2 :Text;
+  state @3 :Text;
+  since @4 :Int64;
+}
+
+struct Domain {
+  name @0 :Text;
+  state @1 :Text;
+  since @2 :Int64;
+}
+
+struct Duty {
+  key @0 :Text;
+  owner @1 :Text;
+  fence @2 :UInt64;
+}
+
+struct Change {
+  number @0 :UInt64;
+  kind @1 :UInt16;
+  at @2 :Int64;
+  by @3 :Text;
+  expects @4 :Bool;
+  expected @5 :UInt64;
+  source @6 :Text;
+  compiled @7 :Data;
+  domain @8 :Domain;
+  runners @9 :List(Runner);
+  member @10 :Member;
+  members @11 :List(Member);
+  duty @12 :Duty;
+  view @13 :View;
+  query @14 :Text;
+}
+
+struct View {
+  fleet @0 :Text;
+  number @1 :UInt64;
+  charterNumber @2 :UInt64;
+  source @3 :Text;
+  compiled @4 :Data;
+  domains @5 :List(Domain);
+  runners @6 :List(Runner);
+  foundingStores @7 :List(Member);
+  stores @8 :List(Member);
+  controls @9 :List(Member);
+  duties @10 :List(Duty);
+  groups @11 :UInt32;
+  founding @12 :List(Text);
+}
+
+struct ControlImage {
+  version @0 :UInt32;
+  view @1 :View;
+  changes @2 :List(Change);
+}
+
+struct FollowQuery {
+  member @0 :Member;
+  after @1 :UInt64;
+  sessionOnly @2 :Bool;
+}
+
+struct FollowReply {
+  newest @0 :UInt64;
+  reset @1 :Bool;
+  view @2 :View;
+  changes @3 :List(Change);
+  members @4 :List(Member);
+}
+
+struct HoldQuery {
+  view @0 :View;
+}
+
+struct NewestQuery {
+  after @0 :UInt64;
+}
+
+struct NewestReply {
+  number @0 :UInt64;
+  view @1 :View;
+}
+
+struct SessionBatch {
+  from @0 :Text;
+  sessions @1 :List(SessionNote);
+}
+
+struct SessionNote {
+  member @0 :Member;
+  age @1 :Int64;
+}
+
+struct ChangeQuery {
+  change @0 :Change;
+}
+
+struct ChangeReply {
+  number @0 :UInt64;
+  acknowledged @1 :Bool;
+}
--- /dev/null
+++ b/system/wire/wire.go
@@ -0,0 +1,319 @@
+// Package wire holds what yardrock processes say to each other, and turns it and
+// what the disk keeps into Cap'n Proto and back.
+package wire
+
+import (
+	"fmt"
+	"time"
+
+	"capnproto.org/go/capnp/v3"
+	"capnproto.org/go/capnp/v3/pogs"
+	"capnproto.org/go/capnp/v3/schemas"
+
+	"yardrock.example/system/agreement"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/line"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire/schema"
+)
+
+// Version is the newest form of query that this program understands.
+const Version = 1
+
+// Query is what one process asks another. Which tells the filled field.
+type Query struct {
+	Version   uint32
+	Fleet     string
+	Which     schema.Query_Which
+	Status    *StatusQuery
+	Agreement *AgreementBatch
+	Command   *CommandQuery
+	Read      *ReadQuery
+	Follow    *FollowQuery
+	Hold      *HoldQuery
+	Newest    *NewestQuery
+	Sessions  *SessionBatch
+	PutCold   *ColdChunkBatch
+	Change    *ChangeQuery
+	Digests   *DigestQuery
+	GetCold   *GetColdQuery
+}
+
+// Reply answers a Query; a Mishap with a Kind says that it failed.
+type Reply struct {
+	Mishap   Mishap
+	Which    schema.Reply_Which
+	Status   *StatusReply
+	Outcomes *OutcomeList
+	Read     *ReadReply
+	Follow   *FollowReply
+	Newest   *NewestReply
+	Change   *ChangeReply
+	Digests  *DigestReply
+	Chunks   *ColdChunkBatch
+}
+
+// Mishap is a typed failure on its way.
+type Mishap struct {
+	Kind       string
+	Message    string
+	Remedy     string
+	Leader     string
+	RetryAfter time.Duration
+}
+
+// AgreementBatch carries messages of many groups.
+type AgreementBatch struct{ Messages []agreement.Message }
+
+// StoredWrite is an agreement write as the disk keeps it.
+type StoredWrite struct {
+	State      agreement.State
+	Entries    []agreement.Entry
+	Pointed    bool
+	Checkpoint agreement.Checkpoint
+}
+
+// StatusQuery asks a process who it is.
+type StatusQuery struct{ Address string }
+
+// StatusReply tells who a process is.
+type StatusReply struct {
+	Name     string
+	Role     string
+	Address  string
+	Domain   string
+	Empty    bool
+	Fleet    string
+	Number   uint64
+	Leader   string
+	Controls []feed.Member
+	Founding []string
+}
+
+// CommandQuery asks a group's leader to commit commands.
+type CommandQuery struct {
+	Group    uint32
+	Commands []line.Command
+}
+
+// OutcomeList answers a CommandQuery.
+type OutcomeList struct{ Outcomes []line.Outcome }
+
+// ReadQuery asks a group's leader for a line, or for a tally. With Wait it holds
+// the answer until there is something after After.
+type ReadQuery struct {
+	Line  string
+	After uint64
+	Limit uint64
+	Wait  time.Duration
+	Tally bool
+}
+
+// ReadReply answers a ReadQuery. Session.Hot is left out.
+type ReadReply struct {
+	Session  line.Session
+	Events   []line.Event
+	Spent    uint64
+	Reserved uint64
+}
+
+// ColdChunk is a run of archived events of one line.
+type ColdChunk struct {
+	Group   uint32
+	Line    string
+	First   uint64
+	Last    uint64
+	Expires int64
+	Events  []line.Event
+}
+
+// ColdChunkBatch carries chunks.
+type ColdChunkBatch struct{ Chunks []ColdChunk }
+
+// DigestQuery asks a store for the digests of a group's cold ranges.
+type DigestQuery struct{ Group uint32 }
+
+// RangeDigest is the digest of one cold range.
+type RangeDigest struct {
+	Line   string
+	First  uint64
+	Last   uint64
+	Digest []byte
+}
+
+// DigestReply answers a DigestQuery.
+type DigestReply struct{ Ranges []RangeDigest }
+
+// GetColdQuery asks a store for its own cold events of a line.
+type GetColdQuery struct {
+	Line    string
+	After   uint64
+	Through uint64
+}
+
+// FollowQuery renews a node's session and asks for changes after a number. The
+// answer counts as confirmed by a control quorum.
+type FollowQuery struct {
+	Member      feed.Member
+	After       uint64
+	SessionOnly bool
+}
+
+// FollowReply answers a FollowQuery.
+type FollowReply struct {
+	Newest  uint64
+	Reset   bool
+	View    feed.View
+	Changes []feed.Change
+	Members []feed.Member
+}
+
+// HoldQuery gives a store a view to sync.
+type HoldQuery struct{ View feed.View }
+
+// NewestQuery asks a store for the newest view it has synced.
+type NewestQuery struct{ After uint64 }
+
+// NewestReply answers a NewestQuery; View is filled if it is newer than asked.
+type NewestReply struct {
+	Number uint64
+	View   feed.View
+}
+
+// SessionBatch tells the sessions that a control node holds.
+type SessionBatch struct {
+	From     string
+	Sessions []SessionNote
+}
+
+// SessionNote is one session and how long ago it was renewed.
+type SessionNote struct {
+	Member feed.Member
+	Age    time.Duration
+}
+
+// ChangeQuery asks the control leader for a change of the feed.
+type ChangeQuery struct{ Change feed.Change }
+
+// ChangeReply tells a change's number and whether it is acknowledged.
+type ChangeReply struct {
+	Number       uint64
+	Acknowledged bool
+}
+
+// ControlImage is the control group's checkpoint.
+type ControlImage struct {
+	Version uint32
+	View    feed.View
+	Changes []feed.Change
+}
+
+// rooted adapts a generated constructor of a root struct.
+func rooted[Struct ~capnp.StructKind](make func(*capnp.Segment) (Struct, error)) func(*capnp.Segment) (capnp.Struct, error) {
+	return func(segment *capnp.Segment) (capnp.Struct, error) {
+		made, err := make(segment)
+		return capnp.Struct(made), err
+	}
+}
+
+var roots = map[uint64]func(*capnp.Segment) (capnp.Struct, error){
+	schema.Command_TypeID:        rooted(schema.NewRootCommand),
+	schema.StoredWrite_TypeID:    rooted(schema.NewRootStoredWrite),
+	schema.LineImage_TypeID:      rooted(schema.NewRootLineImage),
+	schema.ControlImage_TypeID:   rooted(schema.NewRootControlImage),
+	schema.View_TypeID:           rooted(schema.NewRootView),
+	schema.Change_TypeID:         rooted(schema.NewRootChange),
+	schema.ColdChunkBatch_TypeID: rooted(schema.NewRootColdChunkBatch),
+}
+
+// Encode turns a value into Cap'n Proto bytes under one of the schema's types.
+//
+//	data, err := wire.Encode(schema.Command_TypeID, &command)
+func Encode(typeID uint64, value any) ([]byte, error) {
+	root, known := roots[typeID]
+	if !known {
+		return nil, fmt.Errorf("type %x is never stored by itself", typeID)
+	}
+	message, segment, err := capnp.NewMessage(capnp.SingleSegment(nil))
+	if err != nil {
+		return nil, err
+	}
+	made, err := root(segment)
+	if err != nil {
+		return nil, err
+	}
+	if err := pogs.Insert(typeID, made, value); err != nil {
+		return nil, err
+	}
+	return message.Marshal()
+}
+
+// Decode fills value from Cap'n Proto bytes.
+//
+//	err := wire.Decode(schema.Command_TypeID, data, &command)
+func Decode(typeID uint64, data []byte, value any) error {
+	message, err := capnp.Unmarshal(data)
+	if err != nil {
+		return err
+	}
+	message.ResetReadLimit(readLimit)
+	root, err := message.Root()
+	if err != nil {
+		return err
+	}
+	return pogs.Extract(value, typeID, root.Struct())
+}
+
+// Take fills value from a struct of a message that the library will use again.
+// It copies first, since byte fields point into the message they came from.
+//
+//	err := wire.Take(schema.Query_TypeID, capnp.Struct(source), &query)
+func Take(typeID uint64, source capnp.Struct, value any) error {
+	source.Message().ResetReadLimit(readLimit)
+	message, _, err := capnp.NewMessage(capnp.SingleSegment(nil))
+	if err != nil {
+		return err
+	}
+	if err := message.SetRoot(source.ToPtr()); err != nil {
+		return err
+	}
+	message.ResetReadLimit(readLimit)
+	root, err := message.Root()
+	if err != nil {
+		return err
+	}
+	return pogs.Extract(value, typeID, root.Struct())
+}
+
+const readLimit = 1 << 30
+
+func init() { schema.RegisterSchema(schemas.DefaultRegistry) }
+
+// MustEncode is Encode for values that this program itself made.
+//
+//	data := wire.MustEncode(schema.View_TypeID, &view)
+func MustEncode(typeID uint64, value any) []byte {
+	data, err := Encode(typeID, value)
+	if err != nil {
+		panic(fmt.Sprintf("encode %x: %v", typeID, err))
+	}
+	return data
+}
+
+// Failed makes the reply that carries an error.
+//
+//	return wire.Failed(err)
+func Failed(err error) *Reply {
+	found := mishap.Of(err)
+	return &Reply{Mishap: Mishap{Kind: string(found.Kind), Message: found.Message, Remedy: found.Remedy, Leader: found.Leader, RetryAfter: found.RetryAfter}}
+}
+
+// Err gives the error that a reply carries, if any.
+//
+//	if err := reply.Err(); err != nil { return err }
+func (reply *Reply) Err() error {
+	if reply.Mishap.Kind == "" {
+		return nil
+	}
+	return &mishap.Mishap{Kind: mishap.Kind(reply.Mishap.Kind), Message: reply.Mishap.Message, Remedy: reply.Mishap.Remedy, Leader: reply.Mishap.Leader, RetryAfter: reply.Mishap.RetryAfter}
+}
