--- /dev/null
+++ b/proof/simulator/cluster.go
@@ -0,0 +1,514 @@
+package simulator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/charter"
+	"yardrock.example/system/controlplane"
+	"yardrock.example/system/front"
+	"yardrock.example/system/httpface"
+	"yardrock.example/system/replica"
+	"yardrock.example/system/store"
+)
+
+// Tokens of the simulated charter.
+const (
+	RootToken  = "root"
+	TeamToken  = "depot-token"
+	OtherToken = "other-token"
+)
+
+// Shape is how many nodes a cluster has, over three domains.
+type Shape struct {
+	Controls, Stores, Fronts, Models, Applications int
+}
+
+// Small is the shape that most tests need.
+var Small = Shape{Controls: 3, Stores: 3, Fronts: 2, Models: 2, Applications: 2}
+
+// Machine is one host of the cluster with the node on it.
+type Machine struct {
+	Host    string
+	Domain  string
+	Disk    *Disk
+	Cold    *Disk
+	Control *controlplane.Node
+	Store   *store.Node
+	Front   *front.Node
+	admin   *httpface.Server
+	start   func() error
+}
+
+// RunnerMachine is one host with a stand-in runner.
+type RunnerMachine struct {
+	Host   string
+	Runner *standin.Runner
+	server *http.Server
+}
+
+// Cluster is a whole fleet in one process.
+type Cluster struct {
+	Network  *Network
+	Controls []*Machine
+	Stores   []*Machine
+	Fronts   []*Machine
+	Runners  []*RunnerMachine
+	Platform *standin.Platform
+	seeds    []string
+	platform *http.Server
+	seed     uint64
+	caller   *Host
+}
+
+func domain(index int) string { return []string{"east", "middle", "west"}[index%3] }
+
+// Start starts a cluster and waits until it serves.
+//
+//	cluster, err := simulator.Start(7, simulator.Small, charterSource)
+//	defer cluster.Stop()
+func Start(seed uint64, shape Shape, rules string) (*Cluster, error) {
+	cluster := &Cluster{Network: NewNetwork(seed), seed: seed, Platform: &standin.Platform{}}
+	cluster.caller = cluster.Network.At("10.9.9.9")
+	for index := range 3 {
+		cluster.seeds = append(cluster.seeds, fmt.Sprintf("10.0.0.%d:7000", index+1))
+	}
+	if err := cluster.startRunners(shape); err != nil {
+		return nil, err
+	}
+	for index := range shape.Controls {
+		cluster.Controls = append(cluster.Controls, cluster.AddControl(index))
+	}
+	for index := range shape.Stores {
+		cluster.Stores = append(cluster.Stores, cluster.AddStore(index))
+	}
+	for index := range shape.Fronts {
+		cluster.Fronts = append(cluster.Fronts, cluster.addFront(index))
+	}
+	for _, machine := range cluster.Machines() {
+		if err := machine.Start(); err != nil {
+			return cluster, err
+		}
+	}
+	if err := cluster.PutCharter(rules); err != nil {
+		return cluster, err
+	}
+	return cluster, cluster.AwaitServing(20 * time.Second)
+}
+
+// Machines lists all machines with nodes.
+//
+//	for _, machine := range cluster.Machines() { machine.Kill() }
+func (cluster *Cluster) Machines() []*Machine {
+	return slices.Concat(cluster.Controls, cluster.Stores, cluster.Fronts)
+}
+
+func (cluster *Cluster) pace(index int) replica.Settings {
+	return replica.Usual(cluster.seed*1000 + uint64(index))
+}
+
+// AddControl makes a control machine, not yet started nor counted.
+//
+//	machine := cluster.AddControl(5)
+func (cluster *Cluster) AddControl(index int) *Machine {
+	machine := &Machine{Host: fmt.Sprintf("10.0.0.%d", index+1), Domain: domain(index), Disk: NewDisk(cluster.seed + uint64(index))}
+	machine.start = func() (err error) {
+		machine.Control, err = controlplane.Start(controlplane.Settings{
+			Address: machine.Host + ":7000", Administration: machine.Host + ":7200", Domain: machine.Domain, Seeds: cluster.seeds,
+			FoundingStores: 3, Groups: 8, MostControls: 5, Replica: cluster.pace(index),
+		}, machine.Disk, cluster.Network.At(machine.Host))
+		if err != nil {
+			return err
+		}
+		machine.admin, err = controlplane.Serve(machine.Control, charter.Hash(RootToken))
+		return err
+	}
+	return machine
+}
+
+// AddStore makes a store machine, not yet started nor counted.
+//
+//	machine := cluster.AddStore(3)
+func (cluster *Cluster) AddStore(index int) *Machine {
+	machine := &Machine{Host: fmt.Sprintf("10.0.1.%d", index+1), Domain: domain(index), Disk: NewDisk(cluster.seed + 100 + uint64(index)), Cold: NewDisk(cluster.seed + 200 + uint64(index))}
+	machine.start = func() (err error) {
+		machine.Store, err = store.Start(store.Settings{Address: machine.Host + ":7000", Domain: machine.Domain, Seeds: cluster.seeds, Replica: cluster.pace(100 + index)},
+			machine.Disk, machine.Cold, cluster.Network.At(machine.Host))
+		return err
+	}
+	return machine
+}
+
+func (cluster *Cluster) addFront(index int) *Machine {
+	machine := &Machine{Host: fmt.Sprintf("10.0.2.%d", index+1), Domain: domain(index)}
+	machine.start = func() (err error) {
+		machine.Front, err = front.Start(front.Settings{Address: machine.Host + ":7000", Public: machine.Host + ":7100", Domain: machine.Domain, Seeds: cluster.seeds}, cluster.Network.At(machine.Host))
+		return err
+	}
+	return machine
+}
+
+// Start starts the machine's node, on what its disk holds.
+//
+//	err := machine.Start()
+func (machine *Machine) Start() error { return machine.start() }
+
+// Kill ends the machine's node as kill -9 does: what was written stays.
+//
+//	machine.Kill()
+func (machine *Machine) Kill() {
+	for _, disk := range []*Disk{machine.Disk, machine.Cold} {
+		if disk != nil {
+			disk.Resume()
+		}
+	}
+	if machine.admin != nil {
+		machine.admin.Close()
+	}
+	if machine.Control != nil {
+		machine.Control.Close()
+	}
+	if machine.Store != nil {
+		machine.Store.Close()
+	}
+	if machine.Front != nil {
+		machine.Front.Close()
+	}
+	machine.admin, machine.Control, machine.Store, machine.Front = nil, nil, nil, nil
+}
+
+// LosePower kills the node and loses what its disks had not synced.
+//
+//	machine.LosePower()
+func (machine *Machine) LosePower() {
+	machine.Kill()
+	for _, disk := range []*Disk{machine.Disk, machine.Cold} {
+		if disk != nil {
+			disk.LosePower()
+		}
+	}
+}
+
+// Wipe empties the disks of a machine whose node was killed.
+//
+//	machine.Wipe()
+func (machine *Machine) Wipe() {
+	for _, disk := range []*Disk{machine.Disk, machine.Cold} {
+		if disk != nil {
+			disk.Wipe()
+		}
+	}
+}
+
+func (cluster *Cluster) startRunners(shape Shape) error {
+	pace := standin.Pace{First: 20 * time.Millisecond, Piece: 10 * time.Millisecond, Plain: 10 * time.Millisecond}
+	listed := []standin.ListedRunner{}
+	add := func(host, group string, index int) error {
+		runner := standin.NewRunner(pace)
+		address := host + ":8000"
+		listener, err := cluster.Network.At(host).Listen(address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: runner}
+		go server.Serve(listener)
+		cluster.Runners = append(cluster.Runners, &RunnerMachine{Host: host, Runner: runner, server: server})
+		listed = append(listed, standin.ListedRunner{Address: address, Group: group, Domain: domain(index), State: "serving"})
+		return nil
+	}
+	var failed error
+	for index := range shape.Models {
+		failed = errors.Join(failed, add(fmt.Sprintf("10.0.3.%d", index+1), "small", index))
+	}
+	for index := range shape.Applications {
+		failed = errors.Join(failed, add(fmt.Sprintf("10.0.4.%d", index+1), "application", index))
+	}
+	cluster.Platform.Put(listed)
+	listener, err := cluster.Network.At("10.0.5.1").Listen("10.0.5.1:9000")
+	if err != nil {
+		return err
+	}
+	cluster.platform = &http.Server{Handler: cluster.Platform}
+	go cluster.platform.Serve(listener)
+	return failed
+}
+
+// Stop ends everything.
+//
+//	defer cluster.Stop()
+func (cluster *Cluster) Stop() {
+	for _, machine := range cluster.Machines() {
+		machine.Kill()
+	}
+	for _, runner := range cluster.Runners {
+		runner.server.Close()
+	}
+	cluster.platform.Close()
+}
+
+// Rules is the charter that most tests use.
+const Rules = `
+operators: {}
+teams: {
+	depot: token_hashes: ["DEPOT"]
+	other: token_hashes: ["OTHER"]
+}
+programs: {
+	dialogue: {team: "depot", allowance: 1000000, turn_limit: 200}
+	tight: {team: "depot", allowance: 60, turn_limit: 25}
+	short: {team: "depot", allowance: 1000000, turn_limit: 5}
+	foreign: {team: "other", allowance: 1000000, turn_limit: 200}
+}
+groups: {
+	small: {concurrency: 16, cold_concurrency: 2, ramp: "1s"}
+	application: {concurrency: 16, cold_concurrency: 2, ramp: "1s"}
+}
+tables: {
+	talk: small: 1
+	plain: application: 1
+}
+kinds: {
+	talk: {serves: "turn", table: "talk", path: "/turn", patience: "5s"}
+	lookup: {serves: "plain", table: "plain", path: "/plain", patience: "5s"}
+	receipt: {serves: "plain", table: "plain", path: "/plain", repeatable: false, patience: "5s"}
+}
+platform: {runner_list: "http://10.0.5.1:9000/runners", poll: "500ms"}
+`
+
+// Charter fills the tokens into charter source.
+//
+//	source := simulator.Charter(simulator.Rules)
+func Charter(rules string) string {
+	return strings.NewReplacer("DEPOT", charter.Hash(TeamToken), "OTHER", charter.Hash(OtherToken)).Replace(rules)
+}
+
+// Client is an HTTP client on the cluster's network, one connection a query.
+//
+//	answer, err := cluster.Client().Do(query)
+func (cluster *Cluster) Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, target string) (net.Conn, error) {
+		return cluster.caller.Dial(ctx, target)
+	}}}
+}
+
+// Answer is what a query got.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Failure httpface.Failure
+}
+
+// Ask sends a query and reads the whole answer.
+//
+//	answer, err := cluster.Ask(ctx, "POST", "10.0.2.1:7100", "/v1/lookups", simulator.TeamToken, body)
+func (cluster *Cluster) Ask(ctx context.Context, method, address, path, token string, body any) (*Answer, error) {
+	data, isText := body.(string)
+	if !isText {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		data = string(encoded)
+	}
+	query, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(data)))
+	if err != nil {
+		return nil, err
+	}
+	query.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		query.Header.Set("Authorization", "Bearer "+token)
+	}
+	got, err := cluster.Client().Do(query)
+	if err != nil {
+		return nil, err
+	}
+	defer got.Body.Close()
+	answer := &Answer{Status: got.StatusCode, Header: got.Header}
+	if answer.Body, err = io.ReadAll(got.Body); err != nil {
+		return answer, err
+	}
+	if got.StatusCode != http.StatusOK {
+		json.Unmarshal(answer.Body, &answer.Failure)
+	}
+	return answer, nil
+}
+
+// Administer asks the control nodes in turn until one answers with success.
+//
+//	answer, err := cluster.Administer("POST", "/v1/domains/east", map[string]string{"state": "emptied"})
+func (cluster *Cluster) Administer(method, path string, body any) (*Answer, error) {
+	var last *Answer
+	var failed error
+	for _, machine := range cluster.Controls {
+		ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+		answer, err := cluster.Ask(ctx, method, machine.Host+":7200", path, RootToken, body)
+		cancel()
+		if err == nil && answer.Status == http.StatusOK {
+			return answer, nil
+		}
+		if err == nil {
+			last = answer
+		}
+		failed = err
+	}
+	if last != nil {
+		return last, nil
+	}
+	return nil, failed
+}
+
+// Changed is what a change answers.
+type Changed struct {
+	Number       uint64 `json:"number"`
+	Acknowledged bool   `json:"acknowledged"`
+}
+
+// PutCharter puts a charter over the one in force, trying until it is
+// acknowledged.
+//
+//	err := cluster.PutCharter(simulator.Rules)
+func (cluster *Cluster) PutCharter(rules string) error {
+	return cluster.Await(20*time.Second, "a charter acknowledged", func() error {
+		answer, err := cluster.Administer(http.MethodGet, "/v1/charter", nil)
+		if err != nil || answer.Status != http.StatusOK {
+			return errors.Join(err, fmt.Errorf("read: %+v", answer))
+		}
+		var told struct{ Number uint64 }
+		if err := json.Unmarshal(answer.Body, &told); err != nil {
+			return err
+		}
+		answer, err = cluster.Administer(http.MethodPut, "/v1/charter", map[string]any{"source": Charter(rules), "expected": told.Number})
+		if err != nil || answer.Status != http.StatusOK {
+			return errors.Join(err, fmt.Errorf("put: %s", answer.Body))
+		}
+		var changed Changed
+		if err := json.Unmarshal(answer.Body, &changed); err != nil || !changed.Acknowledged {
+			return errors.Join(err, errors.New("not acknowledged"))
+		}
+		return nil
+	})
+}
+
+// Await tries until there is no error, on the test's clock.
+//
+//	err := cluster.Await(12*time.Second, "serving", try)
+func (cluster *Cluster) Await(patience time.Duration, what string, try func() error) error {
+	began := time.Now()
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		if time.Since(began) > patience {
+			return fmt.Errorf("no %s after %s: %w", what, patience, err)
+		}
+		<-time.After(50 * time.Millisecond)
+	}
+}
+
+// AwaitServing waits until a lookup and a turn succeed at every running front.
+//
+//	err := cluster.AwaitServing(12 * time.Second)
+func (cluster *Cluster) AwaitServing(patience time.Duration) error {
+	began := time.Now()
+	for _, machine := range cluster.Fronts {
+		if machine.Front == nil {
+			continue
+		}
+		err := cluster.Await(patience-time.Since(began), "turn at "+machine.Host, func() error {
+			_, err := cluster.Turn(machine, map[string]any{"program": "dialogue", "kind": "talk", "words": "are you there"})
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Streamed is one line of a streamed answer.
+type Streamed struct {
+	Conversation string `json:"conversation"`
+	Turn         uint64 `json:"turn"`
+	Seq          uint64 `json:"seq"`
+	Event        string `json:"event"`
+	Words        string `json:"words"`
+	End          string `json:"end"`
+	Reason       string `json:"reason"`
+	Kind         string `json:"kind"`
+	Message      string `json:"message"`
+}
+
+// Said is a streamed answer as its caller saw it.
+type Said struct {
+	Conversation string
+	Turn         uint64
+	Seqs         []uint64
+	Words        string
+	End          string
+	Reason       string
+	Failure      string
+}
+
+// ReadStream reads an answer to its end mark. Seqs must follow one another.
+//
+//	said, err := simulator.ReadStream(body)
+func ReadStream(body io.Reader) (*Said, error) {
+	said := &Said{}
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		var told Streamed
+		if err := json.Unmarshal(lines.Bytes(), &told); err != nil {
+			return said, err
+		}
+		if told.Conversation != "" {
+			said.Conversation, said.Turn = told.Conversation, told.Turn
+		}
+		if told.Event == "piece" {
+			said.Words += told.Words
+			said.Seqs = append(said.Seqs, told.Seq)
+		}
+		if told.End != "" {
+			said.End, said.Reason, said.Failure = told.End, told.Reason, told.Kind
+			return said, nil
+		}
+	}
+	return said, errors.Join(lines.Err(), io.ErrUnexpectedEOF)
+}
+
+// Turn starts a conversation, or follows one if the body names conversation and
+// follows, and wants a complete answer.
+//
+//	said, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "hello"})
+func (cluster *Cluster) Turn(machine *Machine, body map[string]any) (*Said, error) {
+	path := "/v1/conversations"
+	if name, follows := body["conversation"]; follows {
+		path += "/" + name.(string) + "/turns"
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	answer, err := cluster.Ask(ctx, http.MethodPost, machine.Host+":7100", path, TeamToken, body)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status != http.StatusOK {
+		return nil, &answer.Failure
+	}
+	said, err := ReadStream(bytes.NewReader(answer.Body))
+	if err == nil && said.End != "complete" {
+		err = fmt.Errorf("the answer ended as %s (%s %s)", said.End, said.Reason, said.Failure)
+	}
+	return said, err
+}
--- /dev/null
+++ b/proof/simulator/cluster_test.go
@@ -0,0 +1,60 @@
+package simulator
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/runnerclient"
+)
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.New())
+	m.Run()
+}
+
+// simulate runs a test on a cluster in a bubble with its own clock.
+func simulate(t *testing.T, shape Shape, body func(t *testing.T, cluster *Cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		cluster, err := Start(1, shape, Rules)
+		if cluster != nil {
+			defer cluster.Stop()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		body(t, cluster)
+	})
+}
+
+func words(pieces []string) string {
+	all := ""
+	for _, piece := range pieces {
+		all += piece
+	}
+	return all
+}
+
+func TestAConversationIsHeardAsItWasSaidOnEveryFront(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		first, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "hello there"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := words(standin.Answer(nil, "hello there")); first.Words != want {
+			t.Fatalf("heard %q, want %q", first.Words, want)
+		}
+		second, err := cluster.Turn(cluster.Fronts[1], map[string]any{"conversation": first.Conversation, "follows": first.Turn, "kind": "talk", "words": "and now?"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		history := []runnerclient.Message{{Role: "caller", Words: "hello there"}, {Role: "model", Words: first.Words}}
+		if want := words(standin.Answer(history, "and now?")); second.Words != want {
+			t.Fatalf("heard %q, want %q", second.Words, want)
+		}
+	})
+}
--- /dev/null
+++ b/proof/simulator/disk.go
@@ -0,0 +1,218 @@
+package simulator
+
+import (
+	"errors"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Disk is a folder in memory. What was written but not synced is lost, or torn,
+// when the machine loses power.
+type Disk struct {
+	mutex   sync.Mutex
+	random  *rand.Rand
+	live    map[string][]byte
+	lasting map[string][]byte
+	stalled chan struct{} // non-nil while syncs hang
+	slow    time.Duration
+	full    bool
+	syncs   int
+}
+
+// NewDisk makes an empty disk.
+//
+//	disk := simulator.NewDisk(7)
+func NewDisk(seed uint64) *Disk {
+	return &Disk{random: rand.New(rand.NewPCG(seed, 3)), live: map[string][]byte{}, lasting: map[string][]byte{}}
+}
+
+var errFull = errors.New("no space left on device")
+
+// ReadFile gives a whole file.
+func (disk *Disk) ReadFile(name string) ([]byte, error) {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	data, found := disk.live[name]
+	if !found {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(data), nil
+}
+
+// ReadPart gives a part of a file.
+func (disk *Disk) ReadPart(name string, offset int64, length int) ([]byte, error) {
+	data, err := disk.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	if offset+int64(length) > int64(len(data)) {
+		return nil, errors.New("short file")
+	}
+	return data[offset : offset+int64(length)], nil
+}
+
+// WriteAt writes without syncing.
+func (disk *Disk) WriteAt(name string, offset int64, data []byte) error {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	if disk.full && len(data) > 0 {
+		return errFull
+	}
+	before := disk.live[name]
+	after := make([]byte, max(len(before), int(offset)+len(data)))
+	copy(after, before)
+	copy(after[offset:], data)
+	disk.live[name] = after
+	return nil
+}
+
+// Truncate cuts a file.
+func (disk *Disk) Truncate(name string, size int64) error {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	data, found := disk.live[name]
+	if !found {
+		return fs.ErrNotExist
+	}
+	if size < int64(len(data)) {
+		disk.live[name] = slices.Clone(data[:size])
+	}
+	return nil
+}
+
+// Sync makes a file last, after a stall or slowness that was asked for.
+func (disk *Disk) Sync(name string) error {
+	disk.mutex.Lock()
+	stalled, slow := disk.stalled, disk.slow
+	disk.mutex.Unlock()
+	if stalled != nil {
+		<-stalled
+	}
+	if slow > 0 {
+		<-time.After(slow)
+	}
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	disk.syncs++
+	if data, found := disk.live[name]; found {
+		disk.lasting[name] = slices.Clone(data)
+	}
+	return nil
+}
+
+// Remove deletes a file, at once and for good.
+func (disk *Disk) Remove(name string) error {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	delete(disk.live, name)
+	delete(disk.lasting, name)
+	return nil
+}
+
+// Names lists the files.
+func (disk *Disk) Names() ([]string, error) {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	return slices.Sorted(maps.Keys(disk.live)), nil
+}
+
+// LosePower forgets what was not synced; of a file's unsynced end a random part
+// may stay, torn.
+//
+//	disk.LosePower()
+func (disk *Disk) LosePower() {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	after := map[string][]byte{}
+	for name, data := range disk.lasting {
+		after[name] = slices.Clone(data)
+	}
+	for _, name := range slices.Sorted(maps.Keys(disk.live)) {
+		live, lasted := disk.live[name], len(after[name])
+		if len(live) > lasted && disk.random.IntN(2) == 0 {
+			torn := slices.Clone(live[lasted : lasted+disk.random.IntN(len(live)-lasted+1)])
+			if len(torn) > 0 && disk.random.IntN(2) == 0 {
+				torn[disk.random.IntN(len(torn))] ^= 0x40
+			}
+			after[name] = append(after[name], torn...)
+		}
+	}
+	disk.live = after
+	disk.lasting = map[string][]byte{}
+	for name, data := range after {
+		disk.lasting[name] = slices.Clone(data)
+	}
+}
+
+// Wipe empties the disk.
+//
+//	disk.Wipe()
+func (disk *Disk) Wipe() {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	disk.live, disk.lasting = map[string][]byte{}, map[string][]byte{}
+}
+
+// Stall makes syncs hang until Resume.
+//
+//	disk.Stall()
+func (disk *Disk) Stall() {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	if disk.stalled == nil {
+		disk.stalled = make(chan struct{})
+	}
+}
+
+// Resume ends Stall.
+//
+//	disk.Resume()
+func (disk *Disk) Resume() {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	if disk.stalled != nil {
+		close(disk.stalled)
+		disk.stalled = nil
+	}
+}
+
+// Slow makes each sync take so long.
+//
+//	disk.Slow(300 * time.Millisecond)
+func (disk *Disk) Slow(each time.Duration) {
+	disk.mutex.Lock()
+	disk.slow = each
+	disk.mutex.Unlock()
+}
+
+// Fill makes writes fail for want of space, until Fill(false).
+//
+//	disk.Fill(true)
+func (disk *Disk) Fill(full bool) {
+	disk.mutex.Lock()
+	disk.full = full
+	disk.mutex.Unlock()
+}
+
+// FlipBit damages one lasting byte of a file.
+//
+//	disk.FlipBit("log-00000000000000000000", 40)
+func (disk *Disk) FlipBit(name string, at int) {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	disk.live[name][at] ^= 1
+	disk.lasting[name][at] ^= 1
+}
+
+// Syncs counts the syncs.
+//
+//	before := disk.Syncs()
+func (disk *Disk) Syncs() int {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	return disk.syncs
+}
--- /dev/null
+++ b/proof/simulator/network.go
@@ -0,0 +1,393 @@
+// Package simulator runs whole clusters in one process: an in-memory network that
+// can be cut and a disk that forgets what was not synced, on whatever clock the
+// caller's test bubble has.
+package simulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Network is an in-memory network of hosts. Data that crosses a cut waits, as TCP
+// keeps it, until the cut is mended or the connection ends.
+type Network struct {
+	mutex     sync.Mutex
+	random    *rand.Rand
+	listeners map[string]*listener
+	ends      map[*end]bool
+	cuts      map[[2]string]bool
+	isolated  map[string]bool
+	changed   chan struct{}
+	bytes     map[string]int64
+}
+
+// NewNetwork makes a network whose delays come from a seed.
+//
+//	network := simulator.NewNetwork(7)
+func NewNetwork(seed uint64) *Network {
+	return &Network{random: rand.New(rand.NewPCG(seed, 2)), listeners: map[string]*listener{}, ends: map[*end]bool{},
+		cuts: map[[2]string]bool{}, isolated: map[string]bool{}, changed: make(chan struct{}), bytes: map[string]int64{}}
+}
+
+// At gives the network as one host sees it.
+//
+//	node, err := store.Start(settings, folder, cold, network.At("10.0.1.1"))
+func (network *Network) At(host string) *Host { return &Host{network: network, name: host} }
+
+// Host is one machine's side of the network.
+type Host struct {
+	network *Network
+	name    string
+}
+
+func hostOf(address string) string {
+	host, _, _ := strings.Cut(address, ":")
+	return host
+}
+
+func pair(left, right string) [2]string {
+	if left > right {
+		left, right = right, left
+	}
+	return [2]string{left, right}
+}
+
+func (network *Network) open(left, right string) bool {
+	if left == right {
+		return !network.isolated[left]
+	}
+	return !network.cuts[pair(left, right)] && !network.isolated[left] && !network.isolated[right]
+}
+
+func (network *Network) change(action func()) {
+	network.mutex.Lock()
+	action()
+	close(network.changed)
+	network.changed = make(chan struct{})
+	network.mutex.Unlock()
+}
+
+// Cut parts two hosts; Mend joins them again.
+//
+//	network.Cut("10.0.0.1", "10.0.1.1")
+func (network *Network) Cut(left, right string) {
+	network.change(func() { network.cuts[pair(left, right)] = true })
+}
+
+// Mend joins two hosts.
+//
+//	network.Mend("10.0.0.1", "10.0.1.1")
+func (network *Network) Mend(left, right string) {
+	network.change(func() { delete(network.cuts, pair(left, right)) })
+}
+
+// Isolate parts a host from all, as a frozen or unplugged machine is; Rejoin ends
+// it.
+//
+//	network.Isolate("10.0.2.1")
+func (network *Network) Isolate(host string) {
+	network.change(func() { network.isolated[host] = true })
+}
+
+// Rejoin ends Isolate.
+//
+//	network.Rejoin("10.0.2.1")
+func (network *Network) Rejoin(host string) {
+	network.change(func() { delete(network.isolated, host) })
+}
+
+// Reset breaks all connections and listeners of a host, as the end of its process
+// does.
+//
+//	network.Reset("10.0.1.1")
+func (network *Network) Reset(host string) {
+	network.mutex.Lock()
+	broken := []io.Closer{}
+	for one := range network.ends {
+		if one.host == host || one.sibling.host == host {
+			broken = append(broken, one)
+		}
+	}
+	for address, one := range network.listeners {
+		if hostOf(address) == host {
+			broken = append(broken, one)
+		}
+	}
+	network.mutex.Unlock()
+	for _, one := range broken {
+		one.Close()
+	}
+}
+
+// Bytes tells how many bytes left a host.
+//
+//	sent := network.Bytes("10.0.1.1")
+func (network *Network) Bytes(host string) int64 {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	return network.bytes[host]
+}
+
+type listener struct {
+	network *Network
+	address string
+	queue   chan *end
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Listen opens a port of the host.
+func (host *Host) Listen(address string) (net.Listener, error) {
+	host.network.mutex.Lock()
+	defer host.network.mutex.Unlock()
+	if host.network.listeners[address] != nil {
+		return nil, fmt.Errorf("%s is in use", address)
+	}
+	made := &listener{network: host.network, address: address, queue: make(chan *end, 128), closed: make(chan struct{})}
+	host.network.listeners[address] = made
+	return made, nil
+}
+
+// Accept waits for a connection.
+func (listener *listener) Accept() (net.Conn, error) {
+	select {
+	case accepted := <-listener.queue:
+		return accepted, nil
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the listener.
+func (listener *listener) Close() error {
+	listener.once.Do(func() {
+		close(listener.closed)
+		listener.network.mutex.Lock()
+		delete(listener.network.listeners, listener.address)
+		listener.network.mutex.Unlock()
+	})
+	return nil
+}
+
+// Addr tells the address.
+func (listener *listener) Addr() net.Addr { return address(listener.address) }
+
+type address string
+
+func (address address) Network() string { return "simulated" }
+func (address address) String() string  { return string(address) }
+
+// Dial connects, or waits while the way is cut.
+func (host *Host) Dial(ctx context.Context, target string) (net.Conn, error) {
+	network := host.network
+	for {
+		network.mutex.Lock()
+		way, changed, found := network.open(host.name, hostOf(target)), network.changed, network.listeners[target]
+		network.mutex.Unlock()
+		if way && found == nil {
+			return nil, errors.New("connection refused by " + target)
+		}
+		if way {
+			return network.connect(host.name, found)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (network *Network) connect(from string, to *listener) (net.Conn, error) {
+	near := &end{network: network, host: from, incoming: newBuffer(), local: address(from + ":0"), remote: address(to.address), done: make(chan struct{})}
+	far := &end{network: network, host: hostOf(to.address), incoming: newBuffer(), local: address(to.address), remote: address(from + ":0"), done: make(chan struct{})}
+	near.sibling, far.sibling = far, near
+	network.mutex.Lock()
+	network.ends[near], network.ends[far] = true, true
+	network.mutex.Unlock()
+	select {
+	case to.queue <- far:
+		return near, nil
+	case <-to.closed:
+		near.Close()
+		return nil, errors.New("connection refused by " + to.address)
+	}
+}
+
+type chunk struct {
+	data []byte
+	at   time.Time
+}
+
+// buffer is what is on its way to one end.
+type buffer struct {
+	mutex  sync.Mutex
+	chunks []chunk
+	ended  bool
+	grown  chan struct{}
+}
+
+func newBuffer() *buffer { return &buffer{grown: make(chan struct{})} }
+
+func (buffer *buffer) wake() {
+	close(buffer.grown)
+	buffer.grown = make(chan struct{})
+}
+
+// end is one side of a connection.
+type end struct {
+	network  *Network
+	host     string
+	sibling  *end
+	incoming *buffer
+	local    net.Addr
+	remote   net.Addr
+	once     sync.Once
+	done     chan struct{}
+
+	mutex    sync.Mutex
+	deadline time.Time
+	moved    chan struct{} // closed when the deadline changes
+}
+
+// Read takes what has arrived.
+func (end *end) Read(target []byte) (int, error) {
+	for {
+		count, wait, changed, grown, err := end.take(target)
+		if count > 0 || err != nil {
+			return count, err
+		}
+		end.mutex.Lock()
+		deadline := end.deadline
+		if end.moved == nil {
+			end.moved = make(chan struct{})
+		}
+		moved := end.moved
+		end.mutex.Unlock()
+		var expired <-chan time.Time
+		if !deadline.IsZero() {
+			left := time.Until(deadline)
+			if left <= 0 {
+				return 0, os.ErrDeadlineExceeded
+			}
+			timer := time.NewTimer(left)
+			defer timer.Stop()
+			expired = timer.C
+		}
+		var arrival <-chan time.Time
+		if wait > 0 {
+			timer := time.NewTimer(wait)
+			defer timer.Stop()
+			arrival = timer.C
+		}
+		select {
+		case <-arrival:
+		case <-changed:
+		case <-grown:
+		case <-moved:
+		case <-expired:
+			return 0, os.ErrDeadlineExceeded
+		case <-end.done:
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+func (end *end) take(target []byte) (count int, wait time.Duration, changed, grown chan struct{}, err error) {
+	end.network.mutex.Lock()
+	way, changed := end.network.open(end.host, end.sibling.host), end.network.changed
+	end.network.mutex.Unlock()
+	incoming := end.incoming
+	incoming.mutex.Lock()
+	defer incoming.mutex.Unlock()
+	if !way {
+		return 0, 0, changed, incoming.grown, nil
+	}
+	if len(incoming.chunks) == 0 {
+		if incoming.ended {
+			err = io.EOF
+		}
+		return 0, 0, changed, incoming.grown, err
+	}
+	if wait = time.Until(incoming.chunks[0].at); wait > 0 {
+		return 0, wait, changed, incoming.grown, nil
+	}
+	count = copy(target, incoming.chunks[0].data)
+	if incoming.chunks[0].data = incoming.chunks[0].data[count:]; len(incoming.chunks[0].data) == 0 {
+		incoming.chunks = incoming.chunks[1:]
+	}
+	return count, 0, changed, incoming.grown, nil
+}
+
+// Write sends; it never blocks.
+func (end *end) Write(data []byte) (int, error) {
+	select {
+	case <-end.done:
+		return 0, net.ErrClosed
+	case <-end.sibling.done:
+		return 0, errors.New("connection reset")
+	default:
+	}
+	end.network.mutex.Lock()
+	delay := 200*time.Microsecond + time.Duration(end.network.random.IntN(800))*time.Microsecond
+	end.network.bytes[end.host] += int64(len(data))
+	end.network.mutex.Unlock()
+	target := end.sibling.incoming
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	at := time.Now().Add(delay)
+	if last := len(target.chunks) - 1; last >= 0 && at.Before(target.chunks[last].at) {
+		at = target.chunks[last].at
+	}
+	target.chunks = append(target.chunks, chunk{data: append([]byte{}, data...), at: at})
+	target.wake()
+	return len(data), nil
+}
+
+// Close ends the connection for both sides.
+func (end *end) Close() error {
+	end.once.Do(func() {
+		close(end.done)
+		end.network.mutex.Lock()
+		delete(end.network.ends, end)
+		end.network.mutex.Unlock()
+		target := end.sibling.incoming
+		target.mutex.Lock()
+		target.ended = true
+		target.wake()
+		target.mutex.Unlock()
+	})
+	return nil
+}
+
+// LocalAddr tells this side's address.
+func (end *end) LocalAddr() net.Addr { return end.local }
+
+// RemoteAddr tells the other side's address.
+func (end *end) RemoteAddr() net.Addr { return end.remote }
+
+// SetReadDeadline sets when a Read gives up.
+func (end *end) SetReadDeadline(deadline time.Time) error {
+	end.mutex.Lock()
+	end.deadline = deadline
+	if end.moved != nil {
+		close(end.moved)
+		end.moved = nil
+	}
+	end.mutex.Unlock()
+	return nil
+}
+
+// SetDeadline is SetReadDeadline, as writes never wait.
+func (end *end) SetDeadline(deadline time.Time) error { return end.SetReadDeadline(deadline) }
+
+// SetWriteDeadline does nothing, as writes never wait.
+func (end *end) SetWriteDeadline(time.Time) error { return nil }
--- a/system/httpface/httpface.go
+++ b/system/httpface/httpface.go
@@ -150,3 +150,10 @@
 func MountHealth(mux goahttp.Muxer, isReady func() bool) {
 	healthserver.Mount(mux, healthserver.New(health.NewEndpoints(Health{IsReady: isReady}), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, Format))
 }
+
+// Error lets clients treat a failure body as an error.
+//
+//	return failure.Error()
+func (failure *Failure) Error() string {
+	return failure.Message + " [" + failure.Kind + "; remedy: " + failure.Remedy + "]"
+}
