--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"yardrock.example/proof/load"
 	"yardrock.example/proof/standin"
 	"yardrock.example/system/charter"
 )
@@ -48,6 +49,12 @@
 	TeamToken = "trial-team"
 )
 
+// Terms of the program whose allowance runs out.
+const (
+	tightAllowance = 200
+	tightTurn      = 30
+)
+
 // Process is one process of a fleet. Its arguments stay the same over restarts.
 type Process struct {
 	Name      string
@@ -183,7 +190,7 @@
 	dialogue: {team: "depot", allowance: 100000000, turn_limit: 400}
 	permits: {team: "depot", allowance: 100000000, turn_limit: 400}
 	counter: {team: "depot", allowance: 100000000, turn_limit: 400}
-	tight: {team: "depot", allowance: 200, turn_limit: 30}
+	tight: {team: "depot", allowance: %d, turn_limit: %d}
 }
 groups: {
 	small: {concurrency: 24, cold_concurrency: 4, ramp: "3s"}
@@ -202,7 +209,7 @@
 	activation: {serves: "plain", table: "plain", path: "/plain", repeatable: false, urgency: "urgent"}
 }
 platform: runner_list: "http://%s/runners"
-`, charter.Hash(RootToken), charter.Hash(TeamToken), running.Platform)
+`, charter.Hash(RootToken), charter.Hash(TeamToken), tightAllowance, tightTurn, running.Platform)
 }
 
 func (running *Fleet) putFirstCharter(ctx context.Context) error {
@@ -348,6 +355,17 @@
 	return found
 }
 
+// Target is the fleet as the load program sees it.
+//
+//	report := load.Run(ctx, running.Target(), mix, duration, seed)
+func (running *Fleet) Target() load.Target {
+	target := load.Target{Fronts: running.Fronts(), Token: TeamToken, Allowance: tightAllowance, Turn: tightTurn + 2}
+	for _, runner := range running.Runners {
+		target.Runners = append(target.Runners, runner.Address)
+	}
+	return target
+}
+
 // Stop kills every process that is left.
 //
 //	defer running.Stop()
--- /dev/null
+++ b/proof/simulator/faults_test.go
@@ -0,0 +1,367 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/placement"
+	"yardrock.example/system/runnerclient"
+)
+
+// executions counts how often work was carried out, over all runners.
+func (cluster *Cluster) executions(key string) int {
+	total := 0
+	for _, machine := range cluster.Runners {
+		total += machine.Runner.Record().Executions[key]
+	}
+	return total
+}
+
+func (cluster *Cluster) once(machine *Machine, key, words string) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+	defer cancel()
+	return cluster.Ask(ctx, http.MethodPost, machine.Host+":7100", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "request_key": key, "words": words})
+}
+
+// leaderOf finds the store that leads a line's group.
+func (cluster *Cluster) leaderOf(line string) *Machine {
+	group := placement.GroupOf(line, 8)
+	for _, machine := range cluster.Stores {
+		if machine.Store != nil && machine.Store.Host().Statuses()[group].Leading {
+			return machine
+		}
+	}
+	return nil
+}
+
+// checkOnce compares what callers were told with what runners did.
+func checkOnce(t *testing.T, cluster *Cluster, key string, answers []*Answer) {
+	t.Helper()
+	count := cluster.executions("dialogue/receipt/" + key)
+	if count > 1 {
+		t.Fatalf("%s ran %d times", key, count)
+	}
+	for _, answer := range answers {
+		if answer.Status == http.StatusOK && count != 1 {
+			t.Fatalf("%s was told as done and ran %d times", key, count)
+		}
+		if answer.Failure.Kind == "not_run" && count != 0 {
+			t.Fatalf("%s was told as not run and ran", key)
+		}
+	}
+}
+
+func TestALostAnswerIsUnknownAndNeverRepeated(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		answers := []*Answer{}
+		for round := range 4 {
+			answer, err := cluster.once(cluster.Fronts[round%2], "lost-1", "pay !lose")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if answer.Failure.Kind != "unknown" {
+				t.Fatalf("round %d: %d %s", round, answer.Status, answer.Body)
+			}
+			answers = append(answers, answer)
+		}
+		checkOnce(t, cluster, "lost-1", answers)
+		if cluster.executions("dialogue/receipt/lost-1") != 1 {
+			t.Fatal("the work never reached a runner, so nothing was tested")
+		}
+	})
+}
+
+func TestOneRequestKeyOnAllFrontsRunsOnce(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		for round := range 10 {
+			key := fmt.Sprintf("race-%d", round)
+			answers := make([]*Answer, 6)
+			var asked sync.WaitGroup
+			for position := range answers {
+				asked.Go(func() {
+					answer, err := cluster.once(cluster.Fronts[position%2], key, "book seat 4")
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					answers[position] = answer
+				})
+			}
+			asked.Wait()
+			for position, answer := range answers {
+				if answer == nil || answer.Status != http.StatusOK {
+					t.Fatalf("%s, query %d: %+v", key, position, answer)
+				}
+			}
+			checkOnce(t, cluster, key, answers)
+		}
+		answer, err := cluster.once(cluster.Fronts[0], "race-0", "book seat 5")
+		if err != nil || answer.Failure.Kind != "conflict" {
+			t.Fatalf("another body under a used key: %v %+v", err, answer)
+		}
+	})
+}
+
+// TestUnrepeatableWorkOverKilledLeadersAndFronts kills the leader of the work's
+// line, or the front itself, at many moments of its course.
+func TestUnrepeatableWorkOverKilledLeadersAndFronts(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 3, Fronts: 3, Models: 1, Applications: 2}, func(t *testing.T, cluster *Cluster) {
+		told := map[string]int{}
+		for round := range 24 {
+			key := fmt.Sprintf("kill-%d", round)
+			front := cluster.Fronts[round%2]
+			answers := make(chan *Answer, 4)
+			go func() {
+				answer, _ := cluster.once(front, key, "activate")
+				answers <- answer
+			}()
+			<-time.After(time.Duration(round) * 1300 * time.Microsecond)
+			victim := front
+			if round%3 != 0 {
+				victim = cluster.Stores[round%len(cluster.Stores)]
+			}
+			victim.Kill()
+			seen := []*Answer{}
+			if answer := <-answers; answer != nil {
+				seen = append(seen, answer)
+				told[answer.Failure.Kind]++
+			}
+			if err := victim.Start(); err != nil {
+				t.Fatal(err)
+			}
+			for _, other := range []*Machine{cluster.Fronts[2], cluster.Fronts[2]} {
+				answer, err := cluster.once(other, key, "activate")
+				if err != nil {
+					t.Fatal(err)
+				}
+				seen = append(seen, answer)
+			}
+			checkOnce(t, cluster, key, seen)
+			if err := cluster.AwaitServing(12 * time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		t.Logf("first answers by kind: %v", told)
+	})
+}
+
+func TestAStreamResumesWithoutGapOverALeaderChange(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		said := make(chan *Said, 1)
+		failed := make(chan error, 1)
+		go func() {
+			answer, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "tell me", "request_key": "resume"})
+			said <- answer
+			failed <- err
+		}()
+		<-time.After(60 * time.Millisecond)
+		// The name of the line is what the request key makes it; ask the other front.
+		again := make(chan *Said, 1)
+		go func() {
+			answer, _ := cluster.Turn(cluster.Fronts[1], map[string]any{"program": "dialogue", "kind": "talk", "words": "tell me", "request_key": "resume"})
+			again <- answer
+		}()
+		<-time.After(20 * time.Millisecond)
+		for _, store := range cluster.Stores[:1] {
+			store.Kill()
+		}
+		first, second := <-said, <-again
+		if err := <-failed; err != nil {
+			t.Fatal(err)
+		}
+		want := words(standin.Answer(nil, "tell me"))
+		for _, heard := range []*Said{first, second} {
+			if heard == nil || heard.Words != want || heard.End != "complete" {
+				t.Fatalf("heard %+v, want %q", heard, want)
+			}
+			for position, seq := range heard.Seqs {
+				if seq != heard.Turn+1+uint64(position) {
+					t.Fatalf("seqs %v", heard.Seqs)
+				}
+			}
+		}
+	})
+}
+
+func TestBrokenRunnersAreNeverTakenForComplete(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		for word, want := range map[string]string{"!stop": "cut", "!early": "cut", "!nonsense": "cut", "!type": "cut", "!endless": "cut", "!refuse": "not_run"} {
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			answer, err := cluster.Ask(ctx, http.MethodPost, cluster.Fronts[0].Host+":7100", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "go " + word, "request_key": word})
+			cancel()
+			if err != nil {
+				t.Fatalf("%s: %v", word, err)
+			}
+			got := answer.Failure.Kind
+			if answer.Status == http.StatusOK {
+				said, err := ReadStream(newReader(answer.Body))
+				if err != nil {
+					t.Fatalf("%s: %v", word, err)
+				}
+				got = said.End
+			}
+			if got != want {
+				t.Errorf("%s: ended as %q, want %q (%s)", word, got, want, answer.Body)
+			}
+		}
+		// After a cut turn the same turn may be tried again; the model must not see
+		// the cut answer.
+		first, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "start"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := cluster.Turn(cluster.Fronts[0], map[string]any{"conversation": first.Conversation, "follows": first.Turn, "kind": "talk", "words": "go !stop"}); err == nil {
+			t.Fatal("a stopped answer was complete")
+		}
+		second, err := cluster.Turn(cluster.Fronts[1], map[string]any{"conversation": first.Conversation, "follows": first.Turn, "kind": "talk", "words": "go on"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := words(standin.Answer([]runnerclient.Message{{Role: "caller", Words: "start"}, {Role: "model", Words: first.Words}}, "go on"))
+		if second.Words != want {
+			t.Fatalf("heard %q, want %q", second.Words, want)
+		}
+	})
+}
+
+func TestOfTwoTurnsThatFollowOneOnlyOneWins(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		for round := range 8 {
+			first, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "fork"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			results := make([]error, 4)
+			var asked sync.WaitGroup
+			for position := range results {
+				asked.Go(func() {
+					_, results[position] = cluster.Turn(cluster.Fronts[position%2], map[string]any{"conversation": first.Conversation, "follows": first.Turn, "kind": "talk", "words": fmt.Sprintf("way %d", position)})
+				})
+			}
+			asked.Wait()
+			won := 0
+			for _, err := range results {
+				if err == nil {
+					won++
+				} else if kind := failureKind(err); kind != "conflict" {
+					t.Fatalf("round %d: %v", round, err)
+				}
+			}
+			if won != 1 {
+				t.Fatalf("round %d: %d turns won: %v", round, won, results)
+			}
+		}
+	})
+}
+
+func TestAnAllowanceHoldsOverConcurrentTurnsOnAllFrontsAndRestarts(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 3, Fronts: 3, Models: 2, Applications: 1}, func(t *testing.T, cluster *Cluster) {
+		var mutex sync.Mutex
+		spoken, exhausted := 0, 0
+		for round := range 3 {
+			var asked sync.WaitGroup
+			for position := range 9 {
+				asked.Go(func() {
+					said, err := cluster.Turn(cluster.Fronts[position%3], map[string]any{"program": "tight", "kind": "talk", "words": "say more"})
+					mutex.Lock()
+					defer mutex.Unlock()
+					if said != nil {
+						spoken += len(wordsOf(said.Words))
+					}
+					if failureKind(err) == "allowance_exhausted" {
+						exhausted++
+					}
+				})
+			}
+			asked.Wait()
+			if round == 0 {
+				cluster.Fronts[0].Kill()
+				for _, store := range cluster.Stores {
+					store.LosePower()
+				}
+				for _, machine := range append(slices.Clone(cluster.Stores), cluster.Fronts[0]) {
+					if err := machine.Start(); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if err := cluster.AwaitServing(12 * time.Second); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if exhausted == 0 || spoken < 20 {
+			t.Fatalf("%d turns were refused, %d words spoken: nothing was tested", exhausted, spoken)
+		}
+		if spoken > 60+27 {
+			t.Fatalf("%d words were spoken of an allowance of 60 and a turn of 27", spoken)
+		}
+	})
+}
+
+func TestAnAnswerIsCutAtItsReservation(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		said, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "short", "kind": "talk", "words": "a long tale"})
+		if err == nil || said == nil || said.End != "cut" || said.Reason != "turn_limit" {
+			t.Fatalf("%+v %v", said, err)
+		}
+		if count := len(wordsOf(said.Words)); count != 5 {
+			t.Fatalf("%d words, limit 5: %q", count, said.Words)
+		}
+	})
+}
+
+// TestTurnsOutliveATotalOutage kills everything at once, with power lost, and
+// wants all that was said to be known again within 12 seconds of the return, with
+// one store missing.
+func TestTurnsOutliveATotalOutage(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		said := []*Said{}
+		for round := range 6 {
+			answer, err := cluster.Turn(cluster.Fronts[round%2], map[string]any{"program": "dialogue", "kind": "talk", "words": fmt.Sprintf("before %d", round)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			said = append(said, answer)
+			if round == 3 {
+				<-time.After(6 * time.Second) // some of them are archived by now
+			}
+		}
+		for _, machine := range cluster.Machines() {
+			machine.LosePower()
+		}
+		<-time.After(3 * time.Second)
+		for _, machine := range cluster.Machines() {
+			if machine == cluster.Stores[1] {
+				continue
+			}
+			if err := machine.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		returned := time.Now()
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("serving %s after the return", time.Since(returned))
+		for position, before := range said {
+			question := fmt.Sprintf("after %d", position)
+			after, err := cluster.Turn(cluster.Fronts[position%2], map[string]any{"conversation": before.Conversation, "follows": before.Turn, "kind": "talk", "words": question})
+			if err != nil {
+				t.Fatalf("turn %d: %v", position, err)
+			}
+			want := words(standin.Answer([]runnerclient.Message{{Role: "caller", Words: fmt.Sprintf("before %d", position)}, {Role: "model", Words: before.Words}}, question))
+			if after.Words != want {
+				t.Fatalf("turn %d: heard %q, want %q", position, after.Words, want)
+			}
+		}
+		if left := 12*time.Second - time.Since(returned); left < 0 {
+			t.Fatalf("too late by %s", -left)
+		}
+	})
+}
--- /dev/null
+++ b/proof/simulator/helpers_test.go
@@ -0,0 +1,22 @@
+package simulator
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+
+	"yardrock.example/system/httpface"
+)
+
+func newReader(data []byte) io.Reader { return bytes.NewReader(data) }
+
+func wordsOf(text string) []string { return strings.Fields(text) }
+
+func failureKind(err error) string {
+	var failure *httpface.Failure
+	if errors.As(err, &failure) {
+		return failure.Kind
+	}
+	return ""
+}
