--- /dev/null
+++ b/proof/simulator/changes_test.go
@@ -0,0 +1,375 @@
+package simulator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/runnerclient"
+)
+
+// dialogues starts conversations that a test follows up later.
+func (cluster *Cluster) dialogues(t *testing.T, count int) []*Said {
+	t.Helper()
+	said := []*Said{}
+	for round := range count {
+		answer, err := cluster.Turn(cluster.Fronts[round%len(cluster.Fronts)], map[string]any{"program": "dialogue", "kind": "talk", "words": fmt.Sprintf("before %d", round)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		said = append(said, answer)
+	}
+	return said
+}
+
+// followUp follows each conversation; the model must hear what was said.
+func (cluster *Cluster) followUp(t *testing.T, said []*Said) {
+	t.Helper()
+	for position, before := range said {
+		question := fmt.Sprintf("after %d", position)
+		var after *Said
+		err := cluster.Await(15*time.Second, "follow-up", func() (err error) {
+			after, err = cluster.Turn(cluster.Fronts[position%len(cluster.Fronts)], map[string]any{"conversation": before.Conversation, "follows": before.Turn, "kind": "talk", "words": question})
+			if failureKind(err) == "not_found" {
+				t.Fatalf("turn %d is told unknown: %v", position, err)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatalf("turn %d: %v", position, err)
+		}
+		want := words(standin.Answer([]runnerclient.Message{{Role: "caller", Words: fmt.Sprintf("before %d", position)}, {Role: "model", Words: before.Words}}, question))
+		if after.Words != want {
+			t.Fatalf("turn %d: heard %q, want %q", position, after.Words, want)
+		}
+	}
+}
+
+func (cluster *Cluster) fleet() (told struct {
+	Number        uint64        `json:"number"`
+	CharterNumber uint64        `json:"charter_number"`
+	Stores        []feed.Member `json:"stores"`
+	Controls      []feed.Member `json:"controls"`
+}, err error) {
+	answer, err := cluster.Administer(http.MethodGet, "/v1/fleet", nil)
+	if err != nil {
+		return told, err
+	}
+	if answer.Status != http.StatusOK {
+		return told, &answer.Failure
+	}
+	return told, json.Unmarshal(answer.Body, &told)
+}
+
+func TestACharterOutlivesTheLossOfAllControlDisks(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		if err := cluster.PutCharter(strings.ReplaceAll(Rules, "allowance: 60", "allowance: 61")); err != nil {
+			t.Fatal(err)
+		}
+		before, err := cluster.fleet()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, control := range cluster.Controls {
+			control.Kill()
+			control.Wipe()
+		}
+		cluster.Stores[0].Kill() // and one store is away at first
+		for _, control := range cluster.Controls {
+			if err := control.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		err = cluster.Await(30*time.Second, "recovered charter", func() error {
+			answer, err := cluster.Administer(http.MethodGet, "/v1/charter", nil)
+			if err != nil {
+				return err
+			}
+			if answer.Status != http.StatusOK {
+				return &answer.Failure
+			}
+			if !strings.Contains(string(answer.Body), "allowance: 61") {
+				t.Fatalf("an older charter was read back: %s", answer.Body)
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		after, err := cluster.fleet()
+		if err != nil || after.Number <= before.Number || after.CharterNumber != before.CharterNumber {
+			t.Fatalf("before %+v, after %+v, %v", before, after, err)
+		}
+		if err := cluster.Stores[0].Start(); err != nil {
+			t.Fatal(err)
+		}
+		if err := cluster.PutCharter(strings.ReplaceAll(Rules, "allowance: 60", "allowance: 62")); err != nil {
+			t.Fatal(err)
+		}
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestAllThreeSeedMachinesAreExchangedOneAfterAnother(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		said := cluster.dialogues(t, 3)
+		for index := range 3 {
+			old := cluster.Controls[index]
+			old.Kill()
+			old.Wipe()
+			fresh := cluster.AddControl(3 + index)
+			cluster.seeds[index] = fresh.Host + ":7000" // what is started from now on is told so
+			if err := fresh.Start(); err != nil {
+				t.Fatal(err)
+			}
+			cluster.Controls[index] = fresh
+			err := cluster.Await(60*time.Second, "exchanged control node", func() error {
+				told, err := cluster.fleet()
+				if err != nil {
+					return err
+				}
+				listed := func(host string) bool {
+					return slices.ContainsFunc(told.Controls, func(member feed.Member) bool { return strings.HasPrefix(member.Address, host+":") })
+				}
+				if len(told.Controls) != 3 || !listed(fresh.Host) || listed(old.Host) {
+					return fmt.Errorf("controls: %v", told.Controls)
+				}
+				return nil
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := cluster.Turn(cluster.Fronts[index%2], map[string]any{"program": "dialogue", "kind": "talk", "words": "still there"}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// Processes with the old seeds go on; one that starts needs the new ones.
+		cluster.Fronts[0].Kill()
+		if err := cluster.Fronts[0].Start(); err != nil {
+			t.Fatal(err)
+		}
+		if err := cluster.PutCharter(Rules + "// exchanged\n"); err != nil {
+			t.Fatal(err)
+		}
+		cluster.followUp(t, said)
+	})
+}
+
+func TestAWipedStoreComesBackAsANewNodeAndIsHealed(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		said := cluster.dialogues(t, 8)
+		<-time.After(6 * time.Second) // archived
+		said = append(said, cluster.dialogues(t, 4)...)
+		said = said[:8]
+		wiped := cluster.Stores[1]
+		before := wiped.Store.Name()
+		wiped.Kill()
+		wiped.Wipe()
+		if err := wiped.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if wiped.Store.Name() == before {
+			t.Fatal("a wiped disk kept its name")
+		}
+		err := cluster.Await(60*time.Second, "healed store", func() error {
+			for _, machine := range cluster.Stores {
+				for group, status := range machine.Store.Host().Statuses() {
+					if status.Confirmed && (!slices.Contains(status.Replicas.Voters, wiped.Store.Name()) || len(status.Replicas.Voters) != 3) {
+						return fmt.Errorf("group %d has %v", group, status.Replicas)
+					}
+				}
+			}
+			if len(wiped.Store.Host().Statuses()) != 8 {
+				return errors.New("not all groups are there")
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The healed store and one other now carry everything alone.
+		cluster.Stores[0].Kill()
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		cluster.followUp(t, said)
+	})
+}
+
+func TestAStoreIsAddedAndAnotherRetiredWhileTurnsRun(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		said := cluster.dialogues(t, 6)
+		<-time.After(6 * time.Second)
+		retire := func(name string) *Answer {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+			defer cancel()
+			answer, err := cluster.Ask(ctx, http.MethodDelete, cluster.Controls[0].Host+":7200", "/v1/stores/"+name, RootToken, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return answer
+		}
+		if answer := retire(cluster.Stores[0].Store.Name()); answer.Failure.Kind != "conflict" {
+			t.Fatalf("the third last store was retired: %s", answer.Body)
+		}
+		if answer := retire("store-unknown"); answer.Failure.Kind != "not_found" {
+			t.Fatalf("an unknown store was retired: %s", answer.Body)
+		}
+		stop := cluster.callers(100 * time.Millisecond)
+		defer stop()
+		fresh := cluster.AddStore(3)
+		if err := fresh.Start(); err != nil {
+			t.Fatal(err)
+		}
+		cluster.Stores = append(cluster.Stores, fresh)
+		err := cluster.Await(20*time.Second, "enrolled store", func() error {
+			answer, err := cluster.Administer(http.MethodPut, "/v1/stores/"+fresh.Store.Name(), map[string]any{})
+			if err == nil && answer.Status != http.StatusOK {
+				return &answer.Failure
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer, err := cluster.Administer(http.MethodPut, "/v1/stores/"+fresh.Store.Name(), map[string]any{}); err != nil || answer.Failure.Kind != "conflict" {
+			t.Fatalf("a store was enrolled twice: %v %+v", err, answer)
+		}
+		old := cluster.Stores[0]
+		name := old.Store.Name()
+		began := time.Now()
+		if answer := retire(name); answer.Status != http.StatusOK {
+			t.Fatalf("retiring: %s", answer.Body)
+		}
+		t.Logf("retired in %s", time.Since(began))
+		// It may be switched off at once, and another one lost.
+		old.Kill()
+		for _, machine := range cluster.Stores[1:] {
+			for group, status := range machine.Store.Host().Statuses() {
+				if status.Confirmed && (slices.Contains(status.Replicas.Voters, name) || len(status.Replicas.Voters) != 3) {
+					t.Fatalf("group %d still has %v", group, status.Replicas)
+				}
+			}
+		}
+		cluster.Stores[1].Kill()
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		cluster.followUp(t, said)
+	})
+}
+
+func TestRottenColdCopiesAreMendedFromSiblings(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		said := cluster.dialogues(t, 4)
+		<-time.After(6 * time.Second)
+		rotten := cluster.Stores[0]
+		names, err := rotten.Cold.Names()
+		if err != nil || len(names) == 0 {
+			t.Fatalf("nothing was archived: %v", err)
+		}
+		for _, name := range names {
+			rotten.Cold.FlipBit(name, 40)
+		}
+		<-time.After(12 * time.Second) // one repair round
+		for _, other := range cluster.Stores[1:] {
+			for _, name := range func() []string { names, _ := other.Cold.Names(); return names }() {
+				other.Cold.FlipBit(name, 40)
+			}
+		}
+		// Only the mended copy is whole now.
+		cluster.followUp(t, said)
+	})
+}
+
+func TestADomainIsLostAndComesBackWithACrowd(t *testing.T) {
+	simulate(t, Shape{Controls: 5, Stores: 3, Fronts: 3, Models: 3, Applications: 3}, func(t *testing.T, cluster *Cluster) {
+		said := cluster.dialogues(t, 6)
+		lost := []*Machine{}
+		for _, machine := range cluster.Machines() {
+			if machine.Domain == "east" {
+				machine.LosePower()
+				lost = append(lost, machine)
+			}
+		}
+		fronts := cluster.Fronts
+		cluster.Fronts = fronts[1:]
+		began := time.Now()
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("serving %s after the loss", time.Since(began))
+		stop := cluster.callers(40 * time.Millisecond)
+		cluster.followUp(t, said[:3])
+		if err := cluster.PutCharter(Rules + "// without a domain\n"); err != nil {
+			t.Fatal(err)
+		}
+		for _, machine := range lost {
+			if err := machine.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		stop()
+		cluster.Fronts = fronts
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestAStalledDiskLosesLeadershipAndConfirmsNothing(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		stalled := cluster.Stores[0]
+		stalled.Disk.Stall()
+		began := time.Now()
+		err := cluster.Await(10*time.Second, "leadership moved", func() error {
+			for group, status := range stalled.Store.Host().Statuses() {
+				if status.Leading {
+					return fmt.Errorf("group %d is still led", group)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("leadership moved after %s", time.Since(began))
+		if err := cluster.AwaitServing(10 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		said := cluster.dialogues(t, 4)
+		stalled.LosePower()
+		if err := stalled.Start(); err != nil {
+			t.Fatal(err)
+		}
+		cluster.Stores[1].Kill() // the stalled one must have caught up, or nothing is confirmed
+		cluster.followUp(t, said)
+	})
+}
+
+func TestAFullDiskRefusesAndRecovers(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		for _, store := range cluster.Stores[:2] {
+			store.Disk.Fill(true)
+		}
+		if _, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "no room"}); err == nil {
+			t.Fatal("a turn was complete while two of three disks were full")
+		}
+		for _, store := range cluster.Stores[:2] {
+			store.Disk.Fill(false)
+		}
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/proof/simulator/cluster_test.go
+++ b/proof/simulator/cluster_test.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +14,9 @@
 )
 
 func TestMain(m *testing.M) {
-	log.SetHandler(discard.New())
+	if os.Getenv("LOGS") == "" {
+		log.SetHandler(discard.New())
+	}
 	m.Run()
 }
 
--- a/system/api/design/design.go
+++ b/system/api/design/design.go
@@ -284,6 +284,34 @@
 		})
 	})
 
+	Method("enrol_store", func() {
+		Description("Puts a live store that has a session into the store list.")
+		Payload(func() {
+			tokenOnly()
+			Attribute("name", String, "Identity of the store's disk")
+			Required("name")
+		})
+		Result(changed)
+		HTTP(func() {
+			PUT("/v1/stores/{name}")
+			bearer()
+		})
+	})
+
+	Method("retire_store", func() {
+		Description("Empties a store; answers once its machine may be switched off.")
+		Payload(func() {
+			tokenOnly()
+			Attribute("name", String, "Identity of the store's disk")
+			Required("name")
+		})
+		Result(changed)
+		HTTP(func() {
+			DELETE("/v1/stores/{name}")
+			bearer()
+		})
+	})
+
 	Method("fleet", func() {
 		Description("Tells who is there and what is in force.")
 		Payload(func() { tokenOnly() })
--- a/system/api/gen/administration/client.go
+++ b/system/api/gen/administration/client.go
@@ -19,16 +19,20 @@
 	SetEndpoint         goa.Endpoint
 	ReadCharterEndpoint goa.Endpoint
 	SetDomainEndpoint   goa.Endpoint
+	EnrolStoreEndpoint  goa.Endpoint
+	RetireStoreEndpoint goa.Endpoint
 	FleetEndpoint       goa.Endpoint
 }
 
 // NewClient initializes a "administration" service client given the endpoints.
-func NewClient(putCharter, set, readCharter, setDomain, fleet goa.Endpoint) *Client {
+func NewClient(putCharter, set, readCharter, setDomain, enrolStore, retireStore, fleet goa.Endpoint) *Client {
 	return &Client{
 		PutCharterEndpoint:  putCharter,
 		SetEndpoint:         set,
 		ReadCharterEndpoint: readCharter,
 		SetDomainEndpoint:   setDomain,
+		EnrolStoreEndpoint:  enrolStore,
+		RetireStoreEndpoint: retireStore,
 		FleetEndpoint:       fleet,
 	}
 }
@@ -74,6 +78,27 @@
 	return ires.(*Changed), nil
 }
 
+// EnrolStore calls the "enrol_store" endpoint of the "administration" service.
+func (c *Client) EnrolStore(ctx context.Context, p *EnrolStorePayload) (res *Changed, err error) {
+	var ires any
+	ires, err = c.EnrolStoreEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Changed), nil
+}
+
+// RetireStore calls the "retire_store" endpoint of the "administration"
+// service.
+func (c *Client) RetireStore(ctx context.Context, p *RetireStorePayload) (res *Changed, err error) {
+	var ires any
+	ires, err = c.RetireStoreEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Changed), nil
+}
+
 // Fleet calls the "fleet" endpoint of the "administration" service.
 func (c *Client) Fleet(ctx context.Context, p *FleetPayload) (res any, err error) {
 	var ires any
--- a/system/api/gen/administration/endpoints.go
+++ b/system/api/gen/administration/endpoints.go
@@ -19,6 +19,8 @@
 	Set         goa.Endpoint
 	ReadCharter goa.Endpoint
 	SetDomain   goa.Endpoint
+	EnrolStore  goa.Endpoint
+	RetireStore goa.Endpoint
 	Fleet       goa.Endpoint
 }
 
@@ -30,6 +32,8 @@
 		Set:         NewSetEndpoint(s),
 		ReadCharter: NewReadCharterEndpoint(s),
 		SetDomain:   NewSetDomainEndpoint(s),
+		EnrolStore:  NewEnrolStoreEndpoint(s),
+		RetireStore: NewRetireStoreEndpoint(s),
 		Fleet:       NewFleetEndpoint(s),
 	}
 }
@@ -41,6 +45,8 @@
 	e.Set = m(e.Set)
 	e.ReadCharter = m(e.ReadCharter)
 	e.SetDomain = m(e.SetDomain)
+	e.EnrolStore = m(e.EnrolStore)
+	e.RetireStore = m(e.RetireStore)
 	e.Fleet = m(e.Fleet)
 }
 
@@ -80,6 +86,24 @@
 	}
 }
 
+// NewEnrolStoreEndpoint returns an endpoint function that calls the method
+// "enrol_store" of service "administration".
+func NewEnrolStoreEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*EnrolStorePayload)
+		return s.EnrolStore(ctx, p)
+	}
+}
+
+// NewRetireStoreEndpoint returns an endpoint function that calls the method
+// "retire_store" of service "administration".
+func NewRetireStoreEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*RetireStorePayload)
+		return s.RetireStore(ctx, p)
+	}
+}
+
 // NewFleetEndpoint returns an endpoint function that calls the method "fleet"
 // of service "administration".
 func NewFleetEndpoint(s Service) goa.Endpoint {
--- a/system/api/gen/administration/service.go
+++ b/system/api/gen/administration/service.go
@@ -21,6 +21,10 @@
 	ReadCharter(context.Context, *ReadCharterPayload) (res *ReadCharterResult, err error)
 	// Empties or refills a domain.
 	SetDomain(context.Context, *SetDomainPayload) (res *Changed, err error)
+	// Puts a live store that has a session into the store list.
+	EnrolStore(context.Context, *EnrolStorePayload) (res *Changed, err error)
+	// Empties a store; answers once its machine may be switched off.
+	RetireStore(context.Context, *RetireStorePayload) (res *Changed, err error)
 	// Tells who is there and what is in force.
 	Fleet(context.Context, *FleetPayload) (res any, err error)
 }
@@ -39,7 +43,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [5]string{"put_charter", "set", "read_charter", "set_domain", "fleet"}
+var MethodNames = [7]string{"put_charter", "set", "read_charter", "set_domain", "enrol_store", "retire_store", "fleet"}
 
 // Changed is the result type of the administration service put_charter method.
 type Changed struct {
@@ -49,6 +53,15 @@
 	Acknowledged bool
 }
 
+// EnrolStorePayload is the payload type of the administration service
+// enrol_store method.
+type EnrolStorePayload struct {
+	// Bearer token of a team or an operator
+	Authorization *string
+	// Identity of the store's disk
+	Name string
+}
+
 // FleetPayload is the payload type of the administration service fleet method.
 type FleetPayload struct {
 	// Bearer token of a team or an operator
@@ -80,6 +93,15 @@
 	Source string
 }
 
+// RetireStorePayload is the payload type of the administration service
+// retire_store method.
+type RetireStorePayload struct {
+	// Bearer token of a team or an operator
+	Authorization *string
+	// Identity of the store's disk
+	Name string
+}
+
 // SetDomainPayload is the payload type of the administration service
 // set_domain method.
 type SetDomainPayload struct {
--- a/system/api/gen/http/administration/client/cli.go
+++ b/system/api/gen/http/administration/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(administrationPutCharterBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"expected\": 10833896116166684142,\n      \"source\": \"Qui doloremque qui voluptas aspernatur.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"expected\": 5211225109344751735,\n      \"source\": \"Iure et.\"\n   }'")
 		}
 	}
 	var authorization *string
@@ -49,7 +49,7 @@
 	{
 		err = json.Unmarshal([]byte(administrationSetBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"expected\": 9489812931530648468,\n      \"path\": \"Deleniti ea ut aspernatur aut.\",\n      \"value\": \"Optio excepturi voluptates.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"expected\": 13724522378602717459,\n      \"path\": \"Optio excepturi voluptates.\",\n      \"value\": \"Reprehenderit quod aut atque et.\"\n   }'")
 		}
 		if body.Value == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("value", "body"))
@@ -97,7 +97,7 @@
 	{
 		err = json.Unmarshal([]byte(administrationSetDomainBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"force\": true,\n      \"state\": \"emptied\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"force\": true,\n      \"state\": \"serving\"\n   }'")
 		}
 		if !(body.State == "serving" || body.State == "emptied") {
 			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.state", body.State, []any{"serving", "emptied"}))
@@ -132,6 +132,46 @@
 	return v, nil
 }
 
+// BuildEnrolStorePayload builds the payload for the administration enrol_store
+// endpoint from CLI flags.
+func BuildEnrolStorePayload(administrationEnrolStoreName string, administrationEnrolStoreAuthorization string) (*administration.EnrolStorePayload, error) {
+	var name string
+	{
+		name = administrationEnrolStoreName
+	}
+	var authorization *string
+	{
+		if administrationEnrolStoreAuthorization != "" {
+			authorization = &administrationEnrolStoreAuthorization
+		}
+	}
+	v := &administration.EnrolStorePayload{}
+	v.Name = name
+	v.Authorization = authorization
+
+	return v, nil
+}
+
+// BuildRetireStorePayload builds the payload for the administration
+// retire_store endpoint from CLI flags.
+func BuildRetireStorePayload(administrationRetireStoreName string, administrationRetireStoreAuthorization string) (*administration.RetireStorePayload, error) {
+	var name string
+	{
+		name = administrationRetireStoreName
+	}
+	var authorization *string
+	{
+		if administrationRetireStoreAuthorization != "" {
+			authorization = &administrationRetireStoreAuthorization
+		}
+	}
+	v := &administration.RetireStorePayload{}
+	v.Name = name
+	v.Authorization = authorization
+
+	return v, nil
+}
+
 // BuildFleetPayload builds the payload for the administration fleet endpoint
 // from CLI flags.
 func BuildFleetPayload(administrationFleetAuthorization string) (*administration.FleetPayload, error) {
--- a/system/api/gen/http/administration/client/client.go
+++ b/system/api/gen/http/administration/client/client.go
@@ -32,6 +32,14 @@
 	// endpoint.
 	SetDomainDoer goahttp.Doer
 
+	// EnrolStore Doer is the HTTP client used to make requests to the enrol_store
+	// endpoint.
+	EnrolStoreDoer goahttp.Doer
+
+	// RetireStore Doer is the HTTP client used to make requests to the
+	// retire_store endpoint.
+	RetireStoreDoer goahttp.Doer
+
 	// Fleet Doer is the HTTP client used to make requests to the fleet endpoint.
 	FleetDoer goahttp.Doer
 
@@ -60,6 +68,8 @@
 		SetDoer:             doer,
 		ReadCharterDoer:     doer,
 		SetDomainDoer:       doer,
+		EnrolStoreDoer:      doer,
+		RetireStoreDoer:     doer,
 		FleetDoer:           doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
@@ -165,6 +175,54 @@
 	}
 }
 
+// EnrolStore returns an endpoint that makes HTTP requests to the
+// administration service enrol_store server.
+func (c *Client) EnrolStore() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeEnrolStoreRequest(c.encoder)
+		decodeResponse = DecodeEnrolStoreResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildEnrolStoreRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.EnrolStoreDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("administration", "enrol_store", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// RetireStore returns an endpoint that makes HTTP requests to the
+// administration service retire_store server.
+func (c *Client) RetireStore() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeRetireStoreRequest(c.encoder)
+		decodeResponse = DecodeRetireStoreResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildRetireStoreRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.RetireStoreDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("administration", "retire_store", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Fleet returns an endpoint that makes HTTP requests to the administration
 // service fleet server.
 func (c *Client) Fleet() goa.Endpoint {
--- a/system/api/gen/http/administration/client/encode_decode.go
+++ b/system/api/gen/http/administration/client/encode_decode.go
@@ -324,6 +324,168 @@
 	}
 }
 
+// BuildEnrolStoreRequest instantiates a HTTP request object with method and
+// path set to call the "administration" service "enrol_store" endpoint
+func (c *Client) BuildEnrolStoreRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		name string
+	)
+	{
+		p, ok := v.(*administration.EnrolStorePayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "enrol_store", "*administration.EnrolStorePayload", v)
+		}
+		name = p.Name
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: EnrolStoreAdministrationPath(name)}
+	req, err := http.NewRequest("PUT", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "enrol_store", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeEnrolStoreRequest returns an encoder for requests sent to the
+// administration enrol_store server.
+func EncodeEnrolStoreRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.EnrolStorePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "enrol_store", "*administration.EnrolStorePayload", v)
+		}
+		if p.Authorization != nil {
+			head := *p.Authorization
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeEnrolStoreResponse returns a decoder for responses returned by the
+// administration enrol_store endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+func DecodeEnrolStoreResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body EnrolStoreResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "enrol_store", err)
+			}
+			err = ValidateEnrolStoreResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "enrol_store", err)
+			}
+			res := NewEnrolStoreChangedOK(&body)
+			return res, nil
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "enrol_store", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildRetireStoreRequest instantiates a HTTP request object with method and
+// path set to call the "administration" service "retire_store" endpoint
+func (c *Client) BuildRetireStoreRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		name string
+	)
+	{
+		p, ok := v.(*administration.RetireStorePayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "retire_store", "*administration.RetireStorePayload", v)
+		}
+		name = p.Name
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RetireStoreAdministrationPath(name)}
+	req, err := http.NewRequest("DELETE", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "retire_store", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRetireStoreRequest returns an encoder for requests sent to the
+// administration retire_store server.
+func EncodeRetireStoreRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.RetireStorePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "retire_store", "*administration.RetireStorePayload", v)
+		}
+		if p.Authorization != nil {
+			head := *p.Authorization
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeRetireStoreResponse returns a decoder for responses returned by the
+// administration retire_store endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+func DecodeRetireStoreResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RetireStoreResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "retire_store", err)
+			}
+			err = ValidateRetireStoreResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "retire_store", err)
+			}
+			res := NewRetireStoreChangedOK(&body)
+			return res, nil
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "retire_store", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildFleetRequest instantiates a HTTP request object with method and path
 // set to call the "administration" service "fleet" endpoint
 func (c *Client) BuildFleetRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/system/api/gen/http/administration/client/paths.go
+++ b/system/api/gen/http/administration/client/paths.go
@@ -31,6 +31,16 @@
 	return fmt.Sprintf("/v1/domains/%v", name)
 }
 
+// EnrolStoreAdministrationPath returns the URL path to the administration service enrol_store HTTP endpoint.
+func EnrolStoreAdministrationPath(name string) string {
+	return fmt.Sprintf("/v1/stores/%v", name)
+}
+
+// RetireStoreAdministrationPath returns the URL path to the administration service retire_store HTTP endpoint.
+func RetireStoreAdministrationPath(name string) string {
+	return fmt.Sprintf("/v1/stores/%v", name)
+}
+
 // FleetAdministrationPath returns the URL path to the administration service fleet HTTP endpoint.
 func FleetAdministrationPath() string {
 	return "/v1/fleet"
--- a/system/api/gen/http/administration/client/types.go
+++ b/system/api/gen/http/administration/client/types.go
@@ -73,6 +73,24 @@
 	Acknowledged *bool `form:"acknowledged,omitempty" json:"acknowledged,omitempty" xml:"acknowledged,omitempty"`
 }
 
+// EnrolStoreResponseBody is the type of the "administration" service
+// "enrol_store" endpoint HTTP response body.
+type EnrolStoreResponseBody struct {
+	// The number that the change got
+	Number *uint64 `form:"number,omitempty" json:"number,omitempty" xml:"number,omitempty"`
+	// A control majority and a store majority have synced it
+	Acknowledged *bool `form:"acknowledged,omitempty" json:"acknowledged,omitempty" xml:"acknowledged,omitempty"`
+}
+
+// RetireStoreResponseBody is the type of the "administration" service
+// "retire_store" endpoint HTTP response body.
+type RetireStoreResponseBody struct {
+	// The number that the change got
+	Number *uint64 `form:"number,omitempty" json:"number,omitempty" xml:"number,omitempty"`
+	// A control majority and a store majority have synced it
+	Acknowledged *bool `form:"acknowledged,omitempty" json:"acknowledged,omitempty" xml:"acknowledged,omitempty"`
+}
+
 // NewPutCharterRequestBody builds the HTTP request body from the payload of
 // the "put_charter" endpoint of the "administration" service.
 func NewPutCharterRequestBody(p *administration.PutCharterPayload) *PutCharterRequestBody {
@@ -154,6 +172,28 @@
 	return v
 }
 
+// NewEnrolStoreChangedOK builds a "administration" service "enrol_store"
+// endpoint result from a HTTP "OK" response.
+func NewEnrolStoreChangedOK(body *EnrolStoreResponseBody) *administration.Changed {
+	v := &administration.Changed{
+		Number:       *body.Number,
+		Acknowledged: *body.Acknowledged,
+	}
+
+	return v
+}
+
+// NewRetireStoreChangedOK builds a "administration" service "retire_store"
+// endpoint result from a HTTP "OK" response.
+func NewRetireStoreChangedOK(body *RetireStoreResponseBody) *administration.Changed {
+	v := &administration.Changed{
+		Number:       *body.Number,
+		Acknowledged: *body.Acknowledged,
+	}
+
+	return v
+}
+
 // ValidatePutCharterResponseBody runs the validations defined on
 // put_charter_response_body
 func ValidatePutCharterResponseBody(body *PutCharterResponseBody) (err error) {
@@ -200,3 +240,27 @@
 	}
 	return
 }
+
+// ValidateEnrolStoreResponseBody runs the validations defined on
+// enrol_store_response_body
+func ValidateEnrolStoreResponseBody(body *EnrolStoreResponseBody) (err error) {
+	if body.Number == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("number", "body"))
+	}
+	if body.Acknowledged == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("acknowledged", "body"))
+	}
+	return
+}
+
+// ValidateRetireStoreResponseBody runs the validations defined on
+// retire_store_response_body
+func ValidateRetireStoreResponseBody(body *RetireStoreResponseBody) (err error) {
+	if body.Number == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("number", "body"))
+	}
+	if body.Acknowledged == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("acknowledged", "body"))
+	}
+	return
+}
--- a/system/api/gen/http/administration/server/encode_decode.go
+++ b/system/api/gen/http/administration/server/encode_decode.go
@@ -202,6 +202,74 @@
 	}
 }
 
+// EncodeEnrolStoreResponse returns an encoder for responses returned by the
+// administration enrol_store endpoint.
+func EncodeEnrolStoreResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*administration.Changed)
+		enc := encoder(ctx, w)
+		body := NewEnrolStoreResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeEnrolStoreRequest returns a decoder for requests sent to the
+// administration enrol_store endpoint.
+func DecodeEnrolStoreRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*administration.EnrolStorePayload, error) {
+	return func(r *http.Request) (*administration.EnrolStorePayload, error) {
+		var payload *administration.EnrolStorePayload
+		var (
+			name          string
+			authorization *string
+
+			params = mux.Vars(r)
+		)
+		name = params["name"]
+		authorizationRaw := r.Header.Get("Authorization")
+		if authorizationRaw != "" {
+			authorization = &authorizationRaw
+		}
+		payload = NewEnrolStorePayload(name, authorization)
+
+		return payload, nil
+	}
+}
+
+// EncodeRetireStoreResponse returns an encoder for responses returned by the
+// administration retire_store endpoint.
+func EncodeRetireStoreResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*administration.Changed)
+		enc := encoder(ctx, w)
+		body := NewRetireStoreResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeRetireStoreRequest returns a decoder for requests sent to the
+// administration retire_store endpoint.
+func DecodeRetireStoreRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*administration.RetireStorePayload, error) {
+	return func(r *http.Request) (*administration.RetireStorePayload, error) {
+		var payload *administration.RetireStorePayload
+		var (
+			name          string
+			authorization *string
+
+			params = mux.Vars(r)
+		)
+		name = params["name"]
+		authorizationRaw := r.Header.Get("Authorization")
+		if authorizationRaw != "" {
+			authorization = &authorizationRaw
+		}
+		payload = NewRetireStorePayload(name, authorization)
+
+		return payload, nil
+	}
+}
+
 // EncodeFleetResponse returns an encoder for responses returned by the
 // administration fleet endpoint.
 func EncodeFleetResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/system/api/gen/http/administration/server/server.go
+++ b/system/api/gen/http/administration/server/server.go
@@ -23,6 +23,8 @@
 	Set         http.Handler
 	ReadCharter http.Handler
 	SetDomain   http.Handler
+	EnrolStore  http.Handler
+	RetireStore http.Handler
 	Fleet       http.Handler
 }
 
@@ -57,12 +59,16 @@
 			{"Set", "PATCH", "/v1/charter"},
 			{"ReadCharter", "GET", "/v1/charter"},
 			{"SetDomain", "POST", "/v1/domains/{name}"},
+			{"EnrolStore", "PUT", "/v1/stores/{name}"},
+			{"RetireStore", "DELETE", "/v1/stores/{name}"},
 			{"Fleet", "GET", "/v1/fleet"},
 		},
 		PutCharter:  NewPutCharterHandler(e.PutCharter, mux, decoder, encoder, errhandler, formatter),
 		Set:         NewSetHandler(e.Set, mux, decoder, encoder, errhandler, formatter),
 		ReadCharter: NewReadCharterHandler(e.ReadCharter, mux, decoder, encoder, errhandler, formatter),
 		SetDomain:   NewSetDomainHandler(e.SetDomain, mux, decoder, encoder, errhandler, formatter),
+		EnrolStore:  NewEnrolStoreHandler(e.EnrolStore, mux, decoder, encoder, errhandler, formatter),
+		RetireStore: NewRetireStoreHandler(e.RetireStore, mux, decoder, encoder, errhandler, formatter),
 		Fleet:       NewFleetHandler(e.Fleet, mux, decoder, encoder, errhandler, formatter),
 	}
 }
@@ -76,6 +82,8 @@
 	s.Set = m(s.Set)
 	s.ReadCharter = m(s.ReadCharter)
 	s.SetDomain = m(s.SetDomain)
+	s.EnrolStore = m(s.EnrolStore)
+	s.RetireStore = m(s.RetireStore)
 	s.Fleet = m(s.Fleet)
 }
 
@@ -88,6 +96,8 @@
 	MountSetHandler(mux, h.Set)
 	MountReadCharterHandler(mux, h.ReadCharter)
 	MountSetDomainHandler(mux, h.SetDomain)
+	MountEnrolStoreHandler(mux, h.EnrolStore)
+	MountRetireStoreHandler(mux, h.RetireStore)
 	MountFleetHandler(mux, h.Fleet)
 }
 
@@ -308,6 +318,112 @@
 	})
 }
 
+// MountEnrolStoreHandler configures the mux to serve the "administration"
+// service "enrol_store" endpoint.
+func MountEnrolStoreHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("PUT", "/v1/stores/{name}", f)
+}
+
+// NewEnrolStoreHandler creates a HTTP handler which loads the HTTP request and
+// calls the "administration" service "enrol_store" endpoint.
+func NewEnrolStoreHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeEnrolStoreRequest(mux, decoder)
+		encodeResponse = EncodeEnrolStoreResponse(encoder)
+		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "enrol_store")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "administration")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountRetireStoreHandler configures the mux to serve the "administration"
+// service "retire_store" endpoint.
+func MountRetireStoreHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("DELETE", "/v1/stores/{name}", f)
+}
+
+// NewRetireStoreHandler creates a HTTP handler which loads the HTTP request
+// and calls the "administration" service "retire_store" endpoint.
+func NewRetireStoreHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeRetireStoreRequest(mux, decoder)
+		encodeResponse = EncodeRetireStoreResponse(encoder)
+		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "retire_store")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "administration")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountFleetHandler configures the mux to serve the "administration" service
 // "fleet" endpoint.
 func MountFleetHandler(mux goahttp.Muxer, h http.Handler) {
--- a/system/api/gen/http/administration/server/types.go
+++ b/system/api/gen/http/administration/server/types.go
@@ -73,6 +73,24 @@
 	Acknowledged bool `form:"acknowledged" json:"acknowledged" xml:"acknowledged"`
 }
 
+// EnrolStoreResponseBody is the type of the "administration" service
+// "enrol_store" endpoint HTTP response body.
+type EnrolStoreResponseBody struct {
+	// The number that the change got
+	Number uint64 `form:"number" json:"number" xml:"number"`
+	// A control majority and a store majority have synced it
+	Acknowledged bool `form:"acknowledged" json:"acknowledged" xml:"acknowledged"`
+}
+
+// RetireStoreResponseBody is the type of the "administration" service
+// "retire_store" endpoint HTTP response body.
+type RetireStoreResponseBody struct {
+	// The number that the change got
+	Number uint64 `form:"number" json:"number" xml:"number"`
+	// A control majority and a store majority have synced it
+	Acknowledged bool `form:"acknowledged" json:"acknowledged" xml:"acknowledged"`
+}
+
 // NewPutCharterResponseBody builds the HTTP response body from the result of
 // the "put_charter" endpoint of the "administration" service.
 func NewPutCharterResponseBody(res *administration.Changed) *PutCharterResponseBody {
@@ -113,6 +131,26 @@
 	return body
 }
 
+// NewEnrolStoreResponseBody builds the HTTP response body from the result of
+// the "enrol_store" endpoint of the "administration" service.
+func NewEnrolStoreResponseBody(res *administration.Changed) *EnrolStoreResponseBody {
+	body := &EnrolStoreResponseBody{
+		Number:       res.Number,
+		Acknowledged: res.Acknowledged,
+	}
+	return body
+}
+
+// NewRetireStoreResponseBody builds the HTTP response body from the result of
+// the "retire_store" endpoint of the "administration" service.
+func NewRetireStoreResponseBody(res *administration.Changed) *RetireStoreResponseBody {
+	body := &RetireStoreResponseBody{
+		Number:       res.Number,
+		Acknowledged: res.Acknowledged,
+	}
+	return body
+}
+
 // NewPutCharterPayload builds a administration service put_charter endpoint
 // payload.
 func NewPutCharterPayload(body *PutCharterRequestBody, authorization *string) *administration.PutCharterPayload {
@@ -164,6 +202,26 @@
 	return v
 }
 
+// NewEnrolStorePayload builds a administration service enrol_store endpoint
+// payload.
+func NewEnrolStorePayload(name string, authorization *string) *administration.EnrolStorePayload {
+	v := &administration.EnrolStorePayload{}
+	v.Name = name
+	v.Authorization = authorization
+
+	return v
+}
+
+// NewRetireStorePayload builds a administration service retire_store endpoint
+// payload.
+func NewRetireStorePayload(name string, authorization *string) *administration.RetireStorePayload {
+	v := &administration.RetireStorePayload{}
+	v.Name = name
+	v.Authorization = authorization
+
+	return v
+}
+
 // NewFleetPayload builds a administration service fleet endpoint payload.
 func NewFleetPayload(authorization *string) *administration.FleetPayload {
 	v := &administration.FleetPayload{}
--- a/system/api/gen/http/cli/yardrock/cli.go
+++ b/system/api/gen/http/cli/yardrock/cli.go
@@ -26,15 +26,15 @@
 func UsageCommands() []string {
 	return []string{
 		"work (start|turn|tool|helper|history|tail|lookup|once|tally)",
-		"administration (put-charter|set|read-charter|set-domain|fleet)",
+		"administration (put-charter|set|read-charter|set-domain|enrol-store|retire-store|fleet)",
 		"health (alive|ready)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "work start --body '{\n      \"kind\": \"g2h\",\n      \"program\": \"1ly\",\n      \"request_key\": \"lhy\",\n      \"words\": \"Maiores ea accusamus ea fuga tenetur.\"\n   }' --authorization \"Iure iusto quia et.\"" + "\n" +
-		os.Args[0] + " " + "administration put-charter --body '{\n      \"expected\": 10833896116166684142,\n      \"source\": \"Qui doloremque qui voluptas aspernatur.\"\n   }' --authorization \"Eaque iure et debitis vel.\"" + "\n" +
+	return os.Args[0] + " " + "work start --body '{\n      \"kind\": \"eyf\",\n      \"program\": \"lhy\",\n      \"request_key\": \"zix\",\n      \"words\": \"Perspiciatis mollitia odio at.\"\n   }' --authorization \"Quo consequuntur consequatur cupiditate.\"" + "\n" +
+		os.Args[0] + " " + "administration put-charter --body '{\n      \"expected\": 5211225109344751735,\n      \"source\": \"Iure et.\"\n   }' --authorization \"Exercitationem consectetur nihil deleniti ea ut.\"" + "\n" +
 		os.Args[0] + " " + "health alive" + "\n" +
 		""
 }
@@ -112,6 +112,14 @@
 		administrationSetDomainNameFlag          = administrationSetDomainFlags.String("name", "REQUIRED", "")
 		administrationSetDomainAuthorizationFlag = administrationSetDomainFlags.String("authorization", "", "")
 
+		administrationEnrolStoreFlags             = flag.NewFlagSet("enrol-store", flag.ExitOnError)
+		administrationEnrolStoreNameFlag          = administrationEnrolStoreFlags.String("name", "REQUIRED", "Identity of the store's disk")
+		administrationEnrolStoreAuthorizationFlag = administrationEnrolStoreFlags.String("authorization", "", "")
+
+		administrationRetireStoreFlags             = flag.NewFlagSet("retire-store", flag.ExitOnError)
+		administrationRetireStoreNameFlag          = administrationRetireStoreFlags.String("name", "REQUIRED", "Identity of the store's disk")
+		administrationRetireStoreAuthorizationFlag = administrationRetireStoreFlags.String("authorization", "", "")
+
 		administrationFleetFlags             = flag.NewFlagSet("fleet", flag.ExitOnError)
 		administrationFleetAuthorizationFlag = administrationFleetFlags.String("authorization", "", "")
 
@@ -137,6 +145,8 @@
 	administrationSetFlags.Usage = administrationSetUsage
 	administrationReadCharterFlags.Usage = administrationReadCharterUsage
 	administrationSetDomainFlags.Usage = administrationSetDomainUsage
+	administrationEnrolStoreFlags.Usage = administrationEnrolStoreUsage
+	administrationRetireStoreFlags.Usage = administrationRetireStoreUsage
 	administrationFleetFlags.Usage = administrationFleetUsage
 
 	healthFlags.Usage = healthUsage
@@ -224,6 +234,12 @@
 			case "set-domain":
 				epf = administrationSetDomainFlags
 
+			case "enrol-store":
+				epf = administrationEnrolStoreFlags
+
+			case "retire-store":
+				epf = administrationRetireStoreFlags
+
 			case "fleet":
 				epf = administrationFleetFlags
 
@@ -305,6 +321,12 @@
 			case "set-domain":
 				endpoint = c.SetDomain()
 				data, err = administrationc.BuildSetDomainPayload(*administrationSetDomainBodyFlag, *administrationSetDomainNameFlag, *administrationSetDomainAuthorizationFlag)
+			case "enrol-store":
+				endpoint = c.EnrolStore()
+				data, err = administrationc.BuildEnrolStorePayload(*administrationEnrolStoreNameFlag, *administrationEnrolStoreAuthorizationFlag)
+			case "retire-store":
+				endpoint = c.RetireStore()
+				data, err = administrationc.BuildRetireStorePayload(*administrationRetireStoreNameFlag, *administrationRetireStoreAuthorizationFlag)
 			case "fleet":
 				endpoint = c.Fleet()
 				data, err = administrationc.BuildFleetPayload(*administrationFleetAuthorizationFlag)
@@ -361,7 +383,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work start --body '{\n      \"kind\": \"g2h\",\n      \"program\": \"1ly\",\n      \"request_key\": \"lhy\",\n      \"words\": \"Maiores ea accusamus ea fuga tenetur.\"\n   }' --authorization \"Iure iusto quia et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work start --body '{\n      \"kind\": \"eyf\",\n      \"program\": \"lhy\",\n      \"request_key\": \"zix\",\n      \"words\": \"Perspiciatis mollitia odio at.\"\n   }' --authorization \"Quo consequuntur consequatur cupiditate.\"")
 }
 
 func workTurnUsage() {
@@ -383,7 +405,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work turn --body '{\n      \"follows\": 3130209832788806290,\n      \"kind\": \"zix\",\n      \"request_key\": \"gkb\",\n      \"words\": \"Quo consequuntur consequatur cupiditate.\"\n   }' --conversation \"Veritatis pariatur rerum tempore eius reiciendis dolorum.\" --authorization \"Sed autem sit quos asperiores.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work turn --body '{\n      \"follows\": 6007702923043958088,\n      \"kind\": \"slp\",\n      \"request_key\": \"xbj\",\n      \"words\": \"Autem sit quos asperiores.\"\n   }' --conversation \"Aut vero officiis sed inventore.\" --authorization \"Eum optio molestiae aut neque expedita quidem.\"")
 }
 
 func workToolUsage() {
@@ -405,7 +427,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work tool --body '{\n      \"follows\": 12986694431234759998,\n      \"kind\": \"44u\",\n      \"request_key\": \"6op\",\n      \"words\": \"Molestiae aut neque expedita.\"\n   }' --conversation \"Et sit quidem sit est.\" --authorization \"Tenetur nam et neque sed.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work tool --body '{\n      \"follows\": 15501301683999215852,\n      \"kind\": \"jnx\",\n      \"request_key\": \"dw9\",\n      \"words\": \"Et neque sed suscipit quis.\"\n   }' --conversation \"Labore maiores.\" --authorization \"Et distinctio doloremque officiis accusamus delectus.\"")
 }
 
 func workHelperUsage() {
@@ -427,7 +449,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work helper --body '{\n      \"follows\": 7951325612055810784,\n      \"kind\": \"0xi\",\n      \"program\": \"nnl\",\n      \"request_key\": \"wvv\",\n      \"words\": \"Dicta nemo dolor ipsa.\"\n   }' --conversation \"Tempore molestias voluptatem ut.\" --authorization \"Consequatur dolorem voluptatem culpa quidem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work helper --body '{\n      \"follows\": 4596610138180689763,\n      \"kind\": \"29u\",\n      \"program\": \"sah\",\n      \"request_key\": \"80a\",\n      \"words\": \"Et ad tempore minus numquam.\"\n   }' --conversation \"Alias et vero sed.\" --authorization \"Facilis quia.\"")
 }
 
 func workHistoryUsage() {
@@ -451,7 +473,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work history --conversation \"Nisi sit excepturi et odit alias et.\" --after 14007329579679670500 --limit 2753 --authorization \"Facilis quia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work history --conversation \"Ducimus fugit assumenda id placeat.\" --after 1906282536111885901 --limit 2015 --authorization \"Animi necessitatibus vero voluptas aliquid officiis tempore.\"")
 }
 
 func workTailUsage() {
@@ -475,7 +497,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work tail --conversation \"Vero repellat.\" --cursor 5290284258389461266 --turn 12114557772280210280 --authorization \"Vel sit aperiam ea delectus blanditiis voluptas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work tail --conversation \"Minima aut magnam ut quae.\" --cursor 14223687817506298961 --turn 16416510841383215233 --authorization \"Corrupti est ut ea sed similique.\"")
 }
 
 func workLookupUsage() {
@@ -495,7 +517,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work lookup --body '{\n      \"kind\": \"ag0\",\n      \"program\": \"gkt\",\n      \"request_key\": \"13z\",\n      \"words\": \"Ea optio dolorem corrupti.\"\n   }' --authorization \"Sint error occaecati in voluptas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work lookup --body '{\n      \"kind\": \"ot8\",\n      \"program\": \"xed\",\n      \"request_key\": \"qxf\",\n      \"words\": \"Suscipit et sed.\"\n   }' --authorization \"Quaerat rem nihil consectetur qui ea magnam.\"")
 }
 
 func workOnceUsage() {
@@ -515,7 +537,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work once --body '{\n      \"kind\": \"uva\",\n      \"program\": \"5mh\",\n      \"request_key\": \"xbd\",\n      \"words\": \"Dolor qui sed nobis illum nostrum.\"\n   }' --authorization \"Nulla sed dolores sed ut ipsa quisquam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work once --body '{\n      \"kind\": \"ufk\",\n      \"program\": \"7qh\",\n      \"request_key\": \"uj4\",\n      \"words\": \"Soluta molestiae officia.\"\n   }' --authorization \"Eos error velit.\"")
 }
 
 func workTallyUsage() {
@@ -535,7 +557,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work tally --program \"Quia eaque eos sunt.\" --authorization \"Quibusdam dolores ea aut voluptatibus sequi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work tally --program \"Et unde doloribus est quod.\" --authorization \"Qui eos expedita.\"")
 }
 
 // administrationUsage displays the usage of the administration command and its
@@ -548,6 +570,8 @@
 	fmt.Fprintln(os.Stderr, `    set: Changes one value of the charter.`)
 	fmt.Fprintln(os.Stderr, `    read-charter: Reads the newest charter back, confirmed by a quorum.`)
 	fmt.Fprintln(os.Stderr, `    set-domain: Empties or refills a domain.`)
+	fmt.Fprintln(os.Stderr, `    enrol-store: Puts a live store that has a session into the store list.`)
+	fmt.Fprintln(os.Stderr, `    retire-store: Empties a store; answers once its machine may be switched off.`)
 	fmt.Fprintln(os.Stderr, `    fleet: Tells who is there and what is in force.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
@@ -570,7 +594,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration put-charter --body '{\n      \"expected\": 10833896116166684142,\n      \"source\": \"Qui doloremque qui voluptas aspernatur.\"\n   }' --authorization \"Eaque iure et debitis vel.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration put-charter --body '{\n      \"expected\": 5211225109344751735,\n      \"source\": \"Iure et.\"\n   }' --authorization \"Exercitationem consectetur nihil deleniti ea ut.\"")
 }
 
 func administrationSetUsage() {
@@ -590,7 +614,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration set --body '{\n      \"expected\": 9489812931530648468,\n      \"path\": \"Deleniti ea ut aspernatur aut.\",\n      \"value\": \"Optio excepturi voluptates.\"\n   }' --authorization \"Quod aut atque et ea et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration set --body '{\n      \"expected\": 13724522378602717459,\n      \"path\": \"Optio excepturi voluptates.\",\n      \"value\": \"Reprehenderit quod aut atque et.\"\n   }' --authorization \"Consequatur sint explicabo nemo debitis nobis est.\"")
 }
 
 func administrationReadCharterUsage() {
@@ -608,7 +632,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration read-charter --authorization \"Nemo debitis nobis est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration read-charter --authorization \"Magnam voluptates id aut accusamus voluptas.\"")
 }
 
 func administrationSetDomainUsage() {
@@ -630,7 +654,47 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration set-domain --body '{\n      \"force\": true,\n      \"state\": \"emptied\"\n   }' --name \"Et amet quia maxime ex quisquam deleniti.\" --authorization \"Ut nostrum labore.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration set-domain --body '{\n      \"force\": true,\n      \"state\": \"serving\"\n   }' --name \"Labore eos.\" --authorization \"Aliquam assumenda saepe.\"")
+}
+
+func administrationEnrolStoreUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] administration enrol-store", os.Args[0])
+	fmt.Fprint(os.Stderr, " -name STRING")
+	fmt.Fprint(os.Stderr, " -authorization STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Puts a live store that has a session into the store list.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -name STRING: Identity of the store's disk`)
+	fmt.Fprintln(os.Stderr, `    -authorization STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration enrol-store --name \"Expedita cum.\" --authorization \"Corporis consequatur aut illo ducimus.\"")
+}
+
+func administrationRetireStoreUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] administration retire-store", os.Args[0])
+	fmt.Fprint(os.Stderr, " -name STRING")
+	fmt.Fprint(os.Stderr, " -authorization STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Empties a store; answers once its machine may be switched off.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -name STRING: Identity of the store's disk`)
+	fmt.Fprintln(os.Stderr, `    -authorization STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration retire-store --name \"Modi eum voluptatum.\" --authorization \"Doloremque est.\"")
 }
 
 func administrationFleetUsage() {
@@ -648,7 +712,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration fleet --authorization \"Assumenda saepe.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration fleet --authorization \"Sit nihil sequi voluptatem.\"")
 }
 
 // healthUsage displays the usage of the health command and its subcommands.
--- a/system/api/gen/http/work/client/cli.go
+++ b/system/api/gen/http/work/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(workStartBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"g2h\",\n      \"program\": \"1ly\",\n      \"request_key\": \"lhy\",\n      \"words\": \"Maiores ea accusamus ea fuga tenetur.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"eyf\",\n      \"program\": \"lhy\",\n      \"request_key\": \"zix\",\n      \"words\": \"Perspiciatis mollitia odio at.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Program) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.program", body.Program, utf8.RuneCountInString(body.Program), 63, false))
@@ -67,7 +67,7 @@
 	{
 		err = json.Unmarshal([]byte(workTurnBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 3130209832788806290,\n      \"kind\": \"zix\",\n      \"request_key\": \"gkb\",\n      \"words\": \"Quo consequuntur consequatur cupiditate.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 6007702923043958088,\n      \"kind\": \"slp\",\n      \"request_key\": \"xbj\",\n      \"words\": \"Autem sit quos asperiores.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Kind) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", body.Kind, utf8.RuneCountInString(body.Kind), 63, false))
@@ -111,7 +111,7 @@
 	{
 		err = json.Unmarshal([]byte(workToolBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 12986694431234759998,\n      \"kind\": \"44u\",\n      \"request_key\": \"6op\",\n      \"words\": \"Molestiae aut neque expedita.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 15501301683999215852,\n      \"kind\": \"jnx\",\n      \"request_key\": \"dw9\",\n      \"words\": \"Et neque sed suscipit quis.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Kind) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", body.Kind, utf8.RuneCountInString(body.Kind), 63, false))
@@ -153,7 +153,7 @@
 	{
 		err = json.Unmarshal([]byte(workHelperBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 7951325612055810784,\n      \"kind\": \"0xi\",\n      \"program\": \"nnl\",\n      \"request_key\": \"wvv\",\n      \"words\": \"Dicta nemo dolor ipsa.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 4596610138180689763,\n      \"kind\": \"29u\",\n      \"program\": \"sah\",\n      \"request_key\": \"80a\",\n      \"words\": \"Et ad tempore minus numquam.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Program) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.program", body.Program, utf8.RuneCountInString(body.Program), 63, false))
@@ -291,7 +291,7 @@
 	{
 		err = json.Unmarshal([]byte(workLookupBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"ag0\",\n      \"program\": \"gkt\",\n      \"request_key\": \"13z\",\n      \"words\": \"Ea optio dolorem corrupti.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"ot8\",\n      \"program\": \"xed\",\n      \"request_key\": \"qxf\",\n      \"words\": \"Suscipit et sed.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Program) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.program", body.Program, utf8.RuneCountInString(body.Program), 63, false))
@@ -333,7 +333,7 @@
 	{
 		err = json.Unmarshal([]byte(workOnceBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"uva\",\n      \"program\": \"5mh\",\n      \"request_key\": \"xbd\",\n      \"words\": \"Dolor qui sed nobis illum nostrum.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"ufk\",\n      \"program\": \"7qh\",\n      \"request_key\": \"uj4\",\n      \"words\": \"Soluta molestiae officia.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Program) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.program", body.Program, utf8.RuneCountInString(body.Program), 63, false))
--- a/system/coldstore/coldstore.go
+++ b/system/coldstore/coldstore.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -231,3 +232,31 @@
 	}
 	return nil
 }
+
+// Scrub reads every chunk again and drops from the index what has rotted, so that
+// repair finds the hole.
+//
+//	dropped := cold.Scrub()
+func (store *Store) Scrub() int {
+	store.mutex.RLock()
+	names := slices.Collect(maps.Keys(store.lines))
+	store.mutex.RUnlock()
+	dropped := 0
+	for _, name := range names {
+		store.mutex.RLock()
+		places := store.lines[name]
+		store.mutex.RUnlock()
+		for _, at := range places {
+			data, err := store.folder.ReadPart(fileName(at.file), at.offset, at.length)
+			if err == nil && crc32.Checksum(data[frameHeader:], checksums) == binary.LittleEndian.Uint32(data[4:]) {
+				continue
+			}
+			dropped++
+			store.mutex.Lock()
+			store.lines[name] = slices.DeleteFunc(slices.Clone(store.lines[name]), func(one place) bool { return one == at })
+			store.living[at.file]--
+			store.mutex.Unlock()
+		}
+	}
+	return dropped
+}
--- a/system/controlplane/administration.go
+++ b/system/controlplane/administration.go
@@ -19,12 +19,11 @@
 	"yardrock.example/system/feed"
 	"yardrock.example/system/httpface"
 	"yardrock.example/system/mishap"
-	"yardrock.example/system/wire"
-	"yardrock.example/system/wire/schema"
 )
 
 const (
 	administrationPatience = 5 * time.Second
+	retirePatience         = 2 * time.Minute
 	largestCharter         = 8 << 20
 )
 
@@ -75,18 +74,7 @@
 
 // newest reads the view by a quorum, wherever the leader is.
 func (service Administration) newest(ctx context.Context) (*feed.View, error) {
-	reply, err := service.node.answerFollow(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{SessionOnly: true}})
-	if err != nil {
-		return nil, unreachable(err)
-	}
-	return &reply.Follow.View, nil
-}
-
-func unreachable(err error) error {
-	if failed := mishap.Of(err); failed.Kind == mishap.NotLeader || failed.Kind == mishap.Unavailable {
-		return noQuorum()
-	}
-	return err
+	return service.node.confirmedView(ctx)
 }
 
 func (service Administration) change(ctx context.Context, change feed.Change) (*administration.Changed, error) {
@@ -113,6 +101,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := service.newest(ctx); err != nil {
+		return nil, err
+	}
 	return service.change(ctx, feed.Change{Kind: feed.ChangeCharter, By: by, Expects: true, Expected: expected, Source: source, Compiled: compiled})
 }
 
@@ -217,6 +208,36 @@
 	return true
 }
 
+// EnrolStore puts a live store into the store list.
+func (service Administration) EnrolStore(ctx context.Context, payload *administration.EnrolStorePayload) (*administration.Changed, error) {
+	ctx, cancel := context.WithTimeout(ctx, administrationPatience)
+	defer cancel()
+	by, err := service.operator(payload.Authorization)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := service.node.EnrolStore(ctx, by, payload.Name)
+	if err != nil {
+		return nil, unreachable(err)
+	}
+	return &administration.Changed{Number: reply.Number, Acknowledged: reply.Acknowledged}, nil
+}
+
+// RetireStore empties a store and answers once its machine may be switched off.
+func (service Administration) RetireStore(ctx context.Context, payload *administration.RetireStorePayload) (*administration.Changed, error) {
+	ctx, cancel := context.WithTimeout(ctx, retirePatience)
+	defer cancel()
+	by, err := service.operator(payload.Authorization)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := service.node.RetireStore(ctx, by, payload.Name)
+	if err != nil {
+		return nil, unreachable(err)
+	}
+	return &administration.Changed{Number: reply.Number, Acknowledged: reply.Acknowledged}, nil
+}
+
 // Fleet tells who is there and what is in force.
 func (service Administration) Fleet(ctx context.Context, payload *administration.FleetPayload) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, administrationPatience)
--- a/system/controlplane/changes.go
+++ b/system/controlplane/changes.go
@@ -124,6 +124,7 @@
 	defer cancel()
 	node.enrolControls(ctx)
 	node.foundStores(ctx)
+	node.replaceStores(ctx)
 	node.followAddresses(ctx)
 	node.pushStores()
 }
@@ -134,23 +135,6 @@
 	}
 }
 
-// foundStores makes the first store list once enough stores have sessions.
-func (node *Node) foundStores(ctx context.Context) {
-	view := node.View()
-	if len(view.Stores) > 0 || view.Number == 0 {
-		return
-	}
-	stores := []feed.Member{}
-	for _, member := range node.Live() {
-		if member.Role == feed.RoleStore {
-			stores = append(stores, member)
-		}
-	}
-	if len(stores) >= node.settings.FoundingStores {
-		node.propose(ctx, feed.Change{Kind: feed.ChangeStores, By: node.Name(), Expects: true, Expected: view.Number, Members: stores})
-	}
-}
-
 // followAddresses carries a member's new address into the lists.
 func (node *Node) followAddresses(ctx context.Context) {
 	live := map[string]feed.Member{}
@@ -174,29 +158,48 @@
 }
 
 // enrolControls takes live control nodes in: first as learners, then, once they
-// hold the log, as voters; one step at a time.
+// hold the log, as voters; one step at a time. A voter that is lost goes
+// as long as enough are left; if it comes back it is taken in again.
 func (node *Node) enrolControls(ctx context.Context) {
 	status := node.host.Statuses()[controlGroup]
 	if !status.Leading || status.Changing {
 		return
 	}
-	members := slices.Concat(status.Replicas.Voters, status.Replicas.Learners)
-	for _, learner := range status.Replicas.Learners {
-		if status.Matched[learner]+16 >= status.Commit && len(status.Replicas.Voters) < node.settings.MostControls {
-			next := agreement.Replicas{Voters: append(slices.Clone(status.Replicas.Voters), learner), Learners: slices.DeleteFunc(slices.Clone(status.Replicas.Learners), func(name string) bool { return name == learner })}
-			node.host.ChangeReplicas(controlGroup, next)
+	voters, learners := status.Replicas.Voters, status.Replicas.Learners
+	live := node.Live()
+	lost := slices.DeleteFunc(slices.Clone(voters), func(name string) bool { return !node.lost(name) })
+	for _, learner := range learners {
+		if status.Matched[learner]+16 >= status.Commit {
+			node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: append(slices.Clone(voters), learner), Learners: dropped(learners, learner)})
 			return
 		}
 	}
-	live := node.Live()
+	if len(lost) > 0 && len(voters) > fewestControls {
+		log.WithFields(log.Fields{"node": node.Name(), "lost": lost[0]}).Info("control_removed")
+		node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: dropped(voters, lost[0]), Learners: learners})
+		return
+	}
+	members := slices.Concat(voters, learners)
 	for _, member := range live {
-		if member.Role == feed.RoleControl && !slices.Contains(members, member.Name) && len(members) < node.settings.MostControls {
-			next := agreement.Replicas{Voters: status.Replicas.Voters, Learners: append(slices.Clone(status.Replicas.Learners), member.Name)}
-			node.host.ChangeReplicas(controlGroup, next)
+		if member.Role == feed.RoleControl && !slices.Contains(members, member.Name) && len(members)-len(lost) < node.settings.MostControls {
+			log.WithFields(log.Fields{"node": node.Name(), "control": member.Name}).Info("control_enrolled")
+			node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: voters, Learners: append(slices.Clone(learners), member.Name)})
 			return
 		}
 	}
-	node.listControls(ctx, status.Replicas.Voters, live)
+	node.listControls(ctx, voters, live)
+}
+
+// lost tells that a node has had no session for so long that it is not waited for.
+func (node *Node) lost(name string) bool {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	known, found := node.sessions[name]
+	return name != node.Name() && time.Since(node.began) > lostPatience && (!found || time.Since(known.heard) > lostPatience)
+}
+
+func dropped(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(one string) bool { return one == name })
 }
 
 // listControls carries the voters of the control group into the feed.
--- a/system/controlplane/machine.go
+++ b/system/controlplane/machine.go
@@ -64,7 +64,7 @@
 		return nil
 	},
 	feed.ChangeRecovered: func(view *feed.View, change feed.Change) error {
-		if view.Number != 1 || change.View.Number <= 1 {
+		if len(view.Stores) > 0 || change.View.Number <= view.Number {
 			return mishap.New(mishap.Conflict, "the feed has gone on already", "nothing is left to recover")
 		}
 		return nil
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -24,6 +24,8 @@
 
 const (
 	sessionPatience  = 3 * time.Second
+	lostPatience     = 10 * time.Second
+	fewestControls   = 3
 	gossipInterval   = 500 * time.Millisecond
 	steerInterval    = 500 * time.Millisecond
 	foundingInterval = 500 * time.Millisecond
@@ -57,6 +59,7 @@
 	machine  *feedMachine
 	server   *link.Server
 	seeds    atomic.Pointer[[]string]
+	began    time.Time
 
 	mutex    sync.Mutex
 	sessions map[string]session
@@ -79,7 +82,7 @@
 		return nil, err
 	}
 	node := &Node{
-		settings: settings, network: network, caller: link.NewCaller(network), machine: newFeedMachine(),
+		settings: settings, network: network, caller: link.NewCaller(network), machine: newFeedMachine(), began: time.Now(),
 		sessions: map[string]session{}, acked: map[string]uint64{}, changed: make(chan struct{}),
 	}
 	node.SetSeeds(settings.Seeds)
@@ -189,6 +192,10 @@
 	schema.Query_Which_change:    (*Node).answerChange,
 }
 
+// fleetless queries are taken whatever fleet the asker names: replicas know each
+// other by their disks, and a fleet that recovers changes its name back.
+var fleetless = map[schema.Query_Which]bool{schema.Query_Which_status: true, schema.Query_Which_agreement: true, schema.Query_Which_sessions: true}
+
 // Answer answers one query of another process.
 //
 //	reply := node.Answer(ctx, query)
@@ -197,7 +204,8 @@
 	if !known {
 		return wire.Failed(mishap.New(mishap.Invalid, "a control node does not answer this query", "ask a store node"))
 	}
-	if fleet := node.View().Fleet; query.Fleet != "" && fleet != "" && query.Fleet != fleet {
+	if fleet := node.View().Fleet; !fleetless[query.Which] && query.Fleet != "" && fleet != "" && query.Fleet != fleet {
+		node.noteLost(query)
 		return wire.Failed(mishap.New(mishap.ForeignFleet, "the asking process belongs to fleet "+query.Fleet+", this one to "+fleet, "correct its seeds, or empty its data folder so that it joins this fleet"))
 	}
 	reply, err := answer(node, ctx, query)
@@ -207,6 +215,14 @@
 	return reply
 }
 
+// noteLost keeps the session of a store that names another fleet, while this one
+// has no store list: it may hold what this control plane has lost.
+func (node *Node) noteLost(query *wire.Query) {
+	if query.Follow != nil && !query.Follow.SessionOnly && len(node.View().Stores) == 0 && query.Follow.Member.Role == feed.RoleStore {
+		node.renew(query.Follow.Member, 0, true)
+	}
+}
+
 func (node *Node) empty() bool { return node.host.Statuses()[controlGroup].Last == 0 }
 
 func (node *Node) answerStatus(_ context.Context, _ *wire.Query) (*wire.Reply, error) {
--- /dev/null
+++ b/system/controlplane/stores.go
@@ -0,0 +1,245 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+const (
+	// recoveredStep is how far a recovered feed jumps ahead, so that no number
+	// that was given out but not acknowledged is ever given out again.
+	recoveredStep = 1_000_000
+	retireWait    = 200 * time.Millisecond
+)
+
+// foundStores makes the first store list once enough stores have sessions. If a
+// store already holds a view, this control plane has lost its disks, and takes
+// what a majority of that view's stores hold instead.
+func (node *Node) foundStores(ctx context.Context) {
+	view := node.View()
+	if len(view.Stores) > 0 || view.Number == 0 {
+		return
+	}
+	stores := []feed.Member{}
+	for _, member := range node.Live() {
+		if member.Role == feed.RoleStore {
+			stores = append(stores, member)
+		}
+	}
+	held, answered := node.askHeld(ctx, stores)
+	if held.Number > 0 {
+		node.recover(ctx, held, answered)
+		return
+	}
+	if len(stores) >= node.settings.FoundingStores && len(answered) == len(stores) {
+		node.propose(ctx, feed.Change{Kind: feed.ChangeStores, By: node.Name(), Expects: true, Expected: view.Number, Members: stores})
+	}
+}
+
+// askHeld asks stores for the newest view that each has synced of a fleet that is
+// not this one's. A store whose own control plane is alive is left out.
+func (node *Node) askHeld(ctx context.Context, stores []feed.Member) (feed.View, []string) {
+	var mutex sync.Mutex
+	var asked sync.WaitGroup
+	newest, answered := feed.View{}, []string{}
+	for _, store := range stores {
+		asked.Go(func() {
+			reply, err := node.caller.Call(ctx, store.Address, &wire.Query{Which: schema.Query_Which_newest, Newest: &wire.NewestQuery{}})
+			if err != nil || reply.Newest == nil {
+				return
+			}
+			foreign := reply.Newest.Number > 0 && reply.Newest.View.Fleet != node.View().Fleet
+			if foreign && reply.Newest.Controlled {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			answered = append(answered, store.Name)
+			if foreign && reply.Newest.Number > newest.Number {
+				newest = reply.Newest.View
+			}
+		})
+	}
+	asked.Wait()
+	return newest, answered
+}
+
+func (node *Node) recover(ctx context.Context, held feed.View, answered []string) {
+	heard := 0
+	for _, store := range held.Stores {
+		if slices.Contains(answered, store.Name) {
+			heard++
+		}
+	}
+	if heard < len(held.Stores)/2+1 {
+		log.WithFields(log.Fields{"node": node.Name(), "number": held.Number, "heard": heard, "of": len(held.Stores)}).Warn("recovery_waits_for_stores")
+		return
+	}
+	view := node.View()
+	held.Number += recoveredStep
+	held.Controls, held.Founding = view.Controls, view.Founding
+	log.WithFields(log.Fields{"node": node.Name(), "fleet": held.Fleet, "number": held.Number}).Info("feed_recovered")
+	node.propose(ctx, feed.Change{Kind: feed.ChangeRecovered, By: node.Name(), View: held})
+}
+
+// ready refuses while there is no store list: until then nothing can be
+// acknowledged, and what was acknowledged before may not be recovered yet.
+func ready(view *feed.View) error {
+	if len(view.Stores) == 0 {
+		return mishap.Later(mishap.NoQuorum, "the fleet has no store list yet", "wait until its stores have sessions, or start the stores that are missing", time.Second)
+	}
+	return nil
+}
+
+// replaceStores puts a wiped machine's new identity into the place of its lost
+// one: same address, another disk.
+func (node *Node) replaceStores(ctx context.Context) {
+	view := node.View()
+	live := node.Live()
+	for _, fresh := range live {
+		if fresh.Role != feed.RoleStore || slices.ContainsFunc(view.Stores, func(store feed.Member) bool { return store.Name == fresh.Name }) {
+			continue
+		}
+		at := slices.IndexFunc(view.Stores, func(store feed.Member) bool { return store.Address == fresh.Address })
+		if at < 0 || slices.ContainsFunc(live, func(member feed.Member) bool { return member.Name == view.Stores[at].Name }) {
+			continue
+		}
+		next := slices.Clone(view.Stores)
+		log.WithFields(log.Fields{"node": node.Name(), "lost": next[at].Name, "store": fresh.Name}).Info("store_replaced")
+		next[at] = fresh
+		node.propose(ctx, feed.Change{Kind: feed.ChangeStores, By: node.Name(), Expects: true, Expected: view.Number, Members: next})
+		return
+	}
+}
+
+// EnrolStore puts a live store that has a session into the store list.
+//
+//	reply, err := node.EnrolStore(ctx, "root", "store-…")
+func (node *Node) EnrolStore(ctx context.Context, by, name string) (*wire.ChangeReply, error) {
+	view, err := node.confirmedView(ctx)
+	if err != nil {
+		return nil, err
+	}
+	at := slices.IndexFunc(view.Stores, func(store feed.Member) bool { return store.Name == name })
+	if at >= 0 && view.Stores[at].State != feed.Retiring {
+		return nil, mishap.New(mishap.Conflict, name+" is enrolled already", "nothing is left to do")
+	}
+	for _, member := range node.Live() {
+		if member.Name != name || member.Role != feed.RoleStore {
+			continue
+		}
+		next := slices.Clone(view.Stores)
+		if at >= 0 {
+			next[at] = member
+		} else {
+			if other := slices.IndexFunc(next, func(store feed.Member) bool { return store.Address == member.Address }); other >= 0 {
+				return nil, mishap.New(mishap.Conflict, "the address "+member.Address+" belongs to "+next[other].Name, "retire that store first, or use another address")
+			}
+			next = append(next, member)
+		}
+		return node.Change(ctx, feed.Change{Kind: feed.ChangeStores, By: by, Expects: true, Expected: view.Number, Members: next})
+	}
+	return nil, mishap.New(mishap.NotFound, "no store named "+name+" has a session", "start it with the seeds of this fleet; the fleet query lists who is there")
+}
+
+// RetireStore empties a store and returns once no group has a replica there, so
+// that its machine may be switched off.
+//
+//	reply, err := node.RetireStore(ctx, "root", "store-…")
+func (node *Node) RetireStore(ctx context.Context, by, name string) (*wire.ChangeReply, error) {
+	view, err := node.confirmedView(ctx)
+	if err != nil {
+		return nil, err
+	}
+	at := slices.IndexFunc(view.Stores, func(store feed.Member) bool { return store.Name == name })
+	if at < 0 {
+		return nil, mishap.New(mishap.NotFound, "no store named "+name+" is enrolled", "the fleet query lists the stores")
+	}
+	if left := len(view.StorePlaces()); view.Stores[at].State != feed.Retiring && left <= placement.Factor {
+		return nil, mishap.New(mishap.Conflict, fmt.Sprintf("only %d stores are left, and each group needs %d", left, placement.Factor), "enrol another store first")
+	}
+	next := slices.Clone(view.Stores)
+	next[at].State = feed.Retiring
+	if _, err := node.Change(ctx, feed.Change{Kind: feed.ChangeStores, By: by, Expects: true, Expected: view.Number, Members: next}); err != nil {
+		return nil, err
+	}
+	for {
+		view = node.View()
+		left, known := node.groupsOn(ctx, view, name)
+		if known && left == 0 {
+			next = slices.DeleteFunc(slices.Clone(view.Stores), func(store feed.Member) bool { return store.Name == name })
+			return node.Change(ctx, feed.Change{Kind: feed.ChangeStores, By: by, Expects: true, Expected: view.Number, Members: next})
+		}
+		select {
+		case <-time.After(retireWait):
+		case <-ctx.Done():
+			return nil, mishap.Later(mishap.Unclear, fmt.Sprintf("%s still has %d replicas; it goes on being emptied", name, left), "send the same command again to wait on", time.Second)
+		}
+	}
+}
+
+// groupsOn counts the groups whose confirmed leaders name a store; false tells
+// that some group has no leader who says.
+func (node *Node) groupsOn(ctx context.Context, view *feed.View, name string) (int, bool) {
+	leaders := node.groupLeaders(ctx, view)
+	count := 0
+	for _, status := range leaders {
+		if slices.Contains(status.Voters, name) || slices.Contains(status.Learners, name) {
+			count++
+		}
+	}
+	return count, len(leaders) == int(view.Groups)
+}
+
+// groupLeaders asks all stores and keeps what each group's leader says.
+func (node *Node) groupLeaders(ctx context.Context, view *feed.View) map[uint32]wire.GroupStatus {
+	var mutex sync.Mutex
+	var asked sync.WaitGroup
+	leaders := map[uint32]wire.GroupStatus{}
+	for _, store := range view.Stores {
+		asked.Go(func() {
+			limited, cancel := context.WithTimeout(ctx, callPatience)
+			defer cancel()
+			reply, err := node.caller.Call(limited, node.addressOf(store.Name), &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+			if err != nil || reply.Status == nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			for _, status := range reply.Status.Groups {
+				if status.Leading {
+					leaders[status.Group] = status
+				}
+			}
+		})
+	}
+	asked.Wait()
+	return leaders
+}
+
+// confirmedView reads the view by a quorum, wherever the leader is.
+func (node *Node) confirmedView(ctx context.Context) (*feed.View, error) {
+	reply, err := node.answerFollow(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{SessionOnly: true}})
+	if err != nil {
+		return nil, unreachable(err)
+	}
+	return &reply.Follow.View, ready(&reply.Follow.View)
+}
+
+func unreachable(err error) error {
+	if failed := mishap.Of(err); failed.Kind == mishap.NotLeader || failed.Kind == mishap.Unavailable {
+		return noQuorum()
+	}
+	return err
+}
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -39,9 +39,11 @@
 	view       atomic.Pointer[feed.View]
 	members    atomic.Pointer[[]feed.Member]
 	freshUntil atomic.Int64 // since began, on the monotonic clock
+	controlled atomic.Int64 // when a control quorum answered last, since began
 	adopting   sync.Mutex
 	control    string
 	known      []string
+	turns      int
 	context    context.Context
 	stop       context.CancelFunc
 	done       chan struct{}
@@ -94,6 +96,14 @@
 	return view, nil
 }
 
+// ControlledWithin tells whether a control quorum answered that lately.
+//
+//	if following.ControlledWithin(5 * time.Second) { ... }
+func (follower *Follower) ControlledWithin(age time.Duration) bool {
+	last := time.Duration(follower.controlled.Load())
+	return last > 0 && time.Since(follower.began)-last < age
+}
+
 // Adopt takes a view if it is newer, whoever brought it.
 //
 //	following.Adopt(view)
@@ -191,6 +201,7 @@
 	}
 	follower.Adopt(&next)
 	follower.confirm(asked)
+	follower.controlled.Store(int64(asked.Sub(follower.began)))
 	return true
 }
 
@@ -204,8 +215,9 @@
 		for _, member := range follower.view.Load().Controls {
 			follower.known = append(follower.known, member.Address)
 		}
-		if len(follower.known) == 0 {
-			follower.known = follower.askSeeds()
+		follower.turns++
+		if len(follower.known) == 0 || follower.turns%2 == 0 {
+			follower.known = append(follower.askSeeds(), follower.known...)
 		}
 	}
 	if len(follower.known) == 0 {
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -12,25 +12,29 @@
 	"yardrock.example/system/wire/schema"
 )
 
-func (node *Node) archiveLoop() {
-	defer node.tasks.Done()
-	ticker := time.NewTicker(archiveInterval)
+func (node *Node) repeat(interval time.Duration, task func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-node.context.Done():
 			return
 		case <-ticker.C:
+			task()
 		}
-		for group, status := range node.host.Statuses() {
-			if status.Leading {
-				node.archive(group, status.Replicas.Voters)
-			}
-		}
-		if err := node.cold.Expire(time.Now(), node.keeps); err != nil {
-			log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("cold_expiry_failed")
+	}
+}
+
+// archiveAll flushes the groups led here and forgets what is past its keeping.
+func (node *Node) archiveAll() {
+	for group, status := range node.host.Statuses() {
+		if status.Leading {
+			node.archive(group, status.Replicas.Voters)
 		}
 	}
+	if err := node.cold.Expire(time.Now(), node.keeps); err != nil {
+		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("cold_expiry_failed")
+	}
 }
 
 func (node *Node) keeps(name string) bool {
--- /dev/null
+++ b/system/store/moves.go
@@ -0,0 +1,213 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/agreement"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/line"
+	"yardrock.example/system/placement"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+const (
+	moveInterval   = time.Second
+	repairInterval = 10 * time.Second
+	// movesAtOnce bounds the groups that one leader lets catch up at a time.
+	movesAtOnce = 4
+	// caughtUp is how many entries a learner may lack when it becomes a voter.
+	caughtUp = 16
+)
+
+// moveAll brings the groups led here one step nearer to where the store list
+// wants them. The leader of a group does this alone; its term is the fence.
+func (node *Node) moveAll() {
+	view := node.held.Load()
+	if len(view.Stores) == 0 {
+		return
+	}
+	moving := 0
+	for group, status := range node.host.Statuses() {
+		target := placement.ReplicasOf(group, view.StorePlaces())
+		if !status.Confirmed {
+			node.leaveIfRemoved(group, status, target)
+			continue
+		}
+		if moving < movesAtOnce && node.moveOne(group, status, target, view) {
+			moving++
+		}
+	}
+}
+
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(one string) bool { return one == name })
+}
+
+// moveOne takes one step for a group: enrol a missing replica as learner, make a
+// learner that holds everything a voter, or let a voter go that is not wanted.
+func (node *Node) moveOne(group uint32, status agreement.Status, target []string, view *feed.View) bool {
+	replicas := status.Replicas
+	for _, learner := range replicas.Learners {
+		if !slices.Contains(target, learner) {
+			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: replicas.Voters, Learners: without(replicas.Learners, learner)})
+		}
+		if status.Matched[learner]+caughtUp >= status.Commit && node.mend(group, learner) {
+			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: append(slices.Clone(replicas.Voters), learner), Learners: without(replicas.Learners, learner)})
+		}
+		return true
+	}
+	for _, wanted := range target {
+		if !slices.Contains(replicas.Voters, wanted) && view.AddressOf(wanted) != "" {
+			log.WithFields(log.Fields{"node": node.Name(), "group": group, "learner": wanted}).Info("replica_enrolled")
+			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: replicas.Voters, Learners: append(slices.Clone(replicas.Learners), wanted)})
+		}
+	}
+	for _, voter := range replicas.Voters {
+		if slices.Contains(target, voter) || len(replicas.Voters) <= len(target) {
+			continue
+		}
+		if voter == node.Name() {
+			best := slices.MaxFunc(target, func(left, right string) int { return int(status.Matched[left]) - int(status.Matched[right]) })
+			node.host.HandOver(group, best)
+			return true
+		}
+		log.WithFields(log.Fields{"node": node.Name(), "group": group, "voter": voter}).Info("replica_removed")
+		return node.host.ChangeReplicas(group, agreement.Replicas{Voters: without(replicas.Voters, voter), Learners: replicas.Learners})
+	}
+	return false
+}
+
+// leaveIfRemoved forgets a replica that its group has let go: it hears of no
+// leader, and the confirmed leader's replica set lacks it.
+func (node *Node) leaveIfRemoved(group uint32, status agreement.Status, target []string) {
+	if status.Leader != "" || slices.Contains(target, node.Name()) {
+		return
+	}
+	for _, name := range target {
+		ctx, cancel := context.WithTimeout(node.context, callPatience)
+		reply, err := node.caller.Call(ctx, node.addressOf(name), &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+		cancel()
+		if err != nil || reply.Status == nil {
+			continue
+		}
+		for _, told := range reply.Status.Groups {
+			if told.Group == group && told.Leading && !slices.Contains(told.Voters, node.Name()) && !slices.Contains(told.Learners, node.Name()) {
+				log.WithFields(log.Fields{"node": node.Name(), "group": group}).Info("replica_left")
+				node.host.Remove(group)
+				return
+			}
+		}
+	}
+}
+
+// repairAll compares the cold copies of the groups led here and mends them.
+func (node *Node) repairAll() {
+	node.cold.Scrub()
+	for group, status := range node.host.Statuses() {
+		if !status.Confirmed {
+			continue
+		}
+		node.mendSelf(group)
+		for _, sibling := range status.Replicas.Voters {
+			if sibling != node.Name() {
+				node.mend(group, sibling)
+			}
+		}
+	}
+}
+
+// holes lists, for the archived part of each line, what a copy's ranges lack.
+func holes(snapshot *line.Snapshot, ranges []wire.RangeDigest) []wire.GetColdQuery {
+	byLine := map[string][]wire.RangeDigest{}
+	for _, one := range ranges {
+		byLine[one.Line] = append(byLine[one.Line], one)
+	}
+	found := []wire.GetColdQuery{}
+	for session := range snapshot.Sessions() {
+		have := byLine[session.Line]
+		slices.SortFunc(have, func(left, right wire.RangeDigest) int { return int(left.First) - int(right.First) })
+		reached := uint64(0)
+		for _, one := range have {
+			if one.First > reached+1 {
+				found = append(found, wire.GetColdQuery{Line: session.Line, After: reached, Through: one.First - 1})
+			}
+			reached = max(reached, one.Last)
+		}
+		if reached < session.ArchivedSeq {
+			found = append(found, wire.GetColdQuery{Line: session.Line, After: reached, Through: session.ArchivedSeq})
+		}
+	}
+	return found
+}
+
+// chunksFor reads what fills holes from this node's own copy, or from siblings.
+func (node *Node) chunksFor(group uint32, snapshot *line.Snapshot, missing []wire.GetColdQuery) ([]wire.ColdChunk, bool) {
+	ctx, cancel := context.WithTimeout(node.context, commandPatience)
+	defer cancel()
+	chunks, whole := []wire.ColdChunk{}, true
+	for _, hole := range missing {
+		session, found := snapshot.Session(hole.Line)
+		if !found {
+			continue
+		}
+		events, err := node.cold.Read(hole.Line, hole.After, hole.Through)
+		if err != nil || uint64(len(events)) != hole.Through-hole.After {
+			events = node.coldFromSiblings(ctx, group, hole.Line, hole.After, hole.Through, events)
+		}
+		if uint64(len(events)) != hole.Through-hole.After {
+			whole = false
+			continue
+		}
+		chunks = append(chunks, wire.ColdChunk{Group: group, Line: hole.Line, First: hole.After + 1, Last: hole.Through, Expires: session.Expires().UnixNano(), Events: events})
+	}
+	return chunks, whole
+}
+
+// mendSelf fills this node's own holes from its siblings.
+func (node *Node) mendSelf(group uint32) {
+	snapshot := node.machine(group).Snapshot()
+	missing := holes(snapshot, node.cold.Digests(group))
+	if len(missing) == 0 {
+		return
+	}
+	chunks, _ := node.chunksFor(group, snapshot, missing)
+	if err := node.cold.Put(chunks); err != nil {
+		log.WithFields(log.Fields{"node": node.Name(), "group": group, "error": err.Error()}).Warn("repair_failed")
+		return
+	}
+	log.WithFields(log.Fields{"node": node.Name(), "group": group, "chunks": len(chunks)}).Info("cold_mended")
+}
+
+// mend compares a sibling's copy by its ranges' digests and sends what it lacks.
+// It tells whether the sibling now holds all that is archived.
+func (node *Node) mend(group uint32, sibling string) bool {
+	ctx, cancel := context.WithTimeout(node.context, commandPatience)
+	defer cancel()
+	fleet, address := node.held.Load().Fleet, node.addressOf(sibling)
+	reply, err := node.caller.Call(ctx, address, &wire.Query{Fleet: fleet, Which: schema.Query_Which_digests, Digests: &wire.DigestQuery{Group: group}})
+	if err != nil || reply.Digests == nil {
+		return false
+	}
+	snapshot := node.machine(group).Snapshot()
+	missing := holes(snapshot, reply.Digests.Ranges)
+	if len(missing) == 0 {
+		return true
+	}
+	chunks, whole := node.chunksFor(group, snapshot, missing)
+	for len(chunks) > 0 {
+		batch := chunks[:min(len(chunks), chunksAtOnce)]
+		chunks = chunks[len(batch):]
+		if _, err := node.caller.Call(ctx, address, &wire.Query{Fleet: fleet, Which: schema.Query_Which_putCold, PutCold: &wire.ColdChunkBatch{Chunks: batch}}); err != nil {
+			return false
+		}
+	}
+	log.WithFields(log.Fields{"node": node.Name(), "group": group, "sibling": sibling, "holes": len(missing)}).Info("cold_mended")
+	return whole
+}
+
+const chunksAtOnce = 64
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -36,6 +36,7 @@
 	commandPatience = 3 * time.Second
 	pinPatience     = 5 * time.Second
 	mostEvents      = 4096
+	controlledFor   = 5 * time.Second
 )
 
 // Settings place a store node.
@@ -135,8 +136,9 @@
 	node.follow = follower.Start(node.caller, member, settings.Seeds, held, node.take)
 	node.server = link.Serve(listener, node.Answer)
 	node.foundGroups(held)
-	node.tasks.Add(1)
-	go node.archiveLoop()
+	node.tasks.Go(func() { node.repeat(archiveInterval, node.archiveAll) })
+	node.tasks.Go(func() { node.repeat(moveInterval, node.moveAll) })
+	node.tasks.Go(func() { node.repeat(repairInterval, node.repairAll) })
 	log.WithFields(log.Fields{"node": node.Name(), "address": settings.Address}).Info("store_started")
 	return node, nil
 }
@@ -244,7 +246,8 @@
 	if !known {
 		return wire.Failed(mishap.New(mishap.Invalid, "a store node does not answer this query", "ask a control node"))
 	}
-	if fleet := node.held.Load().Fleet; query.Fleet != "" && fleet != "" && query.Fleet != fleet {
+	exempt := query.Which == schema.Query_Which_newest || query.Which == schema.Query_Which_status
+	if fleet := node.held.Load().Fleet; !exempt && query.Fleet != "" && fleet != "" && query.Fleet != fleet {
 		return wire.Failed(mishap.New(mishap.ForeignFleet, "the asking process belongs to fleet "+query.Fleet+", this one to "+fleet, "correct its seeds, or empty its data folder so that it joins this fleet"))
 	}
 	reply, err := answer(node, ctx, query)
@@ -256,9 +259,13 @@
 
 func (node *Node) answerStatus(context.Context, *wire.Query) (*wire.Reply, error) {
 	view := node.held.Load()
+	groups := []wire.GroupStatus{}
+	for number, status := range node.host.Statuses() {
+		groups = append(groups, wire.GroupStatus{Group: number, Leading: status.Confirmed, Voters: status.Replicas.Voters, Learners: status.Replicas.Learners})
+	}
 	return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
 		Name: node.Name(), Role: feed.RoleStore, Address: node.settings.Address, Domain: node.settings.Domain,
-		Empty: view.Number == 0, Fleet: view.Fleet, Number: view.Number, Controls: view.Controls,
+		Empty: view.Number == 0, Fleet: view.Fleet, Number: view.Number, Controls: view.Controls, Groups: groups,
 	}}, nil
 }
 
@@ -279,7 +286,7 @@
 
 func (node *Node) answerNewest(_ context.Context, query *wire.Query) (*wire.Reply, error) {
 	view := node.held.Load()
-	answer := &wire.NewestReply{Number: view.Number}
+	answer := &wire.NewestReply{Number: view.Number, Controlled: node.follow.ControlledWithin(controlledFor)}
 	if view.Number > query.Newest.After {
 		answer.View = *view
 	}
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -123,6 +123,14 @@
   leader @7 :Text;
   controls @8 :List(Member);
   founding @9 :List(Text);
+  groups @10 :List(GroupStatus);
+}
+
+struct GroupStatus {
+  group @0 :UInt32;
+  leading @1 :Bool;
+  voters @2 :List(Text);
+  learners @3 :List(Text);
 }
 
 struct Member {
@@ -374,6 +382,7 @@
 struct NewestReply {
   number @0 :UInt64;
   view @1 :View;
+  controlled @2 :Bool;
 }
 
 struct SessionBatch {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -88,6 +88,15 @@
 	Leader   string
 	Controls []feed.Member
 	Founding []string
+	Groups   []GroupStatus
+}
+
+// GroupStatus is a replica's word on one group; only a leader's counts.
+type GroupStatus struct {
+	Group    uint32
+	Leading  bool
+	Voters   []string
+	Learners []string
 }
 
 // CommandQuery asks a group's leader to commit commands.
@@ -179,6 +188,8 @@
 type NewestReply struct {
 	Number uint64
 	View   feed.View
+	// Controlled tells that a control quorum of this fleet was heard lately.
+	Controlled bool
 }
 
 // SessionBatch tells the sessions that a control node holds.
