--- /dev/null
+++ b/system/settings/settings_test.go
@@ -0,0 +1,65 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"yardrock.example/system/mishap"
+)
+
+func front(more ...string) []string {
+	return append([]string{"--role", "front", "--address", "127.0.0.1:7000", "--public", "127.0.0.1:7100", "--domain", "east", "--seeds", "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, more...)
+}
+
+func TestWrongSettingsNameTheFieldAndTheRemedy(t *testing.T) {
+	folder := t.TempDir()
+	unknown := filepath.Join(folder, "unknown.json")
+	if err := os.WriteFile(unknown, []byte(`{"colour": "red"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, one := range map[string]struct {
+		arguments []string
+		field     string
+	}{
+		"no seeds":         {front()[:8], "seeds"},
+		"two seeds":        {front()[:11], "seeds"},
+		"one seed twice":   {append(front()[:10], "10.0.0.1:1", "10.0.0.3:1"), "seeds"},
+		"a seed by name":   {append(front()[:10], "host:1", "10.0.0.3:1"), "seeds"},
+		"no port":          {front("--address", "127.0.0.1"), "address"},
+		"port 0":           {front("--public", "127.0.0.1:0"), "public"},
+		"no such role":     {front("--role", "cook"), "role"},
+		"store, no folder": {front("--role", "store"), "folder"},
+		"no such level":    {front("--log", "loud"), "log"},
+		"unknown flag":     {front("--colour", "red"), "colour"},
+		"unknown key":      {front("--settings", unknown), "colour"},
+		"no such file":     {front("--settings", filepath.Join(folder, "none")), "settings"},
+		"no domain":        {front("--domain", ""), "domain"},
+	} {
+		_, err := LoadDataPlane(one.arguments, &bytes.Buffer{})
+		if !mishap.Is(err, mishap.BadSettings) || !strings.Contains(err.Error(), one.field) || mishap.Of(err).Remedy == "" {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := LoadControlPlane([]string{"--address", "127.0.0.1:7000", "--administration", "127.0.0.1:1", "--domain", "east", "--folder", folder, "--groups", "5000", "--seeds", "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, &bytes.Buffer{}); !mishap.Is(err, mishap.BadSettings) || !strings.Contains(err.Error(), "groups") {
+		t.Errorf("groups out of range: %v", err)
+	}
+}
+
+func TestFlagsWinOverTheFileAndVersionIsShown(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, []byte(`{"domain": "west", "log": "warn"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	loaded, err := LoadDataPlane(front("--settings", file), &bytes.Buffer{})
+	if err != nil || loaded.Domain != "east" || loaded.Log != "warn" {
+		t.Fatalf("%+v %v", loaded, err)
+	}
+	output := &bytes.Buffer{}
+	if _, err := LoadDataPlane([]string{"--version"}, output); !errors.Is(err, ErrShown) || !strings.Contains(output.String(), Version) {
+		t.Fatalf("%v %q", err, output)
+	}
+}
