--- a/proof/cmd/standin/main.go
+++ b/proof/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	Plain    time.Duration `arg:"--plain" default:"10ms" help:"time of a plain answer"`
 	Lag      time.Duration `arg:"--lag" default:"500ms" help:"lag of the platform's list"`
 	Throttle time.Duration `arg:"--throttle" default:"200ms" help:"shortest time between two list queries"`
+	Record   string        `arg:"--record" help:"file that keeps executions over restarts"`
 	Runners  string        `arg:"--runners" help:"file with the first list"`
 }
 
@@ -35,7 +36,13 @@
 
 func serve(chosen options) error {
 	if chosen.Serve == "runner" {
-		return http.ListenAndServe(chosen.Address, standin.NewRunner(standin.Pace{First: chosen.First, Piece: chosen.Piece, Plain: chosen.Plain}))
+		runner := standin.NewRunner(standin.Pace{First: chosen.First, Piece: chosen.Piece, Plain: chosen.Plain})
+		if chosen.Record != "" {
+			if err := runner.Remember(chosen.Record); err != nil {
+				return err
+			}
+		}
+		return http.ListenAndServe(chosen.Address, runner)
 	}
 	platform := &standin.Platform{Lag: chosen.Lag, Throttle: chosen.Throttle}
 	if chosen.Runners != "" {
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -162,7 +162,7 @@
 		address := found.next(host(kind, index))
 		running.Runners = append(running.Runners, standin.ListedRunner{Address: address, Group: group, Domain: domain(index), State: "serving"})
 		running.Processes = append(running.Processes, &Process{Name: name, Role: "runner", Domain: domain(index), Address: address, binary: filepath.Join(programs, "standin"), log: filepath.Join(running.Folder, name+".log"),
-			arguments: []string{"--address", address, "--first", pace.First.String(), "--piece", pace.Piece.String(), "--plain", pace.Plain.String()}})
+			arguments: []string{"--address", address, "--first", pace.First.String(), "--piece", pace.Piece.String(), "--plain", pace.Plain.String(), "--record", filepath.Join(running.Folder, name+".executions")}})
 	}
 	for index := range deployment.Models {
 		group := "large"
--- /dev/null
+++ b/proof/simulator/badinput_test.go
@@ -0,0 +1,130 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestBadInputIsRefusedWithKindAndRemedy(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		first, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "hello"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer, err := cluster.once(cluster.Fronts[0], "used", "one body"); err != nil || answer.Status != http.StatusOK {
+			t.Fatalf("%v %+v", err, answer)
+		}
+		here := "/v1/conversations/" + first.Conversation
+		long := strings.Repeat("word ", 1<<20)
+		for _, one := range []struct {
+			name, method, path, token string
+			body                      any
+			status                    int
+			kind                      string
+		}{
+			{"malformed JSON", "POST", "/v1/conversations", TeamToken, `{"program": "dialogue",`, 400, "invalid"},
+			{"a field is missing", "POST", "/v1/conversations", TeamToken, `{"program": "dialogue"}`, 400, "invalid"},
+			{"a field of the wrong type", "POST", "/v1/conversations", TeamToken, `{"program": 7, "kind": "talk", "words": "x"}`, 400, "invalid"},
+			{"too large a body", "POST", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": long}, 413, "too_large"},
+			{"no token", "POST", "/v1/conversations", "", map[string]any{"program": "dialogue", "kind": "talk", "words": "x"}, 401, "unauthorized"},
+			{"a wrong token", "POST", "/v1/conversations", "nobody", map[string]any{"program": "dialogue", "kind": "talk", "words": "x"}, 401, "unauthorized"},
+			{"an unknown program", "POST", "/v1/conversations", TeamToken, map[string]any{"program": "none", "kind": "talk", "words": "x"}, 404, "not_found"},
+			{"another team's program", "POST", "/v1/conversations", TeamToken, map[string]any{"program": "foreign", "kind": "talk", "words": "x"}, 404, "not_found"},
+			{"an unknown kind", "POST", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "none", "words": "x"}, 404, "not_found"},
+			{"plain work as a turn", "POST", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "lookup", "words": "x"}, 400, "invalid"},
+			{"a turn as a lookup", "POST", "/v1/lookups", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "x"}, 400, "invalid"},
+			{"unrepeatable work as a lookup", "POST", "/v1/lookups", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "x"}, 400, "invalid"},
+			{"a request without a key", "POST", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "x"}, 400, "invalid"},
+			{"a request with an empty key", "POST", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "x", "request_key": ""}, 400, "invalid"},
+			{"a used key with another body", "POST", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "another", "request_key": "used"}, 409, "conflict"},
+			{"following an unknown conversation", "POST", "/v1/conversations/c-none/turns", TeamToken, map[string]any{"kind": "talk", "words": "x", "follows": 1}, 404, "not_found"},
+			{"following a turn that is not there", "POST", here + "/turns", TeamToken, map[string]any{"kind": "talk", "words": "x", "follows": 99}, 404, "not_found"},
+			{"following a piece", "POST", here + "/turns", TeamToken, map[string]any{"kind": "talk", "words": "x", "follows": 2}, 404, "not_found"},
+			{"following nothing", "POST", here + "/turns", TeamToken, map[string]any{"kind": "talk", "words": "x", "follows": 0}, 400, "invalid"},
+			{"following a foreign line", "POST", here + "/turns", OtherToken, map[string]any{"kind": "talk", "words": "x", "follows": first.Turn}, 404, "not_found"},
+			{"reading a foreign line", "GET", here, OtherToken, nil, 404, "not_found"},
+			{"tailing a foreign line", "GET", here + "/tail", OtherToken, nil, 404, "not_found"},
+			{"a cursor beyond the end", "GET", here + "/tail?cursor=9999", TeamToken, nil, 400, "invalid"},
+			{"a page beyond the end", "GET", here + "?after=9999", TeamToken, nil, 400, "invalid"},
+			{"a page of no size", "GET", here + "?limit=0", TeamToken, nil, 400, "invalid"},
+			{"a tool of an unknown conversation", "POST", "/v1/conversations/c-none/tools", TeamToken, map[string]any{"kind": "receipt", "words": "x", "follows": 1, "request_key": "k"}, 404, "not_found"},
+			{"a helper of an unknown turn", "POST", here + "/helpers", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "x", "follows": 99, "request_key": "k"}, 404, "not_found"},
+			{"another team's tally", "GET", "/v1/tallies/foreign", TeamToken, nil, 404, "not_found"},
+		} {
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			answer, err := cluster.Ask(ctx, one.method, cluster.Fronts[1].Host+":7100", one.path, one.token, one.body)
+			cancel()
+			if err != nil {
+				t.Errorf("%s: %v", one.name, err)
+				continue
+			}
+			if answer.Status != one.status || answer.Failure.Kind != one.kind || answer.Failure.Message == "" || answer.Failure.Remedy == "" {
+				t.Errorf("%s: %d %s", one.name, answer.Status, answer.Body)
+			}
+		}
+		before, err := cluster.fleet()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, one := range []struct {
+			name, method, path, token string
+			body                      any
+			kind                      string
+		}{
+			{"invalid CUE", "PUT", "/v1/charter", RootToken, map[string]any{"source": "teams: {", "expected": before.CharterNumber}, "invalid"},
+			{"a charter that names no group", "PUT", "/v1/charter", RootToken, map[string]any{"source": Charter(Rules) + "\ntables: talk: nowhere: 1", "expected": before.CharterNumber}, "invalid"},
+			{"an old number", "PUT", "/v1/charter", RootToken, map[string]any{"source": Charter(Rules), "expected": before.CharterNumber - 1}, "conflict"},
+			{"a path that is not there", "PATCH", "/v1/charter", RootToken, map[string]any{"path": "programs.none.allowance", "value": 5}, "invalid"},
+			{"a value out of range", "PATCH", "/v1/charter", RootToken, map[string]any{"path": "programs.dialogue.allowance", "value": -5}, "invalid"},
+			{"a team's token", "PATCH", "/v1/charter", TeamToken, map[string]any{"path": "programs.dialogue.allowance", "value": 5}, "unauthorized"},
+			{"no token", "GET", "/v1/fleet", "", nil, "unauthorized"},
+			{"an unknown state", "POST", "/v1/domains/east", RootToken, map[string]any{"state": "gone"}, "invalid"},
+		} {
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			answer, err := cluster.Ask(ctx, one.method, cluster.Controls[1].Host+":7200", one.path, one.token, one.body)
+			cancel()
+			if err != nil || answer.Failure.Kind != one.kind || answer.Failure.Remedy == "" {
+				t.Errorf("%s: %v %+v", one.name, err, answer)
+			}
+		}
+		after, err := cluster.fleet()
+		if err != nil || after.CharterNumber != before.CharterNumber {
+			t.Errorf("refused charters changed the charter from %d to %d (%v)", before.CharterNumber, after.CharterNumber, err)
+		}
+	})
+}
+
+// TestABrokenLinkOfOneFrontRefusesAsNotRun cuts a front from all stores: what it
+// cannot record it must not run, and it says when to come back.
+func TestABrokenLinkOfOneFrontRefusesAsNotRun(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		front := cluster.Fronts[0]
+		for _, store := range cluster.Stores {
+			cluster.Network.Cut(front.Host, store.Host)
+		}
+		for round := range 3 {
+			key := fmt.Sprintf("cut-%d", round)
+			answer, err := cluster.once(front, key, "pay")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if answer.Failure.Kind != "not_run" || answer.Header.Get("Retry-After") == "" {
+				t.Fatalf("%d %s", answer.Status, answer.Body)
+			}
+			checkOnce(t, cluster, key, []*Answer{answer})
+		}
+		for _, store := range cluster.Stores {
+			cluster.Network.Mend(front.Host, store.Host)
+		}
+		<-time.After(15 * time.Second) // what waited on the cut links arrives now
+		for round := range 3 {
+			if count := cluster.executions(fmt.Sprintf("dialogue/receipt/cut-%d", round)); count != 0 {
+				t.Fatalf("work told as not run ran %d times", count)
+			}
+		}
+	})
+}
--- a/proof/standin/runner.go
+++ b/proof/standin/runner.go
@@ -6,9 +6,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"maps"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -40,6 +43,7 @@
 	out    int
 	record Record
 	paths  map[int64]string
+	file   *os.File
 }
 
 // NewRunner makes a runner of a pace.
@@ -49,6 +53,22 @@
 	return &Runner{pace: pace, record: Record{Executions: map[string]int{}}, paths: map[int64]string{}}
 }
 
+// Remember keeps the executions in a file over restarts, as the ledger of a real
+// application would be kept.
+//
+//	err := runner.Remember("/tmp/executions")
+func (runner *Runner) Remember(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	for key := range strings.Lines(string(data)) {
+		runner.record.Executions[strings.TrimSpace(key)]++
+	}
+	runner.file, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return err
+}
+
 // Record gives a copy of what the runner saw.
 //
 //	seen := runner.Record()
@@ -207,7 +227,11 @@
 	}
 	if asked.RequestKey != "" {
 		runner.mutex.Lock()
-		runner.record.Executions[asked.Program+"/"+asked.Kind+"/"+asked.RequestKey]++
+		key := asked.Program + "/" + asked.Kind + "/" + asked.RequestKey
+		runner.record.Executions[key]++
+		if runner.file != nil {
+			fmt.Fprintln(runner.file, key)
+		}
 		runner.mutex.Unlock()
 	}
 	time.Sleep(runner.pace.Plain)
--- a/system/controlplane/administration.go
+++ b/system/controlplane/administration.go
@@ -253,8 +253,9 @@
 	sort.Slice(live, func(left, right int) bool {
 		return live[left].Role+live[left].Domain < live[right].Role+live[right].Domain
 	})
+	unhealed := service.node.unhealed(ctx, view)
 	return map[string]any{
-		"fleet": view.Fleet, "number": view.Number, "charter_number": view.CharterNumber, "groups": view.Groups,
+		"unhealed_groups": unhealed, "fleet": view.Fleet, "number": view.Number, "charter_number": view.CharterNumber, "groups": view.Groups,
 		"leader": service.node.host.Statuses()[controlGroup].Leader, "members": live, "stores": view.Stores, "controls": view.Controls,
 		"domains": view.Domains, "runners": view.Runners, "duties": view.Duties,
 	}, nil
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -202,6 +202,20 @@
 	return count, len(leaders) == int(view.Groups)
 }
 
+// unhealed counts the groups that have no leader, or not the replica set that the
+// store list wants.
+func (node *Node) unhealed(ctx context.Context, view *feed.View) int {
+	leaders := node.groupLeaders(ctx, view)
+	count := 0
+	for group := range view.Groups {
+		voters := slices.Sorted(slices.Values(leaders[group].Voters))
+		if !slices.Equal(voters, slices.Sorted(slices.Values(placement.ReplicasOf(group, view.StorePlaces())))) {
+			count++
+		}
+	}
+	return count
+}
+
 // groupLeaders asks all stores and keeps what each group's leader says.
 func (node *Node) groupLeaders(ctx context.Context, view *feed.View) map[uint32]wire.GroupStatus {
 	var mutex sync.Mutex
