--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -33,6 +33,8 @@
 // Shape is how many nodes a cluster has, over three domains.
 type Shape struct {
 	Controls, Stores, Fronts, Models, Applications int
+	// Groups of lines; 0 means 8.
+	Groups uint32
 }
 
 // Small is the shape that most tests need.
@@ -70,6 +72,7 @@
 	seeds    []string
 	platform *http.Server
 	seed     uint64
+	groups   uint32
 	caller   *Host
 }
 
@@ -80,7 +83,7 @@
 //	cluster, err := simulator.Start(7, simulator.Small, charterSource)
 //	defer cluster.Stop()
 func Start(seed uint64, shape Shape, rules string) (*Cluster, error) {
-	cluster := &Cluster{Network: NewNetwork(seed), seed: seed, Platform: &standin.Platform{}}
+	cluster := &Cluster{Network: NewNetwork(seed), seed: seed, groups: max(shape.Groups, 8), Platform: &standin.Platform{}}
 	cluster.caller = cluster.Network.At("10.9.9.9")
 	for index := range 3 {
 		cluster.seeds = append(cluster.seeds, fmt.Sprintf("10.0.0.%d:7000", index+1))
@@ -127,7 +130,7 @@
 	machine.start = func() (err error) {
 		machine.Control, err = controlplane.Start(controlplane.Settings{
 			Address: machine.Host + ":7000", Administration: machine.Host + ":7200", Domain: machine.Domain, Seeds: cluster.seeds,
-			FoundingStores: 3, Groups: 8, MostControls: 5, Replica: cluster.pace(index),
+			FoundingStores: 3, Groups: cluster.groups, MostControls: 5, Replica: cluster.pace(index),
 		}, machine.Disk, cluster.Network.At(machine.Host))
 		if err != nil {
 			return err
