--- /dev/null
+++ b/proof/simulator/linearizable_test.go
@@ -0,0 +1,234 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/follower"
+	"yardrock.example/system/line"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/storeclient"
+	"yardrock.example/system/wire"
+)
+
+type lineInput struct {
+	line     string
+	read     bool
+	word     string
+	expects  bool
+	expected uint64
+}
+
+type lineOutput struct {
+	unknown bool
+	refused bool
+	seq     uint64
+	words   string
+}
+
+// lineModel is what one line must look like to all: appends in one order, each
+// with the next seq, and reads that show all appends before them.
+var lineModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byLine := map[string][]porcupine.Operation{}
+		for _, operation := range history {
+			name := operation.Input.(lineInput).line
+			byLine[name] = append(byLine[name], operation)
+		}
+		parts := [][]porcupine.Operation{}
+		for _, part := range byLine {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		words, asked, told := state.(string), input.(lineInput), output.(lineOutput)
+		head := uint64(strings.Count(words, ","))
+		if asked.read {
+			return told.unknown || told.words == words, words
+		}
+		matches := !asked.expects || asked.expected == head
+		switch {
+		case told.unknown && !matches:
+			return true, words
+		case told.unknown:
+			return true, words + asked.word + ","
+		case told.refused:
+			return !matches, words
+		}
+		return matches && told.seq == head+1, words + asked.word + ","
+	},
+	Equal: func(left, right any) bool { return left.(string) == right.(string) },
+}
+
+func TestLineHistoriesAreLinearizableUnderFaults(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+				history, unknown, refused := clients(cluster, seed)
+				t.Logf("%d operations, %d unknown, %d refused", len(history), unknown, refused)
+				if len(history) < 150 || refused == 0 {
+					t.Fatalf("too little was done: %d operations, %d refused", len(history), refused)
+				}
+				if !porcupine.CheckOperations(lineModel, history) {
+					t.Fatal("no order of the operations explains what clients saw")
+				}
+			})
+		})
+	}
+}
+
+// clients runs four clients against two lines while stores are killed, lose
+// power, stall and are cut off.
+func clients(cluster *Cluster, seed uint64) ([]porcupine.Operation, int, int) {
+	var mutex sync.Mutex
+	history, unknown, refused := []porcupine.Operation{}, 0, 0
+	began := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	var working sync.WaitGroup
+	for number := range 4 {
+		working.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(number)))
+			host := fmt.Sprintf("10.8.0.%d", number+1)
+			caller := link.NewCaller(cluster.Network.At(host))
+			defer caller.Close()
+			following := follower.Start(caller, feed.Member{Name: host, Role: "client", Address: host + ":1"}, cluster.seeds, nil, func(*feed.View) {})
+			defer following.Stop()
+			for following.View().Groups == 0 {
+				<-time.After(50 * time.Millisecond)
+			}
+			client := storeclient.New(caller, following.View)
+			seen := map[string]uint64{}
+			for position := 0; ctx.Err() == nil; position++ {
+				input := lineInput{line: fmt.Sprintf("depot/line-%d", random.IntN(2)), read: random.IntN(3) == 0, word: fmt.Sprintf("%d-%d", number, position), expects: random.IntN(2) == 0}
+				input.expected = seen[input.line]
+				called := time.Since(began)
+				output := operate(client, input, seen)
+				mutex.Lock()
+				operation := porcupine.Operation{ClientId: number, Input: input, Output: output, Call: int64(called), Return: int64(time.Since(began))}
+				if output.unknown {
+					unknown++
+					operation.ClientId = 1000 + len(history) // it may still happen at any later time
+					operation.Return = int64(time.Hour)
+				}
+				if output.refused {
+					refused++
+				}
+				history = append(history, operation)
+				mutex.Unlock()
+				<-time.After(time.Duration(random.IntN(120)) * time.Millisecond)
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(seed, 99))
+	for range 8 {
+		store := cluster.Stores[random.IntN(3)]
+		switch random.IntN(4) {
+		case 0:
+			store.Kill()
+			<-time.After(1500 * time.Millisecond)
+			store.Start()
+		case 1:
+			store.LosePower()
+			store.Start()
+		case 2:
+			cluster.Network.Isolate(store.Host)
+			<-time.After(2500 * time.Millisecond)
+			cluster.Network.Rejoin(store.Host)
+		case 3:
+			store.Disk.Stall()
+			<-time.After(2500 * time.Millisecond)
+			store.Disk.Resume()
+		}
+		<-time.After(1500 * time.Millisecond)
+	}
+	cancel()
+	working.Wait()
+	return history, unknown, refused
+}
+
+func operate(client *storeclient.Client, input lineInput, seen map[string]uint64) lineOutput {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if input.read {
+		reply, err := client.Read(ctx, wire.ReadQuery{Line: input.line})
+		if mishap.Is(err, mishap.NotFound) {
+			return lineOutput{}
+		}
+		if err != nil {
+			return lineOutput{unknown: true}
+		}
+		words := ""
+		for _, event := range reply.Events {
+			words += event.Words + ","
+		}
+		seen[input.line] = reply.Session.Head
+		return lineOutput{words: words}
+	}
+	outcomes, err := client.Command(ctx, input.line,
+		line.Command{Kind: line.CreateSession, KeepFor: time.Hour},
+		line.Command{Kind: line.AppendEvent, Producer: input.word, ProducerSeq: 1, Expects: input.expects, ExpectedSeq: input.expected, Events: []line.Event{{Kind: line.HelperStarted, Words: input.word}}})
+	if err != nil {
+		return lineOutput{unknown: true}
+	}
+	seen[input.line] = outcomes[1].Head
+	return lineOutput{refused: outcomes[1].Status == line.UnexpectedSeq, seq: outcomes[1].Seq}
+}
+
+// TestAFrozenDutyOwnerThatWakesDoesNoHarm isolates the owner of the roster duty;
+// another takes it under the next fence, and what the old one puts is refused.
+func TestAFrozenDutyOwnerThatWakesDoesNoHarm(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		held := cluster.Controls[0].Control.View().DutyOf("roster")
+		var owner *Machine
+		for _, machine := range cluster.Controls {
+			if machine.Control.Name() == held.Owner {
+				owner = machine
+			}
+		}
+		if owner == nil {
+			t.Fatalf("nobody owns the roster duty: %+v", held)
+		}
+		cluster.Network.Isolate(owner.Host)
+		err := cluster.Await(20*time.Second, "new owner", func() error {
+			for _, machine := range cluster.Controls {
+				if now := machine.Control.View().DutyOf("roster"); machine != owner && now.Fence > held.Fence && now.Owner != held.Owner {
+					return nil
+				}
+			}
+			return fmt.Errorf("the duty stays with %s", held.Owner)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		cluster.Network.Rejoin(owner.Host)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		err = cluster.Await(10*time.Second, "refusal", func() error {
+			_, err := owner.Control.Change(ctx, feed.Change{Kind: feed.ChangeRoster, Duty: held, Runners: []feed.Runner{}})
+			if mishap.Is(err, mishap.Conflict) {
+				return nil
+			}
+			if err == nil {
+				t.Fatal("a roster under an old fence was taken")
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(cluster.Controls[0].Control.View().Runners) == 0 {
+			t.Fatal("the roster is gone")
+		}
+	})
+}
