A call to a sibling that reads nothing returns with its context

Cause: after a store had been frozen for 4 s under the agency's load, its siblings' couriers never sent to it again; when another store was then wiped, no group had a majority and all 32 stayed without a leader (12734 refusals). The Cap'n Proto library's wait for an answer does not end with the context when the connection's buffers are full. Ruled out: the replica loop (its goroutines were idle) and moves (no step was asked of them). Before: a call to a listener that reads nothing hangs (test fails after 20 s). After: it returns with its context; the stream is closed before the library's connection, so that dropping it cannot hang either.

--- a/system/link/link.go
+++ b/system/link/link.go
@@ -53,6 +53,7 @@
 
 type connection struct {
 	ready  chan struct{}
+	stream net.Conn
 	rpc    *rpc.Conn
 	node   schema.Node
 	failed error
@@ -108,6 +109,7 @@
 		close(line.ready)
 		return
 	}
+	line.stream = stream
 	line.rpc = rpc.NewConn(rpc.NewStreamTransport(stream), nil)
 	line.node = schema.Node(line.rpc.Bootstrap(context.Background()))
 	close(line.ready)
@@ -155,6 +157,7 @@
 func (line *connection) close() {
 	<-line.ready
 	if line.failed == nil {
+		line.stream.Close() // first, or the library waits for what it still has to write
 		line.rpc.Close()
 	}
 }
@@ -184,6 +187,27 @@
 	}
 	query.Version = wire.Version
 	caller.calls.Add(1)
+	// The library's own waits do not all end with the context: a sibling that
+	// reads nothing would hold the caller for ever.
+	done := make(chan answered, 1)
+	go func() { done <- line.ask(ctx, address, query) }()
+	select {
+	case got := <-done:
+		if got.reply == nil && line.dead() {
+			caller.forget(address, line)
+		}
+		return got.reply, got.err
+	case <-ctx.Done():
+		return nil, mishap.New(mishap.Unavailable, "no answer in time from "+address, "ask again; whether the query arrived is not known")
+	}
+}
+
+type answered struct {
+	reply *wire.Reply
+	err   error
+}
+
+func (line *connection) ask(ctx context.Context, address string, query *wire.Query) answered {
 	future, release := line.node.Deliver(ctx, func(params schema.Node_deliver_Params) error {
 		target, err := params.NewQuery()
 		if err != nil {
@@ -194,22 +218,17 @@
 	defer release()
 	results, err := future.Struct()
 	if err != nil {
-		select {
-		case <-line.rpc.Done():
-			caller.forget(address, line)
-		default:
-		}
-		return nil, mishap.New(mishap.Unavailable, "no answer from "+address+": "+err.Error(), "ask again; whether the query arrived is not known")
+		return answered{err: mishap.New(mishap.Unavailable, "no answer from "+address+": "+err.Error(), "ask again; whether the query arrived is not known")}
 	}
 	source, err := results.Reply()
 	if err != nil {
-		return nil, mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")
+		return answered{err: mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")}
 	}
 	reply, err := wire.TakeReply(source)
 	if err != nil {
-		return nil, mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")
+		return answered{err: mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")}
 	}
-	return reply, reply.Err()
+	return answered{reply, reply.Err()}
 }
 
 // Server answers queries that come over a listener.
@@ -217,7 +236,7 @@
 	listener net.Listener
 	handler  Handler
 	mutex    sync.Mutex
-	open     map[*rpc.Conn]bool
+	open     map[*rpc.Conn]net.Conn
 	closed   bool
 	done     sync.WaitGroup
 }
@@ -227,7 +246,7 @@
 //	server := link.Serve(listener, node.Answer)
 //	defer server.Close()
 func Serve(listener net.Listener, handler Handler) *Server {
-	server := &Server{listener: listener, handler: handler, open: map[*rpc.Conn]bool{}}
+	server := &Server{listener: listener, handler: handler, open: map[*rpc.Conn]net.Conn{}}
 	server.done.Add(1)
 	go server.accept()
 	return server
@@ -247,7 +266,7 @@
 			line.Close()
 			return
 		}
-		server.open[line] = true
+		server.open[line] = stream
 		server.mutex.Unlock()
 		server.done.Add(1)
 		go func() {
@@ -300,9 +319,10 @@
 	server.mutex.Lock()
 	server.closed = true
 	lines := server.open
-	server.open = map[*rpc.Conn]bool{}
+	server.open = map[*rpc.Conn]net.Conn{}
 	server.mutex.Unlock()
-	for line := range lines {
+	for line, stream := range lines {
+		stream.Close()
 		line.Close()
 	}
 	server.done.Wait()
--- a/system/link/link_test.go
+++ b/system/link/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"testing"
+	"time"
 
 	"yardrock.example/system/agreement"
 	"yardrock.example/system/feed"
@@ -85,3 +86,38 @@
 		}
 	}
 }
+
+// TestACallReturnsInTimeFromAProcessThatReadsNothing talks to a listener that
+// accepts and then is as good as frozen, until all buffers between are full.
+func TestACallReturnsInTimeFromAProcessThatReadsNothing(t *testing.T) {
+	listener, err := TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller := NewCaller(TCP{})
+	defer caller.Close()
+	large := agreement.Message{Kind: agreement.MessageAppend, Entries: []agreement.Entry{{Data: make([]byte, 4<<20)}}}
+	query := func() *wire.Query {
+		return &wire.Query{Which: schema.Query_Which_agreement, Agreement: &wire.AgreementBatch{Messages: []agreement.Message{large}}}
+	}
+	for range 8 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		returned := make(chan error, 1)
+		go func() {
+			_, err := caller.Call(ctx, listener.Addr().String(), query())
+			returned <- err
+		}()
+		<-ctx.Done()
+		select {
+		case err := <-returned:
+			if !mishap.Is(err, mishap.Unavailable) {
+				t.Fatalf("a process that reads nothing answered: %v", err)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("a call to a process that reads nothing does not return")
+		}
+		cancel()
+	}
+	caller.Drop(listener.Addr().String())
+}
