Cold files begin with an index; signals are taken from the first moment

Cause: under the agency's load a killed store took 3.1 to 3.3 s to start after 45 s of traffic, 2.7 s of it decoding all archived events to build the cold index, and a SIGHUP in that time ended it, as nothing handled signals yet; with one store wiped after that, all groups stayed without a majority. Ruled out: replaying the log (30 ms), a frozen process (it was gone), a refused start (a copy of its folder started). Change: each cold file carries an index of its chunks, read alone at the start; chunks go through generated accessors; scrubbing is bounded per round; SIGHUP and SIGTERM are taken before anything else; replay adds to entries instead of copying.

--- a/proof/cmd/faults/main.go
+++ b/proof/cmd/faults/main.go
@@ -8,14 +8,12 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"yardrock.example/proof/fleet"
 	"yardrock.example/proof/load"
-	"yardrock.example/proof/standin"
 )
 
 type options struct {
@@ -45,29 +43,14 @@
 }
 
 func run(chosen options) error {
-	deployment, found := fleet.Deployments[chosen.Deployment]
-	if !found {
-		return fmt.Errorf("no deployment is named %q: use trial, agency or logistics", chosen.Deployment)
-	}
 	if chosen.Mix == "" {
 		chosen.Mix = chosen.Deployment
 	}
-	if chosen.Programs == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		chosen.Programs = filepath.Dir(self)
-	}
-	folder, err := os.MkdirTemp("", "yardrock-faults-")
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), chosen.Duration+2*time.Minute)
 	defer cancel()
-	running, err := fleet.Start(ctx, deployment, chosen.Programs, folder, standin.Pace{First: 20 * time.Millisecond, Piece: 5 * time.Millisecond, Plain: 10 * time.Millisecond})
+	running, err := fleet.Launch(ctx, chosen.Deployment, chosen.Programs, "")
 	if err != nil {
-		return fmt.Errorf("%w (logs are in %s)", err, folder)
+		return err
 	}
 	defer running.Stop()
 	reports := make(chan *load.Report, 1)
@@ -90,11 +73,7 @@
 	if err := encoder.Encode(told); err != nil {
 		return err
 	}
-	if len(report.Broken) > 0 {
-		return fmt.Errorf("%d rules were broken (logs are in %s)", len(report.Broken), folder)
-	}
-	running.Stop()
-	return os.RemoveAll(folder)
+	return running.Judge(report)
 }
 
 // harm does one fault after another, with a rest between, until the time is over.
--- a/proof/cmd/fleet/main.go
+++ b/proof/cmd/fleet/main.go
@@ -8,14 +8,12 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"yardrock.example/proof/fleet"
-	"yardrock.example/proof/standin"
 )
 
 type options struct {
@@ -35,34 +33,14 @@
 }
 
 func run(chosen options) error {
-	deployment, found := fleet.Deployments[chosen.Deployment]
-	if !found {
-		return fmt.Errorf("no deployment is named %q: use trial, agency or logistics", chosen.Deployment)
-	}
-	if chosen.Programs == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		chosen.Programs = filepath.Dir(self)
-	}
-	if chosen.Folder == "" {
-		made, err := os.MkdirTemp("", "yardrock-")
-		if err != nil {
-			return err
-		}
-		chosen.Folder = made
-	} else if err := os.MkdirAll(chosen.Folder, 0o750); err != nil {
-		return err
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	starting, cancel := context.WithTimeout(ctx, chosen.Patience)
 	defer cancel()
 	began := time.Now()
-	running, err := fleet.Start(starting, deployment, chosen.Programs, chosen.Folder, standin.Pace{First: 20 * time.Millisecond, Piece: 5 * time.Millisecond, Plain: 10 * time.Millisecond})
+	running, err := fleet.Launch(starting, chosen.Deployment, chosen.Programs, chosen.Folder)
 	if err != nil {
-		return fmt.Errorf("%w (logs are in %s)", err, chosen.Folder)
+		return err
 	}
 	defer running.Stop()
 	administration := []string{}
@@ -72,7 +50,7 @@
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	encoder.Encode(map[string]any{
-		"ready_after": time.Since(began).String(), "folder": chosen.Folder, "fronts": running.Fronts(), "administration": administration,
+		"ready_after": time.Since(began).String(), "folder": running.Folder, "fronts": running.Fronts(), "administration": administration,
 		"team_token": fleet.TeamToken, "root_token": fleet.RootToken,
 	})
 	<-ctx.Done()
--- a/proof/cmd/load/main.go
+++ b/proof/cmd/load/main.go
@@ -7,14 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"yardrock.example/proof/fleet"
 	"yardrock.example/proof/load"
-	"yardrock.example/proof/standin"
 )
 
 type options struct {
@@ -34,26 +32,11 @@
 }
 
 func run(chosen options) error {
-	deployment, found := fleet.Deployments[chosen.Deployment]
-	if !found {
-		return fmt.Errorf("no deployment is named %q: use trial, agency or logistics", chosen.Deployment)
-	}
-	if chosen.Programs == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		chosen.Programs = filepath.Dir(self)
-	}
-	folder, err := os.MkdirTemp("", "yardrock-load-")
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), chosen.Duration+3*time.Minute)
 	defer cancel()
-	running, err := fleet.Start(ctx, deployment, chosen.Programs, folder, standin.Pace{First: 20 * time.Millisecond, Piece: 5 * time.Millisecond, Plain: 10 * time.Millisecond})
+	running, err := fleet.Launch(ctx, chosen.Deployment, chosen.Programs, "")
 	if err != nil {
-		return fmt.Errorf("%w (logs are in %s)", err, folder)
+		return err
 	}
 	defer running.Stop()
 	report := load.Run(ctx, running.Target(), load.Mixes[chosen.Deployment], chosen.Duration, chosen.Seed)
@@ -62,9 +45,5 @@
 	if err := encoder.Encode(report); err != nil {
 		return err
 	}
-	if len(report.Broken) > 0 {
-		return fmt.Errorf("%d rules were broken (logs are in %s)", len(report.Broken), folder)
-	}
-	running.Stop()
-	return os.RemoveAll(folder)
+	return running.Judge(report)
 }
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -97,6 +97,51 @@
 	return address
 }
 
+// Launch starts a deployment by name, with the programs beside this one and a new
+// folder unless others are named.
+//
+//	running, err := fleet.Launch(ctx, "trial", "", "")
+//	defer running.Stop()
+func Launch(ctx context.Context, name, programs, folder string) (*Fleet, error) {
+	deployment, found := Deployments[name]
+	if !found {
+		return nil, fmt.Errorf("no deployment is named %q: use trial, agency or logistics", name)
+	}
+	if programs == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		programs = filepath.Dir(self)
+	}
+	var failed error
+	if folder == "" {
+		folder, failed = os.MkdirTemp("", "yardrock-")
+	} else {
+		failed = os.MkdirAll(folder, 0o750)
+	}
+	if failed != nil {
+		return nil, failed
+	}
+	running, err := Start(ctx, deployment, programs, folder, standin.Pace{First: 20 * time.Millisecond, Piece: 5 * time.Millisecond, Plain: 10 * time.Millisecond})
+	if err != nil {
+		return nil, fmt.Errorf("%w (logs are in %s)", err, folder)
+	}
+	return running, nil
+}
+
+// Judge ends a run: broken rules are an error that names the logs' folder;
+// without any, the processes are stopped and the folder goes.
+//
+//	return running.Judge(report)
+func (running *Fleet) Judge(report *load.Report) error {
+	if len(report.Broken) > 0 {
+		return fmt.Errorf("%d rules were broken (logs are in %s)", len(report.Broken), running.Folder)
+	}
+	running.Stop()
+	return os.RemoveAll(running.Folder)
+}
+
 // Start starts a deployment with the programs in a folder, and returns once every
 // front is ready.
 //
--- a/proof/simulator/changes_test.go
+++ b/proof/simulator/changes_test.go
@@ -278,13 +278,17 @@
 		if err != nil || len(names) == 0 {
 			t.Fatalf("nothing was archived: %v", err)
 		}
-		for _, name := range names {
-			rotten.Cold.FlipBit(name, 40)
+		for position, name := range names {
+			rotten.Cold.FlipBit(name, []int{40, -30}[position%2]) // an index, or a chunk
 		}
-		<-time.After(12 * time.Second) // one repair round
+		rotten.Kill()
+		if err := rotten.Start(); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(15 * time.Second) // one repair round
 		for _, other := range cluster.Stores[1:] {
 			for _, name := range func() []string { names, _ := other.Cold.Names(); return names }() {
-				other.Cold.FlipBit(name, 40)
+				other.Cold.FlipBit(name, -30)
 			}
 		}
 		// Only the mended copy is whole now.
--- a/proof/simulator/disk.go
+++ b/proof/simulator/disk.go
@@ -224,12 +224,15 @@
 	disk.mutex.Unlock()
 }
 
-// FlipBit damages one lasting byte of a file.
+// FlipBit damages one lasting byte of a file; a place below 0 counts from the end.
 //
 //	disk.FlipBit("log-00000000000000000000", 40)
 func (disk *Disk) FlipBit(name string, at int) {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
+	if at < 0 {
+		at += len(disk.live[name])
+	}
 	disk.live[name][at] ^= 1
 	disk.lasting[name][at] ^= 1
 }
--- a/system/agreement/core.go
+++ b/system/agreement/core.go
@@ -253,7 +253,7 @@
 		return
 	}
 	if core.electionElapsed >= core.electionTimeout && core.isVoter(core.settings.Name) {
-		core.campaign(false)
+		core.campaign()
 	}
 }
 
@@ -293,27 +293,31 @@
 	}
 }
 
-func (core *Core) campaign(forced bool) {
-	kind := MessagePreVote
-	term := core.state.Term + 1
-	if forced {
-		kind = MessageVote
-	}
-	if kind == MessagePreVote {
-		core.become(preCandidate, "")
-	} else {
-		core.become(candidate, "")
-		core.setTerm(term)
-		core.state.Voted = core.settings.Name
-		core.dirtyState = true
-	}
+// campaign asks first whether an election could be won, so that a replica that was
+// cut off does not depose a leader.
+func (core *Core) campaign() {
+	core.become(preCandidate, "")
+	core.askVotes(Message{Kind: MessagePreVote, Term: core.state.Term + 1})
+}
+
+func (core *Core) startElection(forced bool) {
+	core.become(candidate, "")
+	core.setTerm(core.state.Term + 1)
+	core.state.Voted = core.settings.Name
+	core.dirtyState = true
+	core.askVotes(Message{Kind: MessageVote, Term: core.state.Term, Forced: forced})
+}
+
+func (core *Core) askVotes(ask Message) {
 	core.votes = map[string]bool{core.settings.Name: true}
 	if core.countVotes() {
 		return
 	}
+	ask.Index, ask.LogTerm = core.last(), core.termAt(core.last())
 	for _, name := range core.replicas.Voters {
 		if name != core.settings.Name {
-			core.send(Message{Kind: kind, To: name, Term: term, Index: core.last(), LogTerm: core.termAt(core.last()), Forced: forced})
+			ask.To = name
+			core.send(ask)
 		}
 	}
 }
@@ -330,7 +334,7 @@
 	}
 	if granted >= core.quorum() {
 		if core.role == preCandidate {
-			core.startElection()
+			core.startElection(false)
 		} else {
 			core.lead()
 		}
@@ -342,23 +346,6 @@
 	return false
 }
 
-func (core *Core) startElection() {
-	core.become(candidate, "")
-	core.setTerm(core.state.Term + 1)
-	core.state.Voted = core.settings.Name
-	core.dirtyState = true
-	core.votes = map[string]bool{core.settings.Name: true}
-	if len(core.replicas.Voters) == 1 {
-		core.lead()
-		return
-	}
-	for _, name := range core.replicas.Voters {
-		if name != core.settings.Name {
-			core.send(Message{Kind: MessageVote, To: name, Term: core.state.Term, Index: core.last(), LogTerm: core.termAt(core.last())})
-		}
-	}
-}
-
 func (core *Core) lead() {
 	core.become(leader, core.settings.Name)
 	core.siblings = map[string]*progress{}
@@ -587,7 +574,7 @@
 
 func (core *Core) onElectNow(Message) {
 	if core.isVoter(core.settings.Name) {
-		core.campaign(true)
+		core.startElection(true)
 	}
 }
 
--- a/system/agreement/types.go
+++ b/system/agreement/types.go
@@ -183,24 +183,22 @@
 	Confirmed bool // the leader has committed an entry of its own term
 }
 
-// With folds a write into what the disk holds.
+// With folds a write into what the disk holds. The receiver's entries must not be
+// used afterwards: the usual write only adds to them.
 //
 //	stored = stored.With(output.Write)
 func (stored Stored) With(write *Write) Stored {
 	stored.State = write.State
-	first := stored.Checkpoint.Index + uint64(len(stored.Entries)) + 1
-	if len(write.Entries) > 0 {
-		first = write.Entries[0].Index
-	}
 	if write.Checkpoint != nil {
 		stored.Checkpoint = *write.Checkpoint
-		if len(write.Entries) == 0 {
-			first = write.Checkpoint.Index + 1
-		}
+		stored.Entries = slices.DeleteFunc(stored.Entries, func(entry Entry) bool {
+			return entry.Index <= write.Checkpoint.Index || len(write.Entries) == 0
+		})
+	}
+	if len(write.Entries) > 0 {
+		first := write.Entries[0].Index
+		at, _ := slices.BinarySearchFunc(stored.Entries, first, func(entry Entry, index uint64) int { return int(entry.Index) - int(index) })
+		stored.Entries = append(stored.Entries[:at], write.Entries...)
 	}
-	kept := slices.DeleteFunc(slices.Clone(stored.Entries), func(entry Entry) bool {
-		return entry.Index <= stored.Checkpoint.Index || entry.Index >= first
-	})
-	stored.Entries = append(kept, write.Entries...)
 	return stored
 }
--- a/system/cmd/yardrock-control-plane/main.go
+++ b/system/cmd/yardrock-control-plane/main.go
@@ -22,6 +22,7 @@
 }
 
 func run() error {
+	signals := daemon.Signals()
 	loaded, err := settings.LoadControlPlane(os.Args[1:], os.Stdout)
 	if err != nil {
 		return err
@@ -43,7 +44,7 @@
 		node.Close()
 		return err
 	}
-	daemon.Wait(daemon.Running{
+	daemon.Wait(signals, daemon.Running{
 		Reread: node.SetSeeds,
 		Drain: func(ctx context.Context) {
 			node.Drain()
--- a/system/cmd/yardrock-data-plane/main.go
+++ b/system/cmd/yardrock-data-plane/main.go
@@ -27,6 +27,7 @@
 var roles = map[string]func(*settings.DataPlane) (daemon.Running, error){"front": startFront, "store": startStore}
 
 func run() error {
+	signals := daemon.Signals()
 	loaded, err := settings.LoadDataPlane(os.Args[1:], os.Stdout)
 	if err != nil {
 		return err
@@ -36,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	daemon.Wait(running, func() ([]string, error) {
+	daemon.Wait(signals, running, func() ([]string, error) {
 		again, err := settings.LoadDataPlane(os.Args[1:], io.Discard)
 		return again.Seeds, err
 	})
--- a/system/coldstore/coldstore.go
+++ b/system/coldstore/coldstore.go
@@ -1,5 +1,6 @@
 // Package coldstore keeps archived runs of events on a store node's own disk.
-// One Put is one file and one sync, whatever number of lines it holds.
+// One Put is one file and one sync, whatever number of lines it holds. A file
+// begins with an index of its chunks, so that opening reads no events.
 package coldstore
 
 import (
@@ -36,6 +37,7 @@
 	first   uint64
 	last    uint64
 	expires int64
+	sum     uint32
 	digest  [sha256.Size]byte
 }
 
@@ -46,10 +48,12 @@
 	lines  map[string][]place
 	living map[uint64]int // how many chunks of each file still count
 	next   uint64
+	// scrubbed is the line that Scrub came to; only Scrub's caller touches it.
+	scrubbed string
 }
 
-// Open reads the index from the files that are there. A chunk that does not
-// match its checksum is left out, so that repair fetches it anew.
+// Open reads the index of each file. A file whose index was torn was never
+// confirmed and is left out; what it should hold is fetched anew by repair.
 //
 //	cold, err := coldstore.Open(folder)
 func Open(folder files.Folder) (*Store, error) {
@@ -64,49 +68,51 @@
 		if !isCold || err != nil {
 			continue
 		}
-		data, err := folder.ReadFile(name)
-		if err != nil {
-			return nil, err
-		}
 		store.next = max(store.next, number+1)
-		store.index(number, data)
+		store.living[number] = 0
+		for _, at := range store.readIndex(name) {
+			store.add(number, at)
+		}
 	}
 	return store, nil
 }
 
 func fileName(number uint64) string { return fmt.Sprintf("%s%020d", prefix, number) }
 
-func (store *Store) index(number uint64, data []byte) {
-	offset := 0
-	for offset+frameHeader <= len(data) {
-		length := int(binary.LittleEndian.Uint32(data[offset:]))
-		end := offset + frameHeader + length
-		if end > len(data) {
-			return
-		}
-		body := data[offset+frameHeader : end]
-		if chunk, err := decodeChunk(binary.LittleEndian.Uint32(data[offset+4:]), body); err == nil {
-			store.add(chunk, place{file: number, offset: int64(offset), length: frameHeader + length, digest: sha256.Sum256(body)})
-		}
-		offset = end
+func (store *Store) readIndex(name string) []wire.ColdPlace {
+	header, err := store.folder.ReadPart(name, 0, frameHeader)
+	if err != nil {
+		return nil
+	}
+	body, err := store.folder.ReadPart(name, frameHeader, int(binary.LittleEndian.Uint32(header)))
+	if err != nil || crc32.Checksum(body, checksums) != binary.LittleEndian.Uint32(header[4:]) {
+		return nil
 	}
+	var index wire.ColdIndex
+	if err := wire.Decode(schema.ColdIndex_TypeID, body, &index); err != nil {
+		return nil
+	}
+	return index.Places
 }
 
-func (store *Store) add(chunk wire.ColdChunk, at place) {
-	at.group, at.first, at.last, at.expires = chunk.Group, chunk.First, chunk.Last, chunk.Expires
-	store.lines[chunk.Line] = append(slices.Clip(store.lines[chunk.Line]), at)
-	store.living[at.file]++
+func (store *Store) add(file uint64, at wire.ColdPlace) {
+	made := place{file: file, offset: int64(at.Offset), length: int(at.Length), group: at.Group, first: at.First, last: at.Last, expires: at.Expires, sum: at.Checksum}
+	copy(made.digest[:], at.Digest)
+	store.lines[at.Line] = append(slices.Clip(store.lines[at.Line]), made)
+	store.living[file]++
 }
 
-func decodeChunk(checksum uint32, body []byte) (wire.ColdChunk, error) {
-	if crc32.Checksum(body, checksums) != checksum {
-		return wire.ColdChunk{}, mishap.New(mishap.Damaged, "a cold chunk does not match its checksum", "it is fetched anew from a sibling")
+// readChunk reads a chunk's events; a damaged or missing one is a gap.
+func (store *Store) readChunk(at place) (wire.ColdChunk, bool) {
+	body, err := store.folder.ReadPart(fileName(at.file), at.offset, at.length)
+	if err != nil || crc32.Checksum(body, checksums) != at.sum {
+		return wire.ColdChunk{}, false
 	}
 	var batch wire.ColdChunkBatch
-	if err := wire.Decode(schema.ColdChunkBatch_TypeID, body, &batch); err != nil {
-		return wire.ColdChunk{}, err
+	if err := wire.Decode(schema.ColdChunkBatch_TypeID, body, &batch); err != nil || len(batch.Chunks) != 1 {
+		return wire.ColdChunk{}, false
 	}
-	return batch.Chunks[0], nil
+	return batch.Chunks[0], true
 }
 
 func (store *Store) covered(chunk wire.ColdChunk) bool {
@@ -120,9 +126,8 @@
 func (store *Store) Put(chunks []wire.ColdChunk) error {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	var data []byte
-	places := []place{}
-	fresh := []wire.ColdChunk{}
+	var bodies []byte
+	index := wire.ColdIndex{}
 	for _, chunk := range chunks {
 		if store.covered(chunk) {
 			continue
@@ -131,25 +136,33 @@
 		if err != nil {
 			return err
 		}
-		places = append(places, place{file: store.next, offset: int64(len(data)), length: frameHeader + len(body), digest: sha256.Sum256(body)})
-		data = binary.LittleEndian.AppendUint32(data, uint32(len(body)))
-		data = binary.LittleEndian.AppendUint32(data, crc32.Checksum(body, checksums))
-		data = append(data, body...)
-		fresh = append(fresh, chunk)
+		digest := sha256.Sum256(body)
+		index.Places = append(index.Places, wire.ColdPlace{Group: chunk.Group, Line: chunk.Line, First: chunk.First, Last: chunk.Last, Expires: chunk.Expires,
+			Offset: uint64(len(bodies)), Length: uint32(len(body)), Checksum: crc32.Checksum(body, checksums), Digest: digest[:]})
+		bodies = append(bodies, body...)
 	}
-	if len(fresh) == 0 {
+	if len(index.Places) == 0 {
 		return nil
 	}
-	name := fileName(store.next)
+	// The index has the same size whatever the offsets are.
+	size := uint64(frameHeader + len(wire.MustEncode(schema.ColdIndex_TypeID, &index)))
+	for position := range index.Places {
+		index.Places[position].Offset += size
+	}
+	head := wire.MustEncode(schema.ColdIndex_TypeID, &index)
+	data := binary.LittleEndian.AppendUint32(nil, uint32(len(head)))
+	data = binary.LittleEndian.AppendUint32(data, crc32.Checksum(head, checksums))
+	data = append(append(data, head...), bodies...)
+	number := store.next
 	store.next++
-	if err := store.folder.WriteAt(name, 0, data); err != nil {
+	if err := store.folder.WriteAt(fileName(number), 0, data); err != nil {
 		return mishap.New(mishap.DiskUnavailable, "the cold store took no write: "+err.Error(), "free space on the disk or replace it")
 	}
-	if err := store.folder.Sync(name); err != nil {
+	if err := store.folder.Sync(fileName(number)); err != nil {
 		return mishap.New(mishap.DiskUnavailable, "the cold store could not sync: "+err.Error(), "free space on the disk or replace it")
 	}
-	for position, chunk := range fresh {
-		store.add(chunk, places[position])
+	for _, at := range index.Places {
+		store.add(number, at)
 	}
 	return nil
 }
@@ -167,12 +180,8 @@
 		if at.last <= after || at.first > through {
 			continue
 		}
-		data, err := store.folder.ReadPart(fileName(at.file), at.offset, at.length)
-		if err != nil {
-			continue // a damaged or missing chunk is a gap
-		}
-		chunk, err := decodeChunk(binary.LittleEndian.Uint32(data[4:]), data[frameHeader:])
-		if err != nil {
+		chunk, whole := store.readChunk(at)
+		if !whole {
 			continue
 		}
 		for _, event := range chunk.Events {
@@ -233,22 +242,30 @@
 	return nil
 }
 
-// Scrub reads every chunk again and drops from the index what has rotted, so that
-// repair finds the hole.
+// Scrub reads the next so many chunks again and drops from the index what has
+// rotted, so that repair finds the hole.
 //
-//	dropped := cold.Scrub()
-func (store *Store) Scrub() int {
+//	dropped := cold.Scrub(256)
+func (store *Store) Scrub(most int) int {
 	store.mutex.RLock()
-	names := slices.Collect(maps.Keys(store.lines))
+	names := slices.Sorted(maps.Keys(store.lines))
 	store.mutex.RUnlock()
-	dropped := 0
-	for _, name := range names {
+	from, found := slices.BinarySearch(names, store.scrubbed)
+	if found {
+		from++
+	}
+	dropped, read := 0, 0
+	for _, name := range names[from:] {
+		if read >= most {
+			return dropped
+		}
+		store.scrubbed = name
 		store.mutex.RLock()
 		places := store.lines[name]
 		store.mutex.RUnlock()
 		for _, at := range places {
-			data, err := store.folder.ReadPart(fileName(at.file), at.offset, at.length)
-			if err == nil && crc32.Checksum(data[frameHeader:], checksums) == binary.LittleEndian.Uint32(data[4:]) {
+			read++
+			if _, whole := store.readChunk(at); whole {
 				continue
 			}
 			dropped++
@@ -258,5 +275,6 @@
 			store.mutex.Unlock()
 		}
 	}
+	store.scrubbed = "" // begin anew with the next call
 	return dropped
 }
--- a/system/controlplane/administration.go
+++ b/system/controlplane/administration.go
@@ -54,6 +54,13 @@
 	return mux
 }
 
+// asked bounds a query's time and finds the operator who asks.
+func (service Administration) asked(ctx context.Context, header *string, patience time.Duration) (context.Context, context.CancelFunc, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	by, err := service.operator(header)
+	return ctx, cancel, by, err
+}
+
 // operator finds who asks.
 func (service Administration) operator(header *string) (string, error) {
 	token, err := httpface.Token(header)
@@ -91,9 +98,8 @@
 
 // PutCharter puts a whole charter.
 func (service Administration) PutCharter(ctx context.Context, payload *administration.PutCharterPayload) (*administration.Changed, error) {
-	ctx, cancel := context.WithTimeout(ctx, administrationPatience)
+	ctx, cancel, by, err := service.asked(ctx, payload.Authorization, administrationPatience)
 	defer cancel()
-	by, err := service.operator(payload.Authorization)
 	if err != nil {
 		return nil, err
 	}
@@ -113,9 +119,8 @@
 
 // Set changes one value of the charter and writes it anew.
 func (service Administration) Set(ctx context.Context, payload *administration.SetPayload) (*administration.Changed, error) {
-	ctx, cancel := context.WithTimeout(ctx, administrationPatience)
+	ctx, cancel, by, err := service.asked(ctx, payload.Authorization, administrationPatience)
 	defer cancel()
-	by, err := service.operator(payload.Authorization)
 	if err != nil {
 		return nil, err
 	}
@@ -172,9 +177,9 @@
 
 // ReadCharter reads the newest charter back.
 func (service Administration) ReadCharter(ctx context.Context, payload *administration.ReadCharterPayload) (*administration.ReadCharterResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, administrationPatience)
+	ctx, cancel, _, err := service.asked(ctx, payload.Authorization, administrationPatience)
 	defer cancel()
-	if _, err := service.operator(payload.Authorization); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	view, err := service.newest(ctx)
@@ -186,9 +191,8 @@
 
 // SetDomain empties or refills a domain.
 func (service Administration) SetDomain(ctx context.Context, payload *administration.SetDomainPayload) (*administration.Changed, error) {
-	ctx, cancel := context.WithTimeout(ctx, administrationPatience)
+	ctx, cancel, by, err := service.asked(ctx, payload.Authorization, administrationPatience)
 	defer cancel()
-	by, err := service.operator(payload.Authorization)
 	if err != nil {
 		return nil, err
 	}
@@ -215,9 +219,8 @@
 
 // EnrolStore puts a live store into the store list.
 func (service Administration) EnrolStore(ctx context.Context, payload *administration.EnrolStorePayload) (*administration.Changed, error) {
-	ctx, cancel := context.WithTimeout(ctx, administrationPatience)
+	ctx, cancel, by, err := service.asked(ctx, payload.Authorization, administrationPatience)
 	defer cancel()
-	by, err := service.operator(payload.Authorization)
 	if err != nil {
 		return nil, err
 	}
@@ -226,9 +229,8 @@
 
 // RetireStore empties a store and answers once its machine may be switched off.
 func (service Administration) RetireStore(ctx context.Context, payload *administration.RetireStorePayload) (*administration.Changed, error) {
-	ctx, cancel := context.WithTimeout(ctx, retirePatience)
+	ctx, cancel, by, err := service.asked(ctx, payload.Authorization, retirePatience)
 	defer cancel()
-	by, err := service.operator(payload.Authorization)
 	if err != nil {
 		return nil, err
 	}
@@ -237,9 +239,9 @@
 
 // Fleet tells who is there and what is in force.
 func (service Administration) Fleet(ctx context.Context, payload *administration.FleetPayload) (any, error) {
-	ctx, cancel := context.WithTimeout(ctx, administrationPatience)
+	ctx, cancel, _, err := service.asked(ctx, payload.Authorization, administrationPatience)
 	defer cancel()
-	if _, err := service.operator(payload.Authorization); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	view, err := service.newest(ctx)
--- a/system/controlplane/query.go
+++ b/system/controlplane/query.go
@@ -128,9 +128,8 @@
 
 // Query runs one line of the query language.
 func (service Administration) Query(ctx context.Context, payload *administration.QueryPayload) (*administration.QueryResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, retirePatience)
+	ctx, cancel, by, err := service.asked(ctx, payload.Authorization, retirePatience)
 	defer cancel()
-	by, err := service.operator(payload.Authorization)
 	if err != nil {
 		return nil, err
 	}
--- a/system/daemon/daemon.go
+++ b/system/daemon/daemon.go
@@ -27,6 +27,16 @@
 	Close  func()
 }
 
+// Signals begins to take signals. It is called before anything else, since the
+// platform may tell a process of changed settings while it still starts.
+//
+//	signals := daemon.Signals()
+func Signals() <-chan os.Signal {
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+}
+
 // Logs sends one key=value line per event to standard error.
 //
 //	daemon.Logs("info")
@@ -53,10 +63,8 @@
 // Wait serves until SIGTERM or SIGINT, then drains. SIGHUP reads the settings
 // again; what is wrong with them is told and the old ones stay.
 //
-//	daemon.Wait(running, func() ([]string, error) { ... })
-func Wait(running Running, seeds func() ([]string, error)) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+//	daemon.Wait(signals, running, func() ([]string, error) { ... })
+func Wait(signals <-chan os.Signal, running Running, seeds func() ([]string, error)) {
 	for received := range signals {
 		if received != syscall.SIGHUP {
 			break
--- a/system/querylanguage/querylanguage_test.go
+++ b/system/querylanguage/querylanguage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -95,3 +96,36 @@
 		t.Fatal(err)
 	}
 }
+
+// TestEveryLineOfTheOperatorsPageIsUnderstood parses the examples of the docs.
+func TestEveryLineOfTheOperatorsPageIsUnderstood(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed := 0
+	for example := range strings.Lines(string(page)) {
+		text, isExample := strings.CutPrefix(example, "    ")
+		if !isExample {
+			continue
+		}
+		text, _, _ = strings.Cut(strings.TrimSpace(text), "#")
+		text = strings.ReplaceAll(strings.TrimSpace(text), "store-…", "store-1f")
+		lines := []string{text}
+		if verb, tables, isList := strings.Cut(text, " "); isList && strings.Contains(tables, " | ") {
+			lines = nil
+			for _, table := range strings.Split(tables, " | ") {
+				lines = append(lines, verb+" "+table)
+			}
+		}
+		for _, line := range lines {
+			if _, err := Parse(line); err != nil {
+				t.Errorf("%q: %v", line, err)
+			}
+			parsed++
+		}
+	}
+	if parsed < 15 {
+		t.Fatalf("only %d examples were found", parsed)
+	}
+}
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -107,7 +107,7 @@
 
 // repairAll compares the cold copies of the groups led here and mends them.
 func (node *Node) repairAll() {
-	node.cold.Scrub()
+	node.cold.Scrub(scrubAtOnce)
 	for group, status := range node.host.Statuses() {
 		if !status.Confirmed {
 			continue
@@ -210,4 +210,7 @@
 	return whole
 }
 
-const chunksAtOnce = 64
+const (
+	chunksAtOnce = 64
+	scrubAtOnce  = 512
+)
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -360,6 +360,57 @@
 	return err
 }
 
+func putChunk(target schema.ColdChunk, value *ColdChunk) error {
+	target.SetGroup(value.Group)
+	target.SetFirst(value.First)
+	target.SetLast(value.Last)
+	target.SetExpires(value.Expires)
+	if err := target.SetLine(value.Line); err != nil {
+		return err
+	}
+	events, err := target.NewEvents(int32(len(value.Events)))
+	return putList(events, err, value.Events, putEvent)
+}
+
+func takeChunk(source schema.ColdChunk, value *ColdChunk) (err error) {
+	*value = ColdChunk{Group: source.Group(), First: source.First(), Last: source.Last(), Expires: source.Expires()}
+	if value.Line, err = source.Line(); err != nil {
+		return err
+	}
+	events, err := source.Events()
+	value.Events, err = takeList(events, err, takeEvent)
+	return err
+}
+
+func putChunks(target schema.ColdChunkBatch, value *ColdChunkBatch) error {
+	chunks, err := target.NewChunks(int32(len(value.Chunks)))
+	return putList(chunks, err, value.Chunks, putChunk)
+}
+
+func takeChunks(source schema.ColdChunkBatch, value *ColdChunkBatch) error {
+	list, err := source.Chunks()
+	value.Chunks, err = takeList(list, err, takeChunk)
+	return err
+}
+
+func putPlace(target schema.ColdPlace, value *ColdPlace) error {
+	target.SetGroup(value.Group)
+	target.SetFirst(value.First)
+	target.SetLast(value.Last)
+	target.SetExpires(value.Expires)
+	target.SetOffset(value.Offset)
+	target.SetLength(value.Length)
+	target.SetChecksum(value.Checksum)
+	return errors.Join(target.SetLine(value.Line), target.SetDigest(value.Digest))
+}
+
+func takePlace(source schema.ColdPlace, value *ColdPlace) error {
+	reading := &taking{}
+	*value = ColdPlace{Group: source.Group(), First: source.First(), Last: source.Last(), Expires: source.Expires(), Offset: source.Offset(), Length: source.Length(),
+		Checksum: source.Checksum(), Line: field(reading, source.Line), Digest: field(reading, source.Digest)}
+	return reading.failed
+}
+
 // PutQuery fills a message's query.
 //
 //	err := wire.PutQuery(target, query)
@@ -404,6 +455,13 @@
 		asked.SetTally(query.Read.Tally)
 		return asked.SetLine(query.Read.Line)
 	},
+	schema.Query_Which_putCold: func(target schema.Query, query *Query) error {
+		batch, err := target.NewPutCold()
+		if err != nil {
+			return err
+		}
+		return putChunks(batch, query.PutCold)
+	},
 }
 
 // TakeQuery reads a query out of a message that the library will use again.
@@ -457,6 +515,14 @@
 		query.Read.Line, err = asked.Line()
 		return err
 	},
+	schema.Query_Which_putCold: func(source schema.Query, query *Query) error {
+		batch, err := source.PutCold()
+		if err != nil {
+			return err
+		}
+		query.PutCold = &ColdChunkBatch{}
+		return takeChunks(batch, query.PutCold)
+	},
 }
 
 // PutReply fills a message's reply.
@@ -516,6 +582,14 @@
 
 // hotStored are the stored types of the ordinary path.
 var hotPut = map[uint64]func(capnp.Struct, any) error{
+	schema.ColdChunkBatch_TypeID: func(target capnp.Struct, value any) error {
+		return putChunks(schema.ColdChunkBatch(target), value.(*ColdChunkBatch))
+	},
+	schema.ColdIndex_TypeID: func(target capnp.Struct, value any) error {
+		index := value.(*ColdIndex)
+		places, err := schema.ColdIndex(target).NewPlaces(int32(len(index.Places)))
+		return putList(places, err, index.Places, putPlace)
+	},
 	schema.Command_TypeID: func(target capnp.Struct, value any) error {
 		return putCommand(schema.Command(target), value.(*line.Command))
 	},
@@ -525,6 +599,14 @@
 }
 
 var hotTake = map[uint64]func(capnp.Struct, any) error{
+	schema.ColdChunkBatch_TypeID: func(source capnp.Struct, value any) error {
+		return takeChunks(schema.ColdChunkBatch(source), value.(*ColdChunkBatch))
+	},
+	schema.ColdIndex_TypeID: func(source capnp.Struct, value any) (err error) {
+		list, err := schema.ColdIndex(source).Places()
+		value.(*ColdIndex).Places, err = takeList(list, err, takePlace)
+		return err
+	},
 	schema.Command_TypeID: func(source capnp.Struct, value any) error {
 		return takeCommand(schema.Command(source), value.(*line.Command))
 	},
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -274,6 +274,22 @@
   chunks @0 :List(ColdChunk);
 }
 
+struct ColdPlace {
+  group @0 :UInt32;
+  line @1 :Text;
+  first @2 :UInt64;
+  last @3 :UInt64;
+  expires @4 :Int64;
+  offset @5 :UInt64;
+  length @6 :UInt32;
+  checksum @7 :UInt32;
+  digest @8 :Data;
+}
+
+struct ColdIndex {
+  places @0 :List(ColdPlace);
+}
+
 struct DigestQuery {
   group @0 :UInt32;
 }
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -140,6 +140,22 @@
 // ColdChunkBatch carries chunks.
 type ColdChunkBatch struct{ Chunks []ColdChunk }
 
+// ColdPlace says where in a cold file a chunk is.
+type ColdPlace struct {
+	Group    uint32
+	Line     string
+	First    uint64
+	Last     uint64
+	Expires  int64
+	Offset   uint64
+	Length   uint32
+	Checksum uint32
+	Digest   []byte
+}
+
+// ColdIndex lists the chunks of one cold file.
+type ColdIndex struct{ Places []ColdPlace }
+
 // DigestQuery asks a store for the digests of a group's cold ranges.
 type DigestQuery struct{ Group uint32 }
 
@@ -236,6 +252,7 @@
 	schema.View_TypeID:           rooted(schema.NewRootView),
 	schema.Change_TypeID:         rooted(schema.NewRootChange),
 	schema.ColdChunkBatch_TypeID: rooted(schema.NewRootColdChunkBatch),
+	schema.ColdIndex_TypeID:      rooted(schema.NewRootColdIndex),
 }
 
 // Encode turns a value into Cap'n Proto bytes under one of the schema's types.
