--- a/proof/simulator/disk.go
+++ b/proof/simulator/disk.go
@@ -22,6 +22,7 @@
 	slow    time.Duration
 	full    bool
 	syncs   int
+	read    int
 }
 
 // unsynced is one write that is not synced yet, or with no data one cut.
@@ -58,6 +59,7 @@
 	if !found {
 		return nil, fs.ErrNotExist
 	}
+	disk.read += len(data)
 	return slices.Clone(data), nil
 }
 
@@ -72,6 +74,7 @@
 	if offset+int64(length) > int64(len(data)) {
 		return nil, errors.New("short file")
 	}
+	disk.read += length
 	return slices.Clone(data[offset : offset+int64(length)]), nil
 }
 
@@ -237,6 +240,17 @@
 	disk.lasting[name][at] ^= 1
 }
 
+// TakeRead gives the bytes that were read since the last call.
+//
+//	read := disk.TakeRead()
+func (disk *Disk) TakeRead() int {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	read := disk.read
+	disk.read = 0
+	return read
+}
+
 // Syncs counts the syncs.
 //
 //	before := disk.Syncs()
--- a/proof/simulator/durable_test.go
+++ b/proof/simulator/durable_test.go
@@ -3,14 +3,18 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"yardrock.example/system/coldstore"
 	"yardrock.example/system/durablelog"
+	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire"
 )
 
 // replayed folds records as the node does: the last value of each group counts.
@@ -173,3 +177,35 @@
 		}
 	}
 }
+
+// TestOpeningTheColdStoreReadsNoEvents keeps the start after an outage short,
+// however much was archived.
+func TestOpeningTheColdStoreReadsNoEvents(t *testing.T) {
+	disk := NewDisk(1)
+	cold, err := coldstore.Open(disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored := 0
+	for file := range 20 {
+		events := []line.Event{}
+		for seq := range uint64(200) {
+			events = append(events, line.Event{Seq: seq + 1, Words: strings.Repeat("word ", 20)})
+			stored += 100
+		}
+		if err := cold.Put([]wire.ColdChunk{{Line: fmt.Sprintf("depot/c-%d", file), First: 1, Last: 200, Events: events}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	disk.TakeRead()
+	again, err := coldstore.Open(disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if read := disk.TakeRead(); read > stored/50 {
+		t.Fatalf("opening read %d bytes of %d stored", read, stored)
+	}
+	if events, err := again.Read("depot/c-7", 10, 200); err != nil || len(events) != 190 || events[0].Seq != 11 {
+		t.Fatalf("%d events, %v", len(events), err)
+	}
+}
--- /dev/null
+++ b/system/daemon/daemon_test.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestMain plays a daemon whose start takes until its standard input says so.
+func TestMain(m *testing.M) {
+	if os.Getenv("PLAY_DAEMON") == "" {
+		os.Exit(m.Run())
+	}
+	signals := Signals()
+	fmt.Println("starting")
+	bufio.NewReader(os.Stdin).ReadString('\n')
+	Wait(signals, Running{
+		Reread: func(seeds []string) { fmt.Println("reread", strings.Join(seeds, ",")) },
+		Drain:  func(context.Context) { fmt.Println("drained") },
+		Close:  func() { fmt.Println("closed") },
+	}, func() ([]string, error) { return []string{"a", "b", "c"}, nil })
+}
+
+// TestSettingsToldWhileTheProcessStartsAreRereadAndDoNotEndIt sends SIGHUP and
+// then SIGTERM before the start is done.
+func TestSettingsToldWhileTheProcessStartsAreRereadAndDoNotEndIt(t *testing.T) {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), "PLAY_DAEMON=1")
+	input, err := command.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(output)
+	expect := func(wanted string) {
+		t.Helper()
+		if !lines.Scan() || lines.Text() != wanted {
+			t.Fatalf("said %q, want %q (%v)", lines.Text(), wanted, lines.Err())
+		}
+	}
+	expect("starting")
+	command.Process.Signal(syscall.SIGHUP)
+	fmt.Fprintln(input, "started")
+	expect("reread a,b,c")
+	command.Process.Signal(syscall.SIGTERM)
+	expect("drained")
+	expect("closed")
+	if err := command.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
