Look at the charter again just before work is sent

Cause: a query kept the charter of its admission while it waited for a slot, its line or its begin record, and was sent by it however late. Seen: a query held up 2.7 s went to the old charter's path. Now kind, program, weight and runner are looked up again in the view that was just found fresh, also for a second runner. Before: the new test fails with [/plain]; after: [/plain-new].

--- a/proof/simulator/bounds_test.go
+++ b/proof/simulator/bounds_test.go
@@ -292,3 +292,41 @@
 		}
 	})
 }
+
+// TestWorkThatWaitedIsHandledByTheCharterInForceWhenItIsSent holds a query up
+// between its admission and its dispatch while the charter changes.
+func TestWorkThatWaitedIsHandledByTheCharterInForceWhenItIsSent(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		front := cluster.Fronts[0]
+		for _, store := range cluster.Stores {
+			cluster.Network.Cut(front.Host, store.Host)
+		}
+		answers := make(chan *Answer, 1)
+		go func() {
+			answer, _ := cluster.once(front, "held up", "pay")
+			answers <- answer
+		}()
+		<-time.After(200 * time.Millisecond) // admitted, and waiting for its line
+		if err := cluster.PutCharter(strings.ReplaceAll(Rules, `receipt: {serves: "plain", table: "plain", path: "/plain"`, `receipt: {serves: "plain", table: "plain", path: "/plain-new"`)); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(2500 * time.Millisecond)
+		for _, store := range cluster.Stores {
+			cluster.Network.Mend(front.Host, store.Host)
+		}
+		if answer := <-answers; answer == nil || answer.Status != http.StatusOK {
+			t.Fatalf("%+v", answer)
+		}
+		sent := []string{}
+		for _, runner := range cluster.Runners {
+			for _, path := range runner.Runner.Paths() {
+				if strings.HasPrefix(path, "/plain") {
+					sent = append(sent, path)
+				}
+			}
+		}
+		if !slices.Equal(sent, []string{"/plain-new"}) {
+			t.Fatalf("the work was sent to %v", sent)
+		}
+	})
+}
--- a/system/front/plain.go
+++ b/system/front/plain.go
@@ -28,12 +28,9 @@
 			query.slot.Release(err != nil)
 			return answer, err
 		}
-		query.slot.Release(true)
-		slot, refused := node.board.Acquire(ctx, query.work)
-		if refused != nil {
+		if node.nextRunner(ctx, query) != nil {
 			return nil, err
 		}
-		query.slot = slot
 	}
 }
 
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -339,20 +339,47 @@
 }
 
 // confirmRunner looks once more, just before the first byte: the view must still
-// be fresh, and the runner must still take work.
+// be fresh, the query allowed by the charter now in force, and the runner one that
+// it may be sent to.
 func confirmRunner(node *Node, ctx context.Context, query *query) (any, error) {
-	_, err := node.follow.Fresh()
-	if err == nil && !scheduling.Usable(node.rules.Load().view, query.slot.Runner) {
-		query.slot.Release(false)
-		query.rules = node.rules.Load()
-		var slot *scheduling.Slot
-		if slot, err = node.board.Acquire(ctx, query.work); err == nil {
-			query.slot = slot
-			return confirmRunner(node, ctx, query)
-		}
-	}
+	err := node.confirm(ctx, query)
 	if err != nil && query.begun.Seq > 0 {
 		return nil, node.closeNotRun(query, err)
 	}
 	return nil, err
 }
+
+func (node *Node) confirm(ctx context.Context, query *query) error {
+	for {
+		if _, err := node.follow.Fresh(); err != nil {
+			return err
+		}
+		query.rules = node.rules.Load()
+		for _, still := range []filter{authenticate, findProgram, findKind} {
+			if _, err := still(node, ctx, query); err != nil {
+				return err
+			}
+		}
+		weighed := query.rules.charter.Tables[query.work.Table][query.slot.Group] > 0
+		if weighed && scheduling.Usable(query.rules.view, query.slot.Runner) {
+			return nil
+		}
+		query.slot.Release(false)
+		slot, err := node.board.Acquire(ctx, query.work)
+		if err != nil {
+			return err
+		}
+		query.slot = slot
+	}
+}
+
+// nextRunner takes another runner after one that provably was sent nothing.
+func (node *Node) nextRunner(ctx context.Context, query *query) error {
+	query.slot.Release(true)
+	slot, err := node.board.Acquire(ctx, query.work)
+	if err != nil {
+		return err
+	}
+	query.slot = slot
+	return node.confirm(ctx, query)
+}
--- a/system/front/run.go
+++ b/system/front/run.go
@@ -138,12 +138,9 @@
 		if err == nil || !mishap.Of(err).NeverSent || dial == mostDials {
 			return err
 		}
-		query.slot.Release(true)
-		slot, refused := node.board.Acquire(ctx, query.work)
-		if refused != nil {
+		if node.nextRunner(ctx, query) != nil {
 			return err
 		}
-		query.slot = slot
 	}
 }
 
