A resumed turn ends for its reader even if its front has died

A cursor beyond the end never ended either. Ruled out: stores (all groups led, tails were served). The turn is now read from its beginning and filtered. Before: the new test runs into its time limit; after: it ends as cut. Streams also name their content type now.

--- a/proof/simulator/faults_test.go
+++ b/proof/simulator/faults_test.go
@@ -365,3 +365,59 @@
 		}
 	})
 }
+
+// TestATurnWhoseFrontDiedEndsForThoseWhoResumeIt resumes in the middle of a turn
+// that nobody feeds any more, and beyond the end of one that is over.
+func TestATurnWhoseFrontDiedEndsForThoseWhoResumeIt(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		go cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "go on !endless", "request_key": "orphan"})
+		<-time.After(200 * time.Millisecond)
+		cluster.Fronts[0].Kill()
+		resume := func(name, query string) *Said {
+			t.Helper()
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			answer, err := cluster.Ask(ctx, http.MethodGet, cluster.Fronts[1].Host+":7100", "/v1/conversations/"+name+"/tail?"+query, TeamToken, nil)
+			if err != nil || answer.Status != http.StatusOK || answer.Header.Get("Content-Type") != "application/x-ndjson" {
+				t.Fatalf("%s: %v %+v", query, err, answer)
+			}
+			said, err := ReadStream(newReader(answer.Body))
+			if err != nil {
+				t.Fatalf("%s: %v", query, err)
+			}
+			return said
+		}
+		name := cluster.conversation(t, "orphan")
+		if said := resume(name, "cursor=3&turn=1"); said.End != "cut" || len(said.Seqs) == 0 || said.Seqs[0] != 4 {
+			t.Fatalf("resumed: %+v", said)
+		}
+		if said := resume(name, "cursor=0&turn=1"); said.End != "cut" || said.Seqs[0] != 2 {
+			t.Fatalf("from the start: %+v", said)
+		}
+		last := resume(name, "cursor=3&turn=1").Seqs
+		if said := resume(name, fmt.Sprintf("cursor=%d&turn=1", last[len(last)-1]+1)); said.End != "cut" || len(said.Seqs) != 0 {
+			t.Fatalf("beyond the end: %+v", said)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		if answer, err := cluster.Ask(ctx, http.MethodGet, cluster.Fronts[1].Host+":7100", "/v1/conversations/"+name+"/tail?turn=2", TeamToken, nil); err != nil || answer.Failure.Kind != "not_found" {
+			t.Fatalf("a piece was tailed as a turn: %v %+v", err, answer)
+		}
+	})
+}
+
+// conversation finds the line that a request key names, by asking for it again.
+func (cluster *Cluster) conversation(t *testing.T, key string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	answer, err := cluster.Ask(ctx, http.MethodPost, cluster.Fronts[1].Host+":7100", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "go on !endless", "request_key": key})
+	if err != nil || answer.Status != http.StatusOK {
+		t.Fatalf("%v %+v", err, answer)
+	}
+	said, err := ReadStream(newReader(answer.Body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return said.Conversation
+}
--- a/system/front/run.go
+++ b/system/front/run.go
@@ -229,31 +229,37 @@
 }
 
 // tail streams committed events of a line after a cursor, from the stores. With a
-// turn it stops at that turn's end, and skips what is not that turn's.
+// turn it streams only that turn and stops at its end; it reads the turn from its
+// beginning, wherever the cursor is, so that it knows its deadline and its end.
 func (node *Node) tail(name, conversationName string, cursor, turn uint64) *stream {
+	reached := cursor
+	if turn != 0 {
+		reached = turn - 1
+	}
 	var deadline int64
 	return &stream{conversation: conversationName, turn: turn, next: func(ctx context.Context) ([]line.Event, bool, error) {
 		waiting, cancel := context.WithTimeout(ctx, commitPatience+tailWait)
 		defer cancel()
-		reply, err := node.stores.Read(waiting, wire.ReadQuery{Line: name, After: cursor, Limit: eventsAtOnce, Wait: tailWait})
+		reply, err := node.stores.Read(waiting, wire.ReadQuery{Line: name, After: reached, Limit: eventsAtOnce, Wait: tailWait})
 		if err != nil {
 			return nil, true, err
 		}
 		found, ended := []line.Event{}, false
 		for _, event := range reply.Events {
-			cursor = event.Seq
+			reached = event.Seq
 			if turn != 0 && event.Turn != turn {
 				continue
 			}
 			if event.Kind == line.TurnBegun {
 				deadline = event.Deadline
 			}
-			found = append(found, event)
 			ended = ended || (turn != 0 && event.Kind == line.TurnEnded)
+			if event.Seq > cursor || ended {
+				found = append(found, event)
+			}
 		}
-		if !ended && turn != 0 && deadline != 0 && time.Now().After(time.Unix(0, deadline)) {
-			overdue := line.Event{Seq: turn, Kind: line.TurnBegun}
-			if err := node.closeOverdue(ctx, name, overdue, line.OutcomeCut); err != nil {
+		if !ended && turn != 0 && time.Now().After(time.Unix(0, deadline)) {
+			if err := node.closeOverdue(ctx, name, line.Event{Seq: turn, Kind: line.TurnBegun}, line.OutcomeCut); err != nil {
 				return found, true, err
 			}
 		}
--- a/system/front/service.go
+++ b/system/front/service.go
@@ -53,6 +53,7 @@
 	}
 	streaming := answer.(*stream)
 	streaming.context = ctx
+	httpface.ContentType(ctx, "application/x-ndjson")
 	return streaming, nil
 }
 
@@ -107,6 +108,15 @@
 		if _, err := node.readAfter(ctx, query, payload.Cursor, 1); err != nil {
 			return nil, err
 		}
+		if turn != 0 {
+			reply, err := node.readAfter(ctx, query, turn-1, 1)
+			if err != nil {
+				return nil, err
+			}
+			if len(reply.Events) == 0 || reply.Events[0].Kind != line.TurnBegun {
+				return nil, mishap.New(mishap.NotFound, "the conversation has no turn "+strconv.FormatUint(turn, 10), "read the history and name one of its turns")
+			}
+		}
 		return node.tail(query.line(), query.conversation, payload.Cursor, turn), nil
 	}))
 }
--- a/system/httpface/httpface.go
+++ b/system/httpface/httpface.go
@@ -67,6 +67,15 @@
 	return &Failure{Kind: string(failed.Kind), Message: failed.Message, Remedy: failed.Remedy, RetryAfter: failed.RetryAfter.Milliseconds(), status: status}
 }
 
+// ContentType names the type of an answer whose body the method writes itself.
+//
+//	httpface.ContentType(ctx, "application/x-ndjson")
+func ContentType(ctx context.Context, kind string) {
+	if writer, found := ctx.Value(writerKey{}).(http.ResponseWriter); found {
+		writer.Header().Set("Content-Type", kind)
+	}
+}
+
 // Token reads the token of a bearer header.
 //
 //	token, err := httpface.Token(payload.Authorization)
