--- a/proof/cmd/measure/main.go
+++ b/proof/cmd/measure/main.go
@@ -37,14 +37,16 @@
 }
 
 type counts struct {
-	syncs int
-	bytes int64
+	syncs           int
+	bytes, messages int64
 }
 
 func total(cluster *simulator.Cluster) counts {
 	sum := counts{}
 	for _, machine := range cluster.Machines() {
-		sum.bytes += cluster.Network.Bytes(machine.Host)
+		bytes, messages := cluster.Network.Sent(machine.Host)
+		sum.bytes += bytes
+		sum.messages += messages
 		if machine.Store != nil {
 			sum.syncs += machine.Disk.Syncs()
 		}
@@ -90,7 +92,8 @@
 	slices.Sort(through)
 	told := map[string]any{
 		"groups": groups, "idle_bytes_per_second": int64(float64(idle.bytes-before.bytes) / idleTime.Seconds()), "idle_syncs_per_second": float64(idle.syncs-before.syncs) / idleTime.Seconds(),
-		"pieces_per_turn": float64(pieces) / turns, "syncs_per_turn_all_stores": float64(after.syncs-idle.syncs) / turns, "bytes_per_turn": (after.bytes - idle.bytes) / turns,
+		"pieces_per_turn": float64(pieces) / turns, "syncs_per_turn_all_stores": float64(after.syncs-idle.syncs) / turns, "idle_messages_per_second": float64(idle.messages-before.messages) / idleTime.Seconds(), "messages_per_turn": (after.messages - idle.messages) / turns,
+		"bytes_per_turn":     (after.bytes - idle.bytes) / turns,
 		"first_piece_direct": direct[turns/2].String(), "first_piece_through": through[turns/2].String(), "first_piece_ratio": ratios[turns/2],
 	}
 	data, err := json.Marshal(told)
--- a/proof/simulator/network.go
+++ b/proof/simulator/network.go
@@ -27,6 +27,7 @@
 	isolated  map[string]bool
 	changed   chan struct{}
 	bytes     map[string]int64
+	messages  map[string]int64
 }
 
 // NewNetwork makes a network whose delays come from a seed.
@@ -34,7 +35,7 @@
 //	network := simulator.NewNetwork(7)
 func NewNetwork(seed uint64) *Network {
 	return &Network{random: rand.New(rand.NewPCG(seed, 2)), listeners: map[string]*listener{}, ends: map[*end]bool{},
-		cuts: map[[2]string]bool{}, isolated: map[string]bool{}, changed: make(chan struct{}), bytes: map[string]int64{}}
+		cuts: map[[2]string]bool{}, isolated: map[string]bool{}, changed: make(chan struct{}), bytes: map[string]int64{}, messages: map[string]int64{}}
 }
 
 // At gives the network as one host sees it.
@@ -127,13 +128,13 @@
 	}
 }
 
-// Bytes tells how many bytes left a host.
+// Sent tells how many bytes left a host, in how many writes.
 //
-//	sent := network.Bytes("10.0.1.1")
-func (network *Network) Bytes(host string) int64 {
+//	bytes, messages := network.Sent("10.0.1.1")
+func (network *Network) Sent(host string) (int64, int64) {
 	network.mutex.Lock()
 	defer network.mutex.Unlock()
-	return network.bytes[host]
+	return network.bytes[host], network.messages[host]
 }
 
 type listener struct {
@@ -339,6 +340,7 @@
 	end.network.mutex.Lock()
 	delay := 200*time.Microsecond + time.Duration(end.network.random.IntN(800))*time.Microsecond
 	end.network.bytes[end.host] += int64(len(data))
+	end.network.messages[end.host]++
 	end.network.mutex.Unlock()
 	target := end.sibling.incoming
 	target.mutex.Lock()
--- a/system/link/link.go
+++ b/system/link/link.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"capnproto.org/go/capnp/v3"
@@ -48,7 +47,6 @@
 	lines   map[string]*connection
 	closed  context.Context
 	close   context.CancelFunc
-	calls   atomic.Uint64
 }
 
 type connection struct {
@@ -68,11 +66,6 @@
 	return caller
 }
 
-// Calls counts the queries that were sent.
-//
-//	before := caller.Calls()
-func (caller *Caller) Calls() uint64 { return caller.calls.Load() }
-
 func (caller *Caller) connect(ctx context.Context, address string) (*connection, error) {
 	caller.mutex.Lock()
 	line, found := caller.lines[address]
@@ -186,7 +179,6 @@
 		return nil, &mishap.Mishap{Kind: mishap.Unavailable, Message: "cannot reach " + address + ": " + err.Error(), Remedy: "check that the process runs and that its address is right", NeverSent: true}
 	}
 	query.Version = wire.Version
-	caller.calls.Add(1)
 	// The library's own waits do not all end with the context: a sibling that
 	// reads nothing would hold the caller for ever.
 	done := make(chan answered, 1)
--- /dev/null
+++ b/system/scheduling/board_test.go
@@ -0,0 +1,119 @@
+package scheduling
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"yardrock.example/system/charter"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
+)
+
+var talk = charter.WorkKind{Serves: "turn", Table: "talk", Urgency: "normal"}
+
+func stateOf(weights map[string]float64, concurrency int) State {
+	state := State{
+		View:    &feed.View{},
+		Charter: &charter.Charter{Tables: map[string]map[string]float64{"talk": weights}, Groups: map[string]charter.Group{}, Limits: charter.Limits{Queue: 2, QueuePatience: charter.Duration(2 * time.Second)}},
+		Fronts:  []placement.Place{{Name: "front"}},
+	}
+	for group := range weights {
+		state.Charter.Groups[group] = charter.Group{Concurrency: concurrency, ColdConcurrency: 1}
+		state.View.Runners = append(state.View.Runners, feed.Runner{Address: group + ":1", Group: group, Domain: "east", State: feed.Serving})
+	}
+	return state
+}
+
+func TestWeightsHoldOverAnyWindowAndWhenRetuned(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20260105)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("each window is within two of its weights", prop.ForAll(func(first, second, third, retuned int) string {
+		weights := map[string]float64{"a": float64(first), "b": float64(second), "c": float64(third)}
+		state := stateOf(weights, 1000000)
+		board := NewBoard("front", "east", func() State { return state })
+		for _, weights := range []map[string]float64{weights, {"a": float64(retuned), "b": float64(second), "c": float64(third)}} {
+			state = stateOf(weights, 1000000)
+			picked := []string{}
+			for range 300 {
+				slot, err := board.Acquire(context.Background(), talk)
+				if err != nil {
+					return err.Error()
+				}
+				picked = append(picked, slot.Group)
+			}
+			total := weights["a"] + weights["b"] + weights["c"]
+			for _, window := range []int{10, 37, 100} {
+				for from := 20; from+window <= len(picked); from++ {
+					counts := map[string]float64{}
+					for _, group := range picked[from : from+window] {
+						counts[group]++
+					}
+					for group, weight := range weights {
+						if math.Abs(counts[group]-float64(window)*weight/total) > 2 {
+							return fmt.Sprintf("%s got %v of %d by weights %v", group, counts[group], window, weights)
+						}
+					}
+				}
+			}
+		}
+		return ""
+	}, gen.IntRange(1, 9), gen.IntRange(0, 9), gen.IntRange(0, 9), gen.IntRange(1, 9)))
+	properties.TestingRun(t)
+}
+
+func TestOverloadIsRefusedAsNotRunAndTheUrgentGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := stateOf(map[string]float64{"a": 1}, 1)
+		board := NewBoard("front", "east", func() State { return state })
+		held, err := board.Acquire(t.Context(), talk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		order := make(chan string, 5)
+		ask := func(urgency string) {
+			kind := talk
+			kind.Urgency = urgency
+			slot, err := board.Acquire(t.Context(), kind)
+			if err != nil {
+				order <- string(mishap.Of(err).Kind) + " " + mishap.Of(err).RetryAfter.String()
+				return
+			}
+			order <- urgency
+			slot.Release(false)
+		}
+		for _, urgency := range []string{"bulk", "normal", "normal", "urgent"} {
+			go ask(urgency)
+			synctest.Wait()
+		}
+		go ask("normal") // a third in a queue of two
+		if got := <-order; got != "not_run 1s" {
+			t.Fatalf("beyond the queue: %s", got)
+		}
+		held.Release(false)
+		for _, want := range []string{"urgent", "normal", "normal", "bulk"} {
+			if got := <-order; got != want {
+				t.Fatalf("served %s, want %s", got, want)
+			}
+		}
+		held, _ = board.Acquire(t.Context(), talk)
+		began := time.Now()
+		go ask("normal")
+		if got := <-order; got != "not_run 1s" || time.Since(began) != 2*time.Second {
+			t.Fatalf("after its patience: %s in %s", got, time.Since(began))
+		}
+		held.Release(false)
+		state.View.Domains = []feed.Domain{{Name: "east", State: feed.Emptied}}
+		if _, err := board.Acquire(t.Context(), talk); !mishap.Is(err, mishap.NotRun) {
+			t.Fatalf("an emptied domain got work: %v", err)
+		}
+	})
+}
