--- a/system/line/machine.go
+++ b/system/line/machine.go
@@ -15,8 +15,8 @@
 // ImageVersion is the newest checkpoint format that this program reads.
 const ImageVersion = 1
 
-// Snapshot is a group's content at one applied index. It never changes.
-type Snapshot struct {
+// View is a group's content at one applied index. It never changes.
+type View struct {
 	sessions *immutable.Map[string, *Session]
 	tallies  *immutable.Map[string, *Tally]
 	clock    int64
@@ -24,14 +24,14 @@
 
 // Session finds a line.
 //
-//	session, found := machine.Snapshot().Session("team/c-1")
-func (snapshot *Snapshot) Session(name string) (*Session, bool) { return snapshot.sessions.Get(name) }
+//	session, found := machine.View().Session("team/c-1")
+func (view *View) Session(name string) (*Session, bool) { return view.sessions.Get(name) }
 
 // Tally gives a tally; an unknown one is empty.
 //
-//	spent := machine.Snapshot().Tally("tally:team/helpdesk").Spent
-func (snapshot *Snapshot) Tally(name string) Tally {
-	if tally, found := snapshot.tallies.Get(name); found {
+//	spent := machine.View().Tally("tally:team/helpdesk").Spent
+func (view *View) Tally(name string) Tally {
+	if tally, found := view.tallies.Get(name); found {
 		return *tally
 	}
 	return Tally{Name: name}
@@ -39,13 +39,13 @@
 
 // Sessions iterates over all lines.
 //
-//	for session := range snapshot.Sessions() { ... }
-func (snapshot *Snapshot) Sessions() iter.Seq[*Session] { return values(snapshot.sessions) }
+//	for session := range view.Sessions() { ... }
+func (view *View) Sessions() iter.Seq[*Session] { return values(view.sessions) }
 
 // Tallies iterates over all tallies.
 //
-//	for tally := range snapshot.Tallies() { ... }
-func (snapshot *Snapshot) Tallies() iter.Seq[*Tally] { return values(snapshot.tallies) }
+//	for tally := range view.Tallies() { ... }
+func (view *View) Tallies() iter.Seq[*Tally] { return values(view.tallies) }
 
 func values[Value any](source *immutable.Map[string, Value]) iter.Seq[Value] {
 	return func(yield func(Value) bool) {
@@ -59,9 +59,9 @@
 }
 
 // Machine applies committed commands. One goroutine applies; any may read the
-// published Snapshot.
+// published View.
 type Machine struct {
-	published atomic.Pointer[Snapshot]
+	published atomic.Pointer[View]
 }
 
 // NewMachine makes an empty group.
@@ -69,22 +69,22 @@
 //	machine := line.NewMachine()
 func NewMachine() *Machine {
 	machine := &Machine{}
-	machine.published.Store(&Snapshot{sessions: immutable.NewMap[string, *Session](nil), tallies: immutable.NewMap[string, *Tally](nil)})
+	machine.published.Store(&View{sessions: immutable.NewMap[string, *Session](nil), tallies: immutable.NewMap[string, *Tally](nil)})
 	return machine
 }
 
-// Snapshot gives the newest published content.
+// View gives the newest published content.
 //
-//	snapshot := machine.Snapshot()
-func (machine *Machine) Snapshot() *Snapshot { return machine.published.Load() }
+//	view := machine.View()
+func (machine *Machine) View() *View { return machine.published.Load() }
 
-var commandHandlers = map[CommandKind]func(*Snapshot, *Command) Outcome{
-	CreateSession: (*Snapshot).createSession,
-	AppendEvent:   (*Snapshot).appendEvents,
-	AppendEvents:  (*Snapshot).appendEvents,
-	AckArchived:   (*Snapshot).ackArchived,
-	Reserve:       (*Snapshot).reserve,
-	Settle:        (*Snapshot).settle,
+var commandHandlers = map[CommandKind]func(*View, *Command) Outcome{
+	CreateSession: (*View).createSession,
+	AppendEvent:   (*View).appendEvents,
+	AppendEvents:  (*View).appendEvents,
+	AckArchived:   (*View).ackArchived,
+	Reserve:       (*View).reserve,
+	Settle:        (*View).settle,
 }
 
 // Apply carries out one committed command and publishes the result.
@@ -102,13 +102,13 @@
 	return outcome
 }
 
-func (snapshot *Snapshot) createSession(command *Command) Outcome {
-	if existing, found := snapshot.sessions.Get(command.Line); found {
+func (view *View) createSession(command *Command) Outcome {
+	if existing, found := view.sessions.Get(command.Line); found {
 		return Outcome{Head: existing.Head, Deduped: true}
 	}
-	snapshot.sessions = snapshot.sessions.Set(command.Line, &Session{
+	view.sessions = view.sessions.Set(command.Line, &Session{
 		Line: command.Line, Team: command.Team, Program: command.Program, WorkKind: command.WorkKind,
-		CreatedAt: snapshot.clock, TouchedAt: snapshot.clock, KeepFor: command.KeepFor,
+		CreatedAt: view.clock, TouchedAt: view.clock, KeepFor: command.KeepFor,
 	})
 	return Outcome{}
 }
@@ -121,8 +121,8 @@
 	closes  = map[EventKind]bool{TurnEnded: true, ToolAnswered: true}
 )
 
-func (snapshot *Snapshot) appendEvents(command *Command) Outcome {
-	existing, found := snapshot.sessions.Get(command.Line)
+func (view *View) appendEvents(command *Command) Outcome {
+	existing, found := view.sessions.Get(command.Line)
 	if !found {
 		return Outcome{Status: UnknownLine}
 	}
@@ -149,7 +149,7 @@
 	for _, event := range command.Events {
 		session.Head++
 		event.Seq = session.Head
-		event.At = snapshot.clock
+		event.At = view.clock
 		event.Producer, event.ProducerSeq = command.Producer, command.ProducerSeq
 		if opens[event.Kind] {
 			event.Turn = event.Seq
@@ -165,42 +165,42 @@
 	}
 	session.OpenTurns = open
 	session.Hot = append(slices.Clip(session.Hot), appended...)
-	session.TouchedAt = snapshot.clock
+	session.TouchedAt = view.clock
 	session.Producers = slices.Clone(session.Producers)
-	entry := Producer{Name: command.Producer, ProducerSeq: command.ProducerSeq, Seq: first, At: snapshot.clock}
+	entry := Producer{Name: command.Producer, ProducerSeq: command.ProducerSeq, Seq: first, At: view.clock}
 	if at >= 0 {
 		session.Producers[at] = entry
 	} else {
 		session.Producers = append(session.Producers, entry)
 	}
-	snapshot.sessions = snapshot.sessions.Set(session.Line, &session)
+	view.sessions = view.sessions.Set(session.Line, &session)
 	return Outcome{Seq: first, Head: session.Head}
 }
 
 // ackArchived advances archive progress, evicts what the cold store holds, and
 // forgets lines and producers whose keeping time is over by the leader's clock.
-func (snapshot *Snapshot) ackArchived(command *Command) Outcome {
+func (view *View) ackArchived(command *Command) Outcome {
 	for _, ack := range command.Acks {
-		existing, found := snapshot.sessions.Get(ack.Line)
+		existing, found := view.sessions.Get(ack.Line)
 		if !found || ack.ArchivedSeq <= existing.ArchivedSeq || ack.ArchivedSeq > existing.Head {
 			continue
 		}
 		session := *existing
 		session.ArchivedSeq = ack.ArchivedSeq
 		session.Hot = slices.Clone(session.Hot[ack.ArchivedSeq-existing.ArchivedSeq:])
-		snapshot.sessions = snapshot.sessions.Set(session.Line, &session)
+		view.sessions = view.sessions.Set(session.Line, &session)
 	}
-	now := time.Unix(0, snapshot.clock)
-	for session := range snapshot.Sessions() {
+	now := time.Unix(0, view.clock)
+	for session := range view.Sessions() {
 		if session.Expires().Before(now) {
-			snapshot.sessions = snapshot.sessions.Delete(session.Line)
+			view.sessions = view.sessions.Delete(session.Line)
 		}
 	}
 	return Outcome{}
 }
 
-func (snapshot *Snapshot) reserve(command *Command) Outcome {
-	tally := snapshot.Tally(command.Line)
+func (view *View) reserve(command *Command) Outcome {
+	tally := view.Tally(command.Line)
 	answer := func(status Status, deduped bool) Outcome {
 		return Outcome{Status: status, Deduped: deduped, Spent: tally.Spent, Reserved: tally.Reserved()}
 	}
@@ -216,31 +216,31 @@
 		return answer(AllowanceExhausted, false)
 	}
 	tally.Reservations = append(slices.Clip(tally.Reservations), Reservation{Name: command.Reservation, Words: command.Words})
-	snapshot.tallies = snapshot.tallies.Set(command.Line, &tally)
+	view.tallies = view.tallies.Set(command.Line, &tally)
 	return answer(Done, false)
 }
 
-func (snapshot *Snapshot) settle(command *Command) Outcome {
-	tally := snapshot.Tally(command.Line)
+func (view *View) settle(command *Command) Outcome {
+	tally := view.Tally(command.Line)
 	at := slices.IndexFunc(tally.Reservations, func(reservation Reservation) bool { return reservation.Name == command.Reservation })
 	if at < 0 {
 		return Outcome{Deduped: true, Spent: tally.Spent, Reserved: tally.Reserved()}
 	}
 	tally.Spent += min(command.Words, tally.Reservations[at].Words)
 	tally.Reservations = slices.Delete(slices.Clone(tally.Reservations), at, at+1)
-	snapshot.tallies = snapshot.tallies.Set(command.Line, &tally)
+	view.tallies = view.tallies.Set(command.Line, &tally)
 	return Outcome{Spent: tally.Spent, Reserved: tally.Reserved()}
 }
 
-// Image copies a snapshot's content for a checkpoint.
+// Image copies a view's content for a checkpoint.
 //
-//	image := machine.Snapshot().Image()
-func (snapshot *Snapshot) Image() Image {
-	image := Image{Version: ImageVersion, Clock: snapshot.clock}
-	for session := range snapshot.Sessions() {
+//	image := machine.View().Image()
+func (view *View) Image() Image {
+	image := Image{Version: ImageVersion, Clock: view.clock}
+	for session := range view.Sessions() {
 		image.Sessions = append(image.Sessions, *session)
 	}
-	for tally := range snapshot.Tallies() {
+	for tally := range view.Tallies() {
 		image.Tallies = append(image.Tallies, *tally)
 	}
 	return image
@@ -261,6 +261,6 @@
 	for _, tally := range image.Tallies {
 		tallies.Set(tally.Name, &tally)
 	}
-	machine.published.Store(&Snapshot{sessions: sessions.Map(), tallies: tallies.Map(), clock: image.Clock})
+	machine.published.Store(&View{sessions: sessions.Map(), tallies: tallies.Map(), clock: image.Clock})
 	return nil
 }
--- a/system/line/machine_test.go
+++ b/system/line/machine_test.go
@@ -59,17 +59,17 @@
 	}
 	for _, step := range []struct{ archived, hot uint64 }{{0, 10}, {4, 6}, {3, 6}, {11, 6}, {10, 0}} {
 		ack(time.Minute, step.archived)
-		session, found := machine.Snapshot().Session("a/c")
+		session, found := machine.View().Session("a/c")
 		if !found || uint64(len(session.Hot)) != step.hot || (step.hot > 0 && session.Hot[0].Seq != session.ArchivedSeq+1) {
 			t.Fatalf("after ack of %d: %+v", step.archived, session)
 		}
 	}
 	ack(time.Hour+time.Minute-1, 10)
-	if _, found := machine.Snapshot().Session("a/c"); !found {
+	if _, found := machine.View().Session("a/c"); !found {
 		t.Fatal("a line was forgotten before its keeping time was over")
 	}
 	ack(time.Hour+time.Minute+1, 10)
-	if _, found := machine.Snapshot().Session("a/c"); found {
+	if _, found := machine.View().Session("a/c"); found {
 		t.Fatal("a line was kept beyond its keeping time")
 	}
 }
@@ -99,7 +99,7 @@
 				spoken += used
 				delete(out, name)
 			}
-			tally := machine.Snapshot().Tally("tally")
+			tally := machine.View().Tally("tally")
 			if tally.Spent != spoken {
 				return fmt.Sprintf("step %d: %d are booked, %d were spoken", position, tally.Spent, spoken)
 			}
@@ -116,15 +116,15 @@
 	machine := open(t)
 	machine.Apply(&Command{Kind: AppendEvent, Line: "a/c", Now: 5, Producer: "p", ProducerSeq: 1, Events: []Event{{Kind: TurnBegun}}})
 	machine.Apply(&Command{Kind: Reserve, Line: "tally", Reservation: "r", Words: 3, Allowance: 9})
-	image := machine.Snapshot().Image()
+	image := machine.View().Image()
 	other := NewMachine()
 	if err := other.Restore(image); err != nil {
 		t.Fatal(err)
 	}
-	if again := other.Snapshot().Image(); !reflect.DeepEqual(image, again) {
+	if again := other.View().Image(); !reflect.DeepEqual(image, again) {
 		t.Fatalf("restored %+v, want %+v", again, image)
 	}
-	before := slices.Collect(machine.Snapshot().Sessions())[0]
+	before := slices.Collect(machine.View().Sessions())[0]
 	machine.Apply(&Command{Kind: AppendEvent, Line: "a/c", Producer: "p", ProducerSeq: 2, Events: []Event{{Kind: Piece, Turn: 1}}})
 	if before.Head != 1 || len(before.Hot) != 1 {
 		t.Fatal("a published session was changed")
--- a/system/replica/host.go
+++ b/system/replica/host.go
@@ -478,7 +478,7 @@
 // a quorum confirmed that this replica leads.
 //
 //	if err := host.Read(ctx, 7); err != nil { return err }
-//	session, found := machine.Snapshot().Session(name)
+//	session, found := machine.View().Session(name)
 func (host *Host) Read(ctx context.Context, number uint32) error {
 	answer := make(chan error, 1)
 	running := host.do(func() {
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -42,14 +42,14 @@
 	if machine == nil {
 		return false
 	}
-	_, kept := machine.Snapshot().Session(name)
+	_, kept := machine.View().Session(name)
 	return kept
 }
 
 // archive flushes one group's pending events to the cold stores of a majority of
 // its replicas, and only then commits how far they may be evicted.
 func (node *Node) archive(group uint32, voters []string) {
-	snapshot := node.machine(group).Snapshot()
+	snapshot := node.machine(group).View()
 	chunks, acks, expired := []wire.ColdChunk{}, []line.Ack{}, false
 	budget, now := archiveBatch, time.Now()
 	for session := range snapshot.Sessions() {
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -122,7 +122,7 @@
 }
 
 // holes lists, for the archived part of each line, what a copy's ranges lack.
-func holes(snapshot *line.Snapshot, ranges []wire.RangeDigest) []wire.GetColdQuery {
+func holes(snapshot *line.View, ranges []wire.RangeDigest) []wire.GetColdQuery {
 	byLine := map[string][]wire.RangeDigest{}
 	for _, one := range ranges {
 		byLine[one.Line] = append(byLine[one.Line], one)
@@ -146,7 +146,7 @@
 }
 
 // chunksFor reads what fills holes from this node's own copy, or from siblings.
-func (node *Node) chunksFor(group uint32, snapshot *line.Snapshot, missing []wire.GetColdQuery) ([]wire.ColdChunk, bool) {
+func (node *Node) chunksFor(group uint32, snapshot *line.View, missing []wire.GetColdQuery) ([]wire.ColdChunk, bool) {
 	ctx, cancel := context.WithTimeout(node.context, commandPatience)
 	defer cancel()
 	chunks, whole := []wire.ColdChunk{}, true
@@ -170,7 +170,7 @@
 
 // mendSelf fills this node's own holes from its siblings.
 func (node *Node) mendSelf(group uint32) {
-	snapshot := node.machine(group).Snapshot()
+	snapshot := node.machine(group).View()
 	missing := holes(snapshot, node.cold.Digests(group))
 	if len(missing) == 0 {
 		return
@@ -193,7 +193,7 @@
 	if err != nil || reply.Digests == nil {
 		return false
 	}
-	snapshot := node.machine(group).Snapshot()
+	snapshot := node.machine(group).View()
 	missing := holes(snapshot, reply.Digests.Ranges)
 	if len(missing) == 0 {
 		return true
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -85,7 +85,7 @@
 
 // Image gives the checkpoint.
 func (machine *lineMachine) Image() []byte {
-	image := machine.Snapshot().Image()
+	image := machine.View().Image()
 	return wire.MustEncode(schema.LineImage_TypeID, &image)
 }
 
@@ -375,13 +375,13 @@
 	return &wire.Reply{Which: schema.Reply_Which_read, Read: &wire.ReadReply{Session: *session, Events: events}}, nil
 }
 
-func (node *Node) confirmed(ctx context.Context, group uint32) (*line.Snapshot, error) {
+func (node *Node) confirmed(ctx context.Context, group uint32) (*line.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandPatience)
 	defer cancel()
 	if err := node.host.Read(ctx, group); err != nil {
 		return nil, err
 	}
-	return node.machine(group).Snapshot(), nil
+	return node.machine(group).View(), nil
 }
 
 // merged joins hot events with cold ones, asks siblings for cold events that are
--- a/system/storeclient/storeclient.go
+++ b/system/storeclient/storeclient.go
@@ -67,14 +67,14 @@
 func (client *Client) ask(ctx context.Context, name string, patience time.Duration, make func(group uint32) *wire.Query) (*wire.Reply, bool, error) {
 	arrived := false
 	pause := firstPause
-	for attempt := 0; ; attempt++ {
+	for try := 0; ; try++ {
 		view := client.view()
 		group := placement.GroupOf(name, view.Groups)
 		target := client.hinted(group)
 		if target == "" {
 			replicas := placement.ReplicasOf(group, view.StorePlaces())
 			if len(replicas) > 0 {
-				target = replicas[attempt%len(replicas)]
+				target = replicas[try%len(replicas)]
 			}
 		}
 		var failed *mishap.Mishap
@@ -107,7 +107,7 @@
 				return nil, true, err
 			}
 		}
-		if failed != nil && failed.Kind == mishap.NotLeader && failed.Leader != "" && failed.Leader != target && attempt < 3 {
+		if failed != nil && failed.Kind == mishap.NotLeader && failed.Leader != "" && failed.Leader != target && try < 3 {
 			continue
 		}
 		select {
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -269,7 +269,6 @@
 	target.SetProducerSeq(value.ProducerSeq)
 	target.SetExpects(value.Expects)
 	target.SetExpectedSeq(value.ExpectedSeq)
-	target.SetArchivedSeq(0)
 	target.SetWords(value.Words)
 	target.SetAllowance(value.Allowance)
 	if err := errors.Join(target.SetLine(value.Line), target.SetTeam(value.Team), target.SetProgram(value.Program), target.SetWorkKind(value.WorkKind),
