--- a/proof/simulator/changes_test.go
+++ b/proof/simulator/changes_test.go
@@ -377,3 +377,46 @@
 		}
 	})
 }
+
+// TestAFleetIsFoundedOnlyOnceAllThreeEmptySeedsAnswer starts the seeds one by one,
+// and later a wiped one, which must join instead of founding anew.
+func TestAFleetIsFoundedOnlyOnceAllThreeEmptySeedsAnswer(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		other := &Cluster{Network: NewNetwork(2), seed: 2, groups: 8, seeds: slices.Clone(cluster.seeds)}
+		for index := range 3 {
+			other.Controls = append(other.Controls, other.AddControl(index))
+		}
+		defer func() {
+			for _, machine := range other.Controls {
+				machine.Kill()
+			}
+		}()
+		for index, machine := range other.Controls {
+			for _, running := range other.Controls[:index] {
+				if running.Control.View().Number != 0 || running.Control.Ready() {
+					t.Fatalf("a fleet was founded by %d of three seeds", index)
+				}
+			}
+			if err := machine.Start(); err != nil {
+				t.Fatal(err)
+			}
+			<-time.After(8 * time.Second)
+		}
+		fleet := other.Controls[0].Control.View().Fleet
+		for _, machine := range other.Controls {
+			if view := machine.Control.View(); view.Fleet == "" || view.Fleet != fleet {
+				t.Fatalf("founded %q and %q", fleet, view.Fleet)
+			}
+		}
+		wiped := other.Controls[2]
+		wiped.Kill()
+		wiped.Wipe()
+		if err := wiped.Start(); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(20 * time.Second)
+		if view := wiped.Control.View(); view.Fleet != fleet {
+			t.Fatalf("a wiped seed is in fleet %q, not %q", view.Fleet, fleet)
+		}
+	})
+}
