--- a/system/agreement/types.go
+++ b/system/agreement/types.go
@@ -202,3 +202,13 @@
 	}
 	return stored
 }
+
+// CaughtUp is how many entries a learner may lack when it becomes a voter.
+const CaughtUp = 16
+
+// Without gives names less one of them.
+//
+//	next := agreement.Replicas{Voters: agreement.Without(replicas.Voters, "c")}
+func Without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(one string) bool { return one == name })
+}
--- a/system/controlplane/changes.go
+++ b/system/controlplane/changes.go
@@ -169,14 +169,14 @@
 	live := node.Live()
 	lost := slices.DeleteFunc(slices.Clone(voters), func(name string) bool { return !node.lost(name) })
 	for _, learner := range learners {
-		if status.Matched[learner]+16 >= status.Commit {
-			node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: append(slices.Clone(voters), learner), Learners: dropped(learners, learner)})
+		if status.Matched[learner]+agreement.CaughtUp >= status.Commit {
+			node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: append(slices.Clone(voters), learner), Learners: agreement.Without(learners, learner)})
 			return
 		}
 	}
 	if len(lost) > 0 && len(voters) > fewestControls {
 		log.WithFields(log.Fields{"node": node.Name(), "lost": lost[0]}).Info("control_removed")
-		node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: dropped(voters, lost[0]), Learners: learners})
+		node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: agreement.Without(voters, lost[0]), Learners: learners})
 		return
 	}
 	members := slices.Concat(voters, learners)
@@ -198,10 +198,6 @@
 	return name != node.Name() && time.Since(node.began) > lostPatience && (!found || time.Since(known.heard) > lostPatience)
 }
 
-func dropped(names []string, name string) []string {
-	return slices.DeleteFunc(slices.Clone(names), func(one string) bool { return one == name })
-}
-
 // listControls carries the voters of the control group into the feed.
 func (node *Node) listControls(ctx context.Context, voters []string, live []feed.Member) {
 	view := node.View()
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -20,8 +20,6 @@
 	repairInterval = 10 * time.Second
 	// movesAtOnce bounds the groups that one leader lets catch up at a time.
 	movesAtOnce = 4
-	// caughtUp is how many entries a learner may lack when it becomes a voter.
-	caughtUp = 16
 )
 
 // moveAll brings the groups led here one step nearer to where the store list
@@ -44,20 +42,16 @@
 	}
 }
 
-func without(names []string, name string) []string {
-	return slices.DeleteFunc(slices.Clone(names), func(one string) bool { return one == name })
-}
-
 // moveOne takes one step for a group: enrol a missing replica as learner, make a
 // learner that holds everything a voter, or let a voter go that is not wanted.
 func (node *Node) moveOne(group uint32, status agreement.Status, target []string, view *feed.View) bool {
 	replicas := status.Replicas
 	for _, learner := range replicas.Learners {
 		if !slices.Contains(target, learner) {
-			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: replicas.Voters, Learners: without(replicas.Learners, learner)})
+			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: replicas.Voters, Learners: agreement.Without(replicas.Learners, learner)})
 		}
-		if status.Matched[learner]+caughtUp >= status.Commit && node.mend(group, learner) {
-			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: append(slices.Clone(replicas.Voters), learner), Learners: without(replicas.Learners, learner)})
+		if status.Matched[learner]+agreement.CaughtUp >= status.Commit && node.mend(group, learner) {
+			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: append(slices.Clone(replicas.Voters), learner), Learners: agreement.Without(replicas.Learners, learner)})
 		}
 		return true
 	}
@@ -77,7 +71,7 @@
 			return true
 		}
 		log.WithFields(log.Fields{"node": node.Name(), "group": group, "voter": voter}).Info("replica_removed")
-		return node.host.ChangeReplicas(group, agreement.Replicas{Voters: without(replicas.Voters, voter), Learners: replicas.Learners})
+		return node.host.ChangeReplicas(group, agreement.Replicas{Voters: agreement.Without(replicas.Voters, voter), Learners: replicas.Learners})
 	}
 	return false
 }
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"capnproto.org/go/capnp/v3"
 	"capnproto.org/go/capnp/v3/pogs"
@@ -288,7 +289,7 @@
 
 func takeCommand(source schema.Command, value *line.Command) error {
 	reading := &taking{}
-	*value = line.Command{Kind: line.CommandKind(source.Kind()), Now: source.Now(), KeepFor: durationOf(source.KeepFor()), ProducerSeq: source.ProducerSeq(), Expects: source.Expects(),
+	*value = line.Command{Kind: line.CommandKind(source.Kind()), Now: source.Now(), KeepFor: time.Duration(source.KeepFor()), ProducerSeq: source.ProducerSeq(), Expects: source.Expects(),
 		ExpectedSeq: source.ExpectedSeq(), Words: source.Words(), Allowance: source.Allowance(), Line: field(reading, source.Line), Team: field(reading, source.Team),
 		Program: field(reading, source.Program), WorkKind: field(reading, source.WorkKind), Producer: field(reading, source.Producer), Reservation: field(reading, source.Reservation)}
 	if reading.failed != nil {
@@ -348,7 +349,7 @@
 		return err
 	}
 	reading := &taking{}
-	*value = ReadReply{Spent: source.Spent(), Reserved: source.Reserved(), Session: line.Session{CreatedAt: session.CreatedAt(), KeepFor: durationOf(session.KeepFor()),
+	*value = ReadReply{Spent: source.Spent(), Reserved: source.Reserved(), Session: line.Session{CreatedAt: session.CreatedAt(), KeepFor: time.Duration(session.KeepFor()),
 		TouchedAt: session.TouchedAt(), Head: session.Head(), ArchivedSeq: session.ArchivedSeq(), Line: field(reading, session.Line), Team: field(reading, session.Team),
 		Program: field(reading, session.Program), WorkKind: field(reading, session.WorkKind)}}
 	if reading.failed != nil {
@@ -510,7 +511,7 @@
 		if err != nil {
 			return err
 		}
-		query.Read = &ReadQuery{After: asked.After(), Limit: asked.Limit(), Wait: durationOf(asked.Wait()), Tally: asked.Tally()}
+		query.Read = &ReadQuery{After: asked.After(), Limit: asked.Limit(), Wait: time.Duration(asked.Wait()), Tally: asked.Tally()}
 		query.Read.Line, err = asked.Line()
 		return err
 	},
@@ -579,7 +580,7 @@
 	return reply, Take(schema.Reply_TypeID, capnp.Struct(source), reply)
 }
 
-// hotStored are the stored types of the ordinary path.
+// hotPut and hotTake are the stored types of the ordinary path.
 var hotPut = map[uint64]func(capnp.Struct, any) error{
 	schema.ColdChunkBatch_TypeID: func(target capnp.Struct, value any) error {
 		return putChunks(schema.ColdChunkBatch(target), value.(*ColdChunkBatch))
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -300,8 +300,6 @@
 	return pogs.Extract(value, typeID, root.Struct())
 }
 
-func durationOf(nanoseconds int64) time.Duration { return time.Duration(nanoseconds) }
-
 // copyOf copies a struct into a message of its own.
 func copyOf(source capnp.Struct) (capnp.Struct, error) {
 	source.Message().ResetReadLimit(readLimit)
