The last look at what is in force comes with the first byte to a runner

Cause: the last look came before the dial, which may take 0.7 s on a view up to 1.5 s old, and a front frozen in between sent when it woke. Ruled out: patience ends it (the timers of a frozen process are overdue only once it wakes). A connection now asks once more at its first write; what was given up can't be written later, so a dial that came through late no longer counts as sent. Left: a freeze between that look and the system call.

--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -322,6 +322,16 @@
 	Failure httpface.Failure
 }
 
+// String shows an answer in a test's message.
+//
+//	t.Fatalf("%s", answer)
+func (answer *Answer) String() string {
+	if answer == nil {
+		return "no answer"
+	}
+	return fmt.Sprintf("%d %.300s", answer.Status, answer.Body)
+}
+
 // Ask sends a query and reads the whole answer.
 //
 //	answer, err := cluster.Ask(ctx, "POST", "10.0.2.1:7100", "/v1/lookups", simulator.TeamToken, body)
--- a/system/front/plain.go
+++ b/system/front/plain.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(query.work.Patience))
 	defer cancel()
 	for dial := 1; ; dial++ {
-		answer, err := node.runners.Ask(ctx, query.slot.Runner.Address, query.work.Path, query.plain())
+		answer, err := node.runners.Ask(ctx, query.slot.Runner.Address, query.work.Path, query.plain(), node.lastLook(query))
 		if err == nil || !mishap.Of(err).NeverSent || dial == mostDials {
 			query.slot.Release(err != nil)
 			return answer, err
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -15,6 +15,7 @@
 	"yardrock.example/system/conversation"
 	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
+	"yardrock.example/system/runnerclient"
 	"yardrock.example/system/scheduling"
 	"yardrock.example/system/wire"
 )
@@ -351,17 +352,10 @@
 
 func (node *Node) confirm(ctx context.Context, query *query) error {
 	for {
-		if _, err := node.follow.Fresh(); err != nil {
+		if err := node.lookAgain(ctx, query); err != nil {
 			return err
 		}
-		query.rules = node.rules.Load()
-		for _, still := range []filter{authenticate, findProgram, findKind} {
-			if _, err := still(node, ctx, query); err != nil {
-				return err
-			}
-		}
-		weighed := query.rules.charter.Tables[query.work.Table][query.slot.Group] > 0
-		if weighed && scheduling.Usable(query.rules.view, query.slot.Runner) {
+		if query.runnerStands() {
 			return nil
 		}
 		query.slot.Release(false)
@@ -373,6 +367,43 @@
 	}
 }
 
+// lookAgain judges the query by the charter now in force, if that is known.
+func (node *Node) lookAgain(ctx context.Context, query *query) error {
+	if _, err := node.follow.Fresh(); err != nil {
+		return err
+	}
+	query.rules = node.rules.Load()
+	for _, still := range []filter{authenticate, findProgram, findKind} {
+		if _, err := still(node, ctx, query); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runnerStands tells whether the chosen runner may still get the query.
+func (query *query) runnerStands() bool {
+	weighed := query.rules.charter.Tables[query.work.Table][query.slot.Group] > 0
+	return weighed && scheduling.Usable(query.rules.view, query.slot.Runner)
+}
+
+// lastLook is what the first byte waits for: the dial may have been slow, or this
+// process frozen, since the runner was chosen. It works on a copy, as the library
+// may ask it after the query was given up.
+func (node *Node) lastLook(query *query) runnerclient.Look {
+	chosen := *query
+	return func() error {
+		now := chosen
+		if err := node.lookAgain(node.context, &now); err != nil {
+			return err
+		}
+		if now.work != chosen.work || now.terms != chosen.terms || !now.runnerStands() {
+			return mishap.Later(mishap.NotRun, "what is in force changed before anything was sent", "ask again", time.Second)
+		}
+		return nil
+	}
+}
+
 // nextRunner takes another runner after one that provably was sent nothing.
 func (node *Node) nextRunner(ctx context.Context, query *query) error {
 	query.slot.Release(true)
--- a/system/front/run.go
+++ b/system/front/run.go
@@ -115,10 +115,11 @@
 // nothing was sent.
 func (running *run) dispatch(ctx context.Context) error {
 	query, node := running.query, running.node
-	asked := runnerclient.TurnQuery{Conversation: query.conversation, Turn: query.begun.Seq, History: query.said.Said(query.follows), Words: query.words, Limit: query.terms.TurnLimit}
+	history := query.said.Said(query.follows)
 	for dial := 1; ; dial++ {
+		asked := runnerclient.TurnQuery{Conversation: query.conversation, Turn: query.begun.Seq, History: history, Words: query.words, Limit: query.terms.TurnLimit}
 		began := time.Now()
-		err := node.runners.Stream(ctx, query.slot.Runner.Address, query.work.Path, asked, func(words string) error {
+		err := node.runners.Stream(ctx, query.slot.Runner.Address, query.work.Path, asked, node.lastLook(query), func(words string) error {
 			if running.first == 0 {
 				running.first = time.Since(began)
 			}
--- a/system/runnerclient/runnerclient.go
+++ b/system/runnerclient/runnerclient.go
@@ -52,8 +52,8 @@
 	Words      string `json:"words"`
 }
 
-// Client talks to runners. Each query has a connection of its own, so that a
-// failed dial proves that nothing was sent.
+// Client talks to runners. Each query has a connection of its own, so that what
+// was never written provably never ran.
 type Client struct {
 	network link.Network
 }
@@ -63,21 +63,70 @@
 //	client := runnerclient.New(link.TCP{})
 func New(network link.Network) *Client { return &Client{network: network} }
 
+// Look is asked when a connection stands and its first byte is about to leave; an
+// error keeps it back.
+type Look func() error
+
+// guarded is a connection whose first byte leaves only after the last look.
+type guarded struct {
+	net.Conn
+	dispatch *dispatch
+}
+
+// dispatch is what is known of one try to send. It is either sent or given up,
+// whichever comes first, so that what was given up can't leave later.
+type dispatch struct {
+	look    Look
+	state   atomic.Int32
+	refused atomic.Pointer[mishap.Mishap]
+}
+
+const (
+	dispatchOpen int32 = iota
+	dispatchSent
+	dispatchGivenUp
+)
+
+var errGivenUp = errors.New("the query was given up before its first byte")
+
+// Write sends, the first time only if the look allows it.
+func (guarded guarded) Write(data []byte) (int, error) {
+	trying := guarded.dispatch
+	if trying.state.Load() == dispatchOpen {
+		if err := trying.look(); err != nil {
+			trying.refused.Store(mishap.Of(err))
+			return 0, err
+		}
+		trying.state.CompareAndSwap(dispatchOpen, dispatchSent)
+	}
+	if trying.state.Load() != dispatchSent {
+		return 0, errGivenUp
+	}
+	return guarded.Conn.Write(data)
+}
+
+// giveUp tells whether nothing was sent, and nothing will be.
+func (trying *dispatch) giveUp() bool {
+	return trying.state.CompareAndSwap(dispatchOpen, dispatchGivenUp)
+}
+
 // send posts a body. NeverSent on the error proves that no byte left.
-func (client *Client) send(ctx context.Context, address, path string, body any) (*http.Response, error) {
+func (client *Client) send(ctx context.Context, address, path string, body any, look Look) (*http.Response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
-	var connected atomic.Bool
+	trying := &dispatch{look: look}
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, target string) (net.Conn, error) {
 			dialing, cancel := context.WithTimeout(ctx, dialPatience)
 			defer cancel()
 			connection, err := client.network.Dial(dialing, target)
-			connected.Store(connected.Load() || err == nil)
-			return connection, err
+			if err != nil {
+				return nil, err
+			}
+			return guarded{connection, trying}, nil
 		},
 	}
 	query, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
@@ -88,7 +137,11 @@
 	query.Header.Set("Content-Type", "application/json")
 	answer, err := transport.RoundTrip(query)
 	if err != nil {
-		return nil, &mishap.Mishap{Kind: mishap.RunnerMishap, Message: "runner " + address + ": " + err.Error(), Remedy: "see the runner's own log", NeverSent: !connected.Load()}
+		neverSent := trying.giveUp()
+		if refused := trying.refused.Load(); neverSent && refused != nil {
+			return nil, &mishap.Mishap{Kind: refused.Kind, Message: refused.Message, Remedy: refused.Remedy, RetryAfter: refused.RetryAfter, NeverSent: true}
+		}
+		return nil, &mishap.Mishap{Kind: mishap.RunnerMishap, Message: "runner " + address + ": " + err.Error(), Remedy: "see the runner's own log", NeverSent: neverSent}
 	}
 	return answer, nil
 }
@@ -103,9 +156,9 @@
 
 // Ask posts to an application runner and gives its whole JSON answer.
 //
-//	answer, err := client.Ask(ctx, "10.0.0.9:8000", "/book", query)
-func (client *Client) Ask(ctx context.Context, address, path string, query PlainQuery) (json.RawMessage, error) {
-	answer, err := client.send(ctx, address, path, query)
+//	answer, err := client.Ask(ctx, "10.0.0.9:8000", "/book", query, look)
+func (client *Client) Ask(ctx context.Context, address, path string, query PlainQuery, look Look) (json.RawMessage, error) {
+	answer, err := client.send(ctx, address, path, query, look)
 	if err != nil {
 		return nil, err
 	}
@@ -131,9 +184,9 @@
 // Stream posts to a model runner and calls piece for each piece. It returns nil
 // only after the runner's own end mark.
 //
-//	err := client.Stream(ctx, address, "/turn", query, func(words string) error { ... })
-func (client *Client) Stream(ctx context.Context, address, path string, query TurnQuery, onPiece func(words string) error) error {
-	answer, err := client.send(ctx, address, path, query)
+//	err := client.Stream(ctx, address, "/turn", query, look, func(words string) error { ... })
+func (client *Client) Stream(ctx context.Context, address, path string, query TurnQuery, look Look, onPiece func(words string) error) error {
+	answer, err := client.send(ctx, address, path, query, look)
 	if err != nil {
 		return err
 	}
