A replica whose disk stalls no longer keeps the others from electing a leader

Cause: a stalled replica went on standing for election; its own new term was not synced, but its refusals of pre-votes told it at once, and whoever heard of it gave its own candidature up. With two others left that could repeat for ever. Ruled out: the front (it asked all three), the read index (no leader was there). A refused pre-vote now waits for the sync like all that tells a term, and a replica with an unsynced promise does not stand.

--- a/proof/simulator/changes_test.go
+++ b/proof/simulator/changes_test.go
@@ -348,6 +348,19 @@
 			t.Fatal(err)
 		}
 		t.Logf("leadership moved after %s", time.Since(began))
+		// It may stand for election in vain, but not keep the others from theirs.
+		err = cluster.Await(5*time.Second, "leaders of all groups", func() error {
+			for group := range uint32(8) {
+				led := slices.ContainsFunc(cluster.Stores[1:], func(machine *Machine) bool { return machine.Store.Host().Statuses()[group].Confirmed })
+				if !led {
+					return fmt.Errorf("group %d is not led", group)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
 		if err := cluster.AwaitServing(10 * time.Second); err != nil {
 			t.Fatal(err)
 		}
--- a/system/agreement/core.go
+++ b/system/agreement/core.go
@@ -253,6 +253,11 @@
 		return
 	}
 	if core.electionElapsed >= core.electionTimeout && core.isVoter(core.settings.Name) {
+		if core.synced < core.written {
+			// The disk holds an earlier promise up: this replica could not lead now.
+			core.become(follower, "")
+			return
+		}
 		core.campaign()
 	}
 }
@@ -806,9 +811,10 @@
 
 // leavesAtOnce: a leader's entries may travel while its own disk still writes
 // them, since its own copy counts only once synced. All else promises something
-// that the disk must hold first.
-func leavesAtOnce(kind MessageKind) bool {
-	return kind == MessageAppend || kind == MessageCheckpoint || kind == MessagePreVote || kind == MessagePreVoteReply || kind == MessageElectNow
+// that the disk must hold first; a refused pre-vote tells the own term.
+func leavesAtOnce(message Message) bool {
+	kind := message.Kind
+	return kind == MessageAppend || kind == MessageCheckpoint || kind == MessagePreVote || kind == MessageElectNow || (kind == MessagePreVoteReply && !message.Refused)
 }
 
 func (core *Core) flush() {
@@ -827,7 +833,7 @@
 		core.dirtyState, core.dirtyFrom, core.dirtyPoint = false, 0, false
 	}
 	for _, message := range core.undelivered {
-		if core.synced >= core.written || leavesAtOnce(message.Kind) {
+		if core.synced >= core.written || leavesAtOnce(message) {
 			core.output.Messages = append(core.output.Messages, message)
 		} else {
 			core.held = append(core.held, heldMessage{number: core.written, message: message})
