--- a/proof/simulator/network.go
+++ b/proof/simulator/network.go
@@ -13,6 +13,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -246,7 +247,7 @@
 			continue
 		}
 		if way && found == nil {
-			return nil, errors.New("connection refused by " + target)
+			return nil, fmt.Errorf("%s: %w", target, syscall.ECONNREFUSED)
 		}
 		if way {
 			return network.connect(host.name, found)
@@ -277,7 +278,7 @@
 		return near, nil
 	case <-to.closed:
 		near.Close()
-		return nil, errors.New("connection refused by " + to.address)
+		return nil, fmt.Errorf("%s: %w", to.address, syscall.ECONNREFUSED)
 	}
 }
 
--- /dev/null
+++ b/proof/simulator/notrun_test.go
@@ -0,0 +1,117 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestNotRunIsNeverToldOfWorkThatRuns sends one key to three fronts about the same
+// time, while runners are short, links break, and fronts freeze, are cut off or die.
+// The runners' own records judge: once any query under a key was told "not run",
+// nothing under that key may have run or run later.
+func TestNotRunIsNeverToldOfWorkThatRuns(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 3, Fronts: 3, Models: 1, Applications: 1}, func(t *testing.T, cluster *Cluster) {
+		scarce := strings.NewReplacer(`application: {concurrency: 16`, `application: {concurrency: 1`, `cold_concurrency: 2`, `cold_concurrency: 1`, `platform:`, "limits: {queue: 1, queue_patience: \"50ms\"}\nplatform:").Replace(Rules)
+		if err := cluster.PutCharter(scarce); err != nil {
+			t.Fatal(err)
+		}
+		random := cluster.Random(5)
+		var mutex sync.Mutex
+		var asked sync.WaitGroup
+		told, why := map[string]map[string]int{}, map[string][]string{}
+		ask := func(front *Machine, key string, later time.Duration) {
+			asked.Go(func() {
+				<-time.After(later)
+				ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+				defer cancel()
+				answer, err := cluster.Ask(ctx, http.MethodPost, front.Host+":7100", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "request_key": key, "words": "pay"})
+				mutex.Lock()
+				defer mutex.Unlock()
+				switch {
+				case err != nil:
+					told[key]["lost"]++
+				case answer.Status == http.StatusOK:
+					told[key]["done"]++
+				default:
+					told[key][answer.Failure.Kind]++
+					why[key] = append(why[key], answer.Failure.Message)
+					if answer.Failure.Kind == "not_run" && answer.Header.Get("Retry-After") == "" {
+						t.Errorf("%s was refused without saying when to come back", key)
+					}
+				}
+			})
+		}
+		for round := range 10 {
+			for number := range 8 {
+				key := fmt.Sprintf("key-%d-%d", round, number)
+				mutex.Lock()
+				told[key] = map[string]int{}
+				mutex.Unlock()
+				for _, position := range random.Perm(3) {
+					ask(cluster.Fronts[position], key, time.Duration(random.IntN(400))*time.Millisecond)
+				}
+			}
+			<-time.After(time.Duration(random.IntN(300)) * time.Millisecond)
+			front, store := cluster.Fronts[random.IntN(3)], cluster.Stores[random.IntN(3)]
+			lasts := time.Duration(300+random.IntN(3000)) * time.Millisecond
+			switch random.IntN(6) {
+			case 0:
+				cluster.Network.Freeze(front.Host)
+				<-time.After(lasts)
+				cluster.Network.Thaw(front.Host)
+			case 1:
+				for _, one := range cluster.Stores {
+					cluster.Network.CutOneWay(one.Host, front.Host) // begins and fences arrive, their answers do not
+				}
+				<-time.After(lasts)
+				for _, one := range cluster.Stores {
+					cluster.Network.Mend(one.Host, front.Host)
+				}
+			case 2:
+				front.Kill()
+				<-time.After(lasts)
+				if err := front.Start(); err != nil {
+					t.Fatal(err)
+				}
+			case 3:
+				store.LosePower()
+				if err := store.Start(); err != nil {
+					t.Fatal(err)
+				}
+			case 4:
+				cluster.Network.Isolate(front.Host)
+				<-time.After(lasts)
+				cluster.Network.Rejoin(front.Host)
+			case 5: // a crowd alone
+			}
+		}
+		asked.Wait()
+		<-time.After(30 * time.Second) // whoever was late has woken
+		sums := map[string]int{}
+		for key, kinds := range told {
+			count := cluster.executions("dialogue/receipt/" + key)
+			sums["ran"] += count
+			for kind, times := range kinds {
+				sums[kind] += times
+			}
+			if count > 1 {
+				t.Errorf("%s ran %d times", key, count)
+			}
+			if kinds["not_run"] > 0 && count > 0 {
+				t.Errorf("%s ran, and was told: %v (%q)", key, kinds, why[key])
+			}
+			if kinds["done"] > 0 && count != 1 {
+				t.Errorf("%s ran %d times, and was told: %v", key, count, kinds)
+			}
+		}
+		t.Logf("%v", sums)
+		if sums["ran"] == 0 || sums["done"] == 0 {
+			t.Fatalf("nothing was tested: %v", sums)
+		}
+	})
+}
--- a/system/coldstore/coldstore.go
+++ b/system/coldstore/coldstore.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"yardrock.example/system/files"
 	"yardrock.example/system/line"
@@ -215,15 +214,25 @@
 	return ranges
 }
 
-// Expire forgets chunks whose keeping time is over and removes files in which
-// nothing counts any more. Live tells whether a line is still kept by its group.
+// Expire forgets chunks whose keeping time is over by their group's clock and
+// removes files in which nothing counts any more. Live tells whether a line is still
+// kept by its group. A group that has no clock here keeps what it has.
 //
-//	err := cold.Expire(time.Now(), func(name string) bool { return known(name) })
-func (store *Store) Expire(now time.Time, live func(name string) bool) error {
+//	err := cold.Expire(clock, func(name string) bool { return known(name) })
+func (store *Store) Expire(clock func(group uint32) int64, live func(name string) bool) error {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	clocks := map[uint32]int64{}
+	kept := func(at place) bool {
+		now, known := clocks[at.group]
+		if !known {
+			now = clock(at.group)
+			clocks[at.group] = now
+		}
+		return at.expires > now
+	}
 	for name, places := range store.lines {
-		if live(name) || slices.ContainsFunc(places, func(at place) bool { return at.expires > now.UnixNano() }) {
+		if slices.ContainsFunc(places, kept) || live(name) {
 			continue
 		}
 		for _, at := range places {
--- a/system/conversation/conversation.go
+++ b/system/conversation/conversation.go
@@ -5,7 +5,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 	"unicode"
 
 	"yardrock.example/system/line"
@@ -26,16 +25,19 @@
 	return turn.Ended != nil && turn.Ended.Outcome == line.OutcomeComplete
 }
 
-// Overdue tells whether the turn is open though its runner's time is over.
+// Overdue tells whether the turn is open though its runner's time is over, by the
+// clock of the line's group.
 //
-//	if turn.Overdue(time.Now()) { ... }
-func (turn *Turn) Overdue(now time.Time) bool {
-	return turn.Ended == nil && now.After(time.Unix(0, turn.Begun.Deadline))
+//	if turn.Overdue(reply.Clock) { ... }
+func (turn *Turn) Overdue(clock int64) bool {
+	return turn.Ended == nil && clock > turn.Begun.Deadline
 }
 
 // View is a line's events, folded.
 type View struct {
-	Head   uint64
+	Head uint64
+	// Clock is the time of the line's group when the events were read.
+	Clock  int64
 	turns  map[uint64]*Turn
 	order  []*Turn
 	opened map[string]line.Event
@@ -65,6 +67,22 @@
 	return view
 }
 
+// Run finds a turn, tool call or work by the seq of its first event.
+//
+//	run, found := view.Run(7)
+func (view *View) Run(name uint64) (*Turn, bool) {
+	run, found := view.turns[name]
+	return run, found
+}
+
+// Spent counts the words of a turn: those that were new, and those of its answer as
+// far as it is recorded.
+//
+//	words := turn.Spent()
+func (turn *Turn) Spent() uint64 {
+	return CountWords(turn.Begun.Words) + CountWords(turn.Words())
+}
+
 // Turn finds a turn by its name, the seq of its first event.
 //
 //	turn, found := view.Turn(7)
@@ -73,19 +91,6 @@
 	return turn, found && turn.Begun.Kind == line.TurnBegun
 }
 
-// Followers gives the turns that follow a turn, in order.
-//
-//	for _, sibling := range view.Followers(7) { ... }
-func (view *View) Followers(name uint64) []*Turn {
-	found := []*Turn{}
-	for _, turn := range view.order {
-		if turn.Begun.Kind == line.TurnBegun && turn.Begun.Follows == name {
-			found = append(found, turn)
-		}
-	}
-	return found
-}
-
 // Said gives what was said up to and with a turn: the chain of turns that it
 // follows, with the tools that those called, in the order of the line.
 //
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -175,4 +175,12 @@
 	fencePatience  = 4 * time.Second
 	deadlineMargin = 5 * time.Second
 	settlePatience = 30 * time.Second
+	// reservationUse is how long after its asking a reservation may be dispatched
+	// under; past that and the run's own time, the stores settle it.
+	reservationUse    = 15 * time.Second
+	reservationMargin = 15 * time.Second
+	tailWait          = time.Second
+	probePatience     = 500 * time.Millisecond
+	provePatience     = 1500 * time.Millisecond
+	sessionsKnown     = 1500 * time.Millisecond
 )
--- a/system/front/plain.go
+++ b/system/front/plain.go
@@ -81,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(node.context, settlePatience)
 	defer cancel()
 	if _, err := node.closeRun(ctx, query, 2, ended.Outcome, ended.Words, ended.Name); err != nil {
-		return nil, mishap.New(mishap.Unknown, "the outcome could not be recorded: "+err.Error(), "ask again with the same request key")
+		return nil, mishap.Later(mishap.Unknown, "the outcome could not be recorded: "+err.Error(), "ask again with the same request key", time.Second)
 	}
 	return node.told(query, ended, false)
 }
@@ -93,7 +93,7 @@
 		name := query.conversation
 		return &work.Outcome{Outcome: ended.Outcome, Line: &name, Answer: json.RawMessage(ended.Words), Repeated: &repeated}, nil
 	case line.OutcomeNotRun:
-		return nil, mishap.Later(mishap.NotRun, "the work did not run: "+ended.Name, "send it under a new request key", time.Second)
+		return nil, query.notRun("the work did not run: " + ended.Name)
 	default:
 		return nil, mishap.New(mishap.Unknown, "whether the work ran is not known: "+ended.Name, "find out at its receiver; it is never sent again under this request key")
 	}
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -32,6 +32,11 @@
 	follows      uint64
 	parent       string
 
+	// recorded queries leave a record; "not run" is told of them only once that is
+	// proven in the record, and then proven is set.
+	recorded bool
+	proven   bool
+
 	rules    *inForce
 	team     string
 	terms    charter.Program
@@ -41,9 +46,12 @@
 	unheard  bool // named at random just now, so there is nothing to read
 	producer string
 	slot     *scheduling.Slot
+	dispatch string
 	reserved string
-	begun    line.Event
-	undo     []func()
+	// reservedAt is when the reservation was asked for; its life counts from then.
+	reservedAt time.Time
+	begun      line.Event
+	undo       []func()
 }
 
 // filter looks at a query and may answer it; the chain ends with the first that
@@ -60,8 +68,11 @@
 	}()
 	for _, step := range chain {
 		answer, err := step(node, ctx, query)
-		if err != nil || answer != nil {
-			return answer, err
+		if err != nil {
+			return nil, node.prove(query, err)
+		}
+		if answer != nil {
+			return answer, nil
 		}
 	}
 	return nil, mishap.New(mishap.Unavailable, "no filter answered", "report this")
@@ -71,17 +82,25 @@
 func chain(first []filter, more ...filter) []filter { return slices.Concat(first, more) }
 
 var (
-	admission   = []filter{refuseDraining, requireFresh, authenticate}
+	asking      = []filter{requireFresh, authenticate}
+	admission   = chain([]filter{refuseDraining}, asking...)
 	programmed  = chain(admission, findProgram, findKind)
-	turnSteps   = []filter{checkTurn, takeSlot, reserveWords, beginTurn, confirmRunner, startRun}
-	turnChain   = chain(chain(programmed, servesTurns, nameLine, readLine), turnSteps...)
-	followChain = chain(chain(admission, nameLine, readLine, programOfLine, findProgram, findKind, servesTurns), turnSteps...)
+	recording   = chain([]filter{willRecord}, asking...)
+	starting    = chain(recording, findProgram, findKind)
+	turnSteps   = []filter{checkTurn, refuseDraining, takeSlot, reserveWords, beginTurn, confirmRunner, startRun}
+	turnChain   = chain(chain(starting, servesTurns, nameLine, readLine), turnSteps...)
+	followChain = chain(chain(recording, nameLine, readLine, programOfLine, findProgram, findKind, servesTurns), turnSteps...)
 	lookupChain = chain(programmed, servesLookups, takeSlot, confirmRunner, askRunner)
-	onceChain   = chain(programmed, servesPlain, nameOnceLine, readLine, checkOnce, takeSlot, beginOnce, confirmRunner, runOnce)
-	toolChain   = chain(admission, nameLine, readLine, programOfLine, findProgram, findKind, servesPlain, checkTool, takeSlot, beginTool, confirmRunner, runOnce)
-	helperChain = chain(programmed, servesTurns, readParent, noteHelper)
+	onceChain   = chain(starting, servesPlain, nameOnceLine, readLine, checkOnce, refuseDraining, takeSlot, beginOnce, confirmRunner, runOnce)
+	toolChain   = chain(recording, nameLine, readLine, programOfLine, findProgram, findKind, servesPlain, checkTool, refuseDraining, takeSlot, beginTool, confirmRunner, runOnce)
+	helperChain = chain(starting, servesTurns, readParent, noteHelper)
 )
 
+func willRecord(_ *Node, _ context.Context, query *query) (any, error) {
+	query.recorded = true
+	return nil, nil
+}
+
 func refuseDraining(node *Node, _ context.Context, _ *query) (any, error) {
 	if node.draining.Load() {
 		return nil, mishap.Later(mishap.NotRun, "this node is going away", "ask at another node", time.Second)
@@ -185,7 +204,7 @@
 		query.said, query.unheard = conversation.Fold(nil), false
 		return nil, nil
 	}
-	events, session, err := node.readAll(ctx, query.line())
+	events, session, clock, err := node.readAll(ctx, query.line())
 	if mishap.Is(err, mishap.NotFound) {
 		query.said = conversation.Fold(nil)
 		if query.follows > 0 {
@@ -197,6 +216,7 @@
 		return nil, asNotRun(err)
 	}
 	query.said, query.existed = conversation.Fold(events), true
+	query.said.Clock = clock
 	if query.program == "" {
 		query.program = session.Program
 	}
@@ -211,18 +231,18 @@
 
 const eventsAtOnce = 2048
 
-func (node *Node) readAll(ctx context.Context, name string) ([]line.Event, line.Session, error) {
+func (node *Node) readAll(ctx context.Context, name string) ([]line.Event, line.Session, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitPatience)
 	defer cancel()
 	events := []line.Event{}
 	for {
 		reply, err := node.stores.Read(ctx, wire.ReadQuery{Line: name, After: uint64(len(events)), Limit: eventsAtOnce})
 		if err != nil {
-			return nil, line.Session{}, err
+			return nil, line.Session{}, 0, err
 		}
 		events = append(events, reply.Events...)
 		if uint64(len(events)) >= reply.Session.Head || len(reply.Events) == 0 {
-			return events, reply.Session, nil
+			return events, reply.Session, reply.Clock, nil
 		}
 	}
 }
@@ -249,32 +269,56 @@
 }
 
 // checkTurn decides whether a turn may begin: the followed one must be complete,
-// and no other may follow it. A repeat is answered with the turn that is there.
+// and no other may follow it. A repeat is answered with the turn that is there. Each
+// attempt at one place has a producer of its own; one that was closed without an
+// answer, or fenced off, makes room for the next.
 func checkTurn(node *Node, ctx context.Context, query *query) (any, error) {
 	if query.follows > 0 {
 		if err := checkFollowed(query); err != nil {
 			return nil, err
 		}
 	}
-	failed := 0
-	for _, sibling := range query.said.Followers(query.follows) {
-		if sibling.Overdue(time.Now()) {
-			if err := node.closeOverdue(ctx, query.line(), sibling.Begun, line.OutcomeCut); err != nil {
+	for attempt := 0; ; attempt++ {
+		query.producer = query.program + "/turn/" + strconv.FormatUint(query.follows, 10) + "#" + strconv.Itoa(attempt)
+		begun, found := query.said.ByProducer(query.producer)
+		if !found {
+			return nil, nil
+		}
+		same := begun.Digest == query.digest()
+		if begun.Kind == line.Fenced {
+			if same && query.requestKey != "" {
+				return nil, query.fencedOff()
+			}
+			continue
+		}
+		turn, _ := query.said.Turn(begun.Seq)
+		if turn.Overdue(query.said.Clock) || (turn.Ended == nil && node.presumedGone(ctx, begun)) {
+			if err := node.closeOverdue(ctx, query.line(), begun, line.OutcomeCut); err != nil {
 				return nil, asNotRun(err)
 			}
 			return again(node, ctx, query)
 		}
-		if sibling.Ended != nil && !sibling.Complete() {
-			failed++
+		switch {
+		case turn.Ended != nil && turn.Ended.Outcome == line.OutcomeNotRun && same && query.requestKey != "":
+			return nil, query.notRun("this turn did not run: " + turn.Ended.Name)
+		case turn.Ended != nil && !turn.Complete():
 			continue
+		case same:
+			return node.tail(query.line(), query.conversation, begun.Seq-1, begun.Seq), nil
 		}
-		if sibling.Begun.Digest == query.digest() {
-			return node.tail(query.line(), query.conversation, sibling.Begun.Seq-1, sibling.Begun.Seq), nil
-		}
-		return nil, mishap.New(mishap.Conflict, "another turn ("+strconv.FormatUint(sibling.Begun.Seq, 10)+") already follows turn "+strconv.FormatUint(query.follows, 10), "read the history and follow its last complete turn")
+		return nil, mishap.New(mishap.Conflict, "another turn ("+strconv.FormatUint(begun.Seq, 10)+") already follows turn "+strconv.FormatUint(query.follows, 10), "read the history and follow its last complete turn")
 	}
-	query.producer = strings.Join([]string{query.program, "turn", strconv.FormatUint(query.follows, 10), strconv.Itoa(failed)}, "/")
-	return nil, nil
+}
+
+// notRun tells what the record proves: nothing ran, and nothing will, under this
+// request key.
+func (query *query) notRun(message string) error {
+	query.proven = true
+	return mishap.Later(mishap.NotRun, message, "send it under a new request key", time.Second)
+}
+
+func (query *query) fencedOff() error {
+	return query.notRun("an earlier query under this request key was refused, and the key fenced off")
 }
 
 // again rereads the line and decides anew.
@@ -300,24 +344,31 @@
 }
 
 // reserveWords reserves the new words and the longest answer before anything is
-// dispatched. What is never settled counts as spent.
+// dispatched. If the answer to that is lost, it is settled at once, so that it can't
+// come to count later. What a front that died leaves, the stores settle.
 func reserveWords(node *Node, ctx context.Context, query *query) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitPatience)
 	defer cancel()
-	name := query.line() + "/" + uuid.NewString()
+	query.dispatch = node.newDispatch()
+	query.reserved, query.reservedAt = line.ReservationName(query.line(), query.dispatch), time.Now()
 	outcomes, err := node.stores.Command(ctx, query.tallyName(), line.Command{
-		Kind: line.Reserve, Reservation: name, Words: conversation.CountWords(query.words) + query.terms.TurnLimit, Allowance: query.terms.Allowance,
+		Kind: line.Reserve, Reservation: query.reserved, Words: conversation.CountWords(query.words) + query.terms.TurnLimit, Allowance: query.terms.Allowance,
+		Life: reservationUse + time.Duration(query.work.Patience) + deadlineMargin + reservationMargin,
 	})
+	query.undo = append(query.undo, func() { node.settle(query, 0) })
 	if err != nil {
 		return nil, asNotRun(err)
 	}
-	if outcomes[0].Status == line.AllowanceExhausted {
+	switch outcomes[0].Status {
+	case line.Done:
+		return nil, nil
+	case line.AllowanceExhausted:
+		query.reserved = ""
 		return nil, mishap.New(mishap.Exhausted, "program "+query.program+" has "+strconv.FormatUint(outcomes[0].Spent, 10)+" words spent and "+strconv.FormatUint(outcomes[0].Reserved, 10)+" out, of "+strconv.FormatUint(query.terms.Allowance, 10),
 			"wait for the turns under way, or have an operator raise the allowance")
 	}
-	query.reserved = name
-	query.undo = append(query.undo, func() { node.settle(query, 0) })
-	return nil, nil
+	query.reserved = ""
+	return nil, mishap.Later(mishap.NotRun, "the reservation came too late", "ask again", time.Second)
 }
 
 // settle books what a turn used; it is tried until it lasts or patience ends, and
@@ -397,6 +448,9 @@
 		if err := node.lookAgain(node.context, &now); err != nil {
 			return err
 		}
+		if chosen.reserved != "" && time.Since(chosen.reservedAt) > reservationUse {
+			return mishap.Later(mishap.NotRun, "the reservation of words was not used in time", "ask again", time.Second)
+		}
 		if now.work != chosen.work || now.terms != chosen.terms || !now.runnerStands() {
 			return mishap.Later(mishap.NotRun, "what is in force changed before anything was sent", "ask again", time.Second)
 		}
--- a/system/front/record.go
+++ b/system/front/record.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/wire"
@@ -18,8 +16,11 @@
 // event that won.
 func (node *Node) begin(ctx context.Context, query *query, event line.Event, expects bool) (*line.Event, error) {
 	event.Words, event.Digest, event.Follows = query.words, query.digest(), query.follows
-	event.Runner, event.Dispatch, event.Charter = query.slot.Runner.Address, uuid.NewString(), query.rules.view.CharterNumber
-	event.Deadline = time.Now().Add(time.Duration(query.work.Patience) + deadlineMargin).UnixNano()
+	if query.dispatch == "" {
+		query.dispatch = node.newDispatch()
+	}
+	event.Runner, event.Dispatch, event.Charter = query.slot.Runner.Address, query.dispatch, query.rules.view.CharterNumber
+	event.Deadline = int64(time.Duration(query.work.Patience) + deadlineMargin)
 	commands := []line.Command{}
 	if !query.existed {
 		commands = append(commands, line.Command{Kind: line.CreateSession, Team: query.team, Program: query.program, WorkKind: query.kind, KeepFor: time.Duration(query.terms.Keep)})
@@ -29,7 +30,7 @@
 	defer cancel()
 	outcomes, err := node.stores.Command(committing, query.line(), commands...)
 	if mishap.Is(err, mishap.Unclear) {
-		return node.fence(query, event)
+		return node.fence(query, event, asNotRun(err), fencePatience)
 	}
 	if err != nil {
 		return nil, asNotRun(err)
@@ -38,8 +39,8 @@
 	switch {
 	case outcome.Status == line.UnexpectedSeq:
 		return nil, mishap.Later(mishap.Conflict, "the conversation went on meanwhile", "read the history and follow its last complete turn", 0)
-	case outcome.Status != line.Done:
-		return nil, mishap.New(mishap.NotRun, "the line refused the record (status "+strconv.Itoa(int(outcome.Status))+")", "ask again with a new request key")
+	case outcome.Status != line.Done && outcome.Status != line.StaleProducer:
+		return nil, mishap.Later(mishap.NotRun, "the line refused the record (status "+strconv.Itoa(int(outcome.Status))+")", "ask again", time.Second)
 	case outcome.Deduped:
 		return node.recorded(committing, query, outcome.Seq, event.Dispatch)
 	}
@@ -48,14 +49,17 @@
 	return nil, nil
 }
 
-// recorded reads the event that holds the producer pair. If it is this query's
+// recorded reads the event that opened the run of a producer pair, or its fence; the
+// pair's last seq may be of a later event of the run. If the begin is this query's
 // own, a lost answer had hidden that it was committed.
 func (node *Node) recorded(ctx context.Context, query *query, seq uint64, dispatch string) (*line.Event, error) {
-	reply, err := node.stores.Read(ctx, wire.ReadQuery{Line: query.line(), After: seq - 1, Limit: 1})
-	if err != nil || len(reply.Events) == 0 {
-		return nil, mishap.New(mishap.Unknown, "whether the work began cannot be read now", "ask again with the same request key")
+	event, err := node.readEvent(ctx, query.line(), seq)
+	if err == nil && event.Turn != 0 && event.Turn != event.Seq {
+		event, err = node.readEvent(ctx, query.line(), event.Turn)
+	}
+	if err != nil {
+		return nil, mishap.Later(mishap.Unknown, "whether the work began cannot be read now", "ask again with the same request key", time.Second)
 	}
-	event := reply.Events[0]
 	if event.Kind != line.Fenced && event.Dispatch == dispatch {
 		query.begun = event
 		return nil, nil
@@ -63,36 +67,82 @@
 	return &event, nil
 }
 
-// fence settles an unclear begin: either the fence takes its place, so that it can
-// never begin, or the begin is there and is closed as not run, as nothing was sent.
-func (node *Node) fence(query *query, event line.Event) (*line.Event, error) {
-	ctx, cancel := context.WithTimeout(node.context, fencePatience)
+func (node *Node) readEvent(ctx context.Context, name string, seq uint64) (line.Event, error) {
+	reply, err := node.stores.Read(ctx, wire.ReadQuery{Line: name, After: seq - 1, Limit: 1})
+	if err != nil {
+		return line.Event{}, err
+	}
+	if len(reply.Events) == 0 {
+		return line.Event{}, mishap.New(mishap.Gap, "event "+strconv.FormatUint(seq, 10)+" of "+name+" cannot be read", "ask again")
+	}
+	return reply.Events[0], nil
+}
+
+// fence settles whether a query began: either the fence takes its place, so that it
+// can never begin, or the begin is there, is this query's own, and is closed as not
+// run, as nothing was sent. Another query's begin is given back.
+func (node *Node) fence(query *query, event line.Event, cause error, patience time.Duration) (*line.Event, error) {
+	ctx, cancel := context.WithTimeout(node.context, patience)
 	defer cancel()
-	unknown := mishap.New(mishap.Unknown, "whether the work was recorded as begun is not known; this node sent nothing", "ask again with the same request key")
+	unknown := mishap.Later(mishap.Unknown, "whether the work began is not known; this node sent nothing ("+mishap.Of(cause).Message+")", "ask again with the same request key", time.Second)
 	outcomes, err := node.stores.Command(ctx, query.line(),
 		line.Command{Kind: line.CreateSession, Team: query.team, Program: query.program, WorkKind: query.kind, KeepFor: time.Duration(query.terms.Keep)},
-		line.Command{Kind: line.AppendEvent, Producer: query.producer, ProducerSeq: 1, Events: []line.Event{{Kind: line.Fenced, Digest: event.Digest}}})
+		line.Command{Kind: line.AppendEvent, Producer: query.producer, ProducerSeq: 1, Events: []line.Event{{Kind: line.Fenced, Digest: query.digest()}}})
 	if err != nil {
 		return nil, unknown
 	}
 	fenced := outcomes[1]
 	if fenced.Status == line.Done && !fenced.Deduped {
-		return nil, mishap.Later(mishap.NotRun, "the line's stores did not answer in time; the work is fenced off", "ask again with a new request key", time.Second)
+		return nil, query.fenced(cause)
 	}
 	other, err := node.recorded(ctx, query, fenced.Seq, event.Dispatch)
 	if err != nil || other != nil {
 		return other, err
 	}
-	return nil, node.closeNotRun(query, mishap.Later(mishap.NotRun, "the line's stores did not answer in time", "ask again with a new request key", time.Second))
+	return nil, node.closeNotRun(query, cause)
+}
+
+// fenced tells a refusal that the record proves. Without a request key the same
+// turn may be asked again as it is.
+func (query *query) fenced(cause error) error {
+	query.proven = true
+	failed := mishap.Of(cause)
+	told := &mishap.Mishap{Kind: mishap.NotRun, Message: failed.Message, Remedy: "ask again", RetryAfter: max(failed.RetryAfter, time.Second)}
+	if query.requestKey != "" {
+		told.Message += "; the request key is fenced off"
+		told.Remedy = "send it under a new request key"
+	}
+	return told
 }
 
-var closingKinds = map[line.EventKind]line.EventKind{line.TurnBegun: line.TurnEnded, line.ToolCalled: line.ToolAnswered}
+// prove turns a refusal of work that is recorded into one that the record proves.
+// An earlier query for the same work may be on its way at another front: only a
+// fence in its place keeps that from running after "not run" was told. Where no
+// fence can be set at once, the answer is that it is not known, and when to ask again.
+func (node *Node) prove(query *query, err error) error {
+	repeatable := query.requestKey == "" && query.follows == 0
+	if !query.recorded || query.proven || repeatable || !mishap.Is(err, mishap.NotRun) {
+		return err
+	}
+	unknown := mishap.Later(mishap.Unknown, "this node sent nothing, but cannot tell what became of an earlier query for the same work ("+mishap.Of(err).Message+")", "ask again with the same request key", max(mishap.Of(err).RetryAfter, time.Second))
+	if query.producer == "" {
+		return unknown
+	}
+	other, fenced := node.fence(query, line.Event{Dispatch: query.dispatch}, err, provePatience)
+	switch {
+	case fenced != nil:
+		return fenced
+	case other != nil && other.Kind == line.Fenced:
+		return query.fenced(err)
+	}
+	return unknown
+}
 
 // closeRun ends a run that this query began. It returns nil once the end is
 // committed; TurnClosed means that another node has closed it.
 func (node *Node) closeRun(ctx context.Context, query *query, producerSeq uint64, outcome, words, detail string) (uint64, error) {
 	outcomes, err := node.stores.Command(ctx, query.line(), line.Command{Kind: line.AppendEvent, Producer: query.producer, ProducerSeq: producerSeq, Events: []line.Event{{
-		Kind: closingKinds[query.begun.Kind], Turn: query.begun.Seq, Outcome: outcome, Words: words, Name: detail,
+		Kind: line.ClosingKind(query.begun.Kind), Turn: query.begun.Seq, Outcome: outcome, Words: words, Name: detail,
 	}}})
 	if err != nil {
 		return 0, err
@@ -109,9 +159,9 @@
 	ctx, cancel := context.WithTimeout(node.context, commitPatience)
 	defer cancel()
 	if _, err := node.closeRun(ctx, query, 2, line.OutcomeNotRun, "", string(mishap.Of(cause).Kind)); err != nil {
-		return mishap.New(mishap.Unknown, "nothing was sent, but that could not be recorded", "ask again with the same request key")
+		return mishap.Later(mishap.Unknown, "nothing was sent, but that could not be recorded", "ask again with the same request key", time.Second)
 	}
-	return asNotRun(cause)
+	return query.fenced(cause)
 }
 
 // closeOverdue ends a run whose node is gone, after its runner's time is over.
@@ -119,40 +169,28 @@
 func (node *Node) closeOverdue(ctx context.Context, name string, begun line.Event, outcome string) error {
 	ctx, cancel := context.WithTimeout(ctx, commitPatience)
 	defer cancel()
-	_, err := node.stores.Command(ctx, name, line.Command{Kind: line.AppendEvent, Producer: "closer/" + strconv.FormatUint(begun.Seq, 10), ProducerSeq: 1, Events: []line.Event{{
-		Kind: closingKinds[begun.Kind], Turn: begun.Seq, Outcome: outcome, Name: "overdue",
-	}}})
+	_, err := node.stores.Command(ctx, name, line.CloseOverdue(begun, outcome))
 	return err
 }
 
+const mostBegins = 4
+
+// beginTurn records the begin. When the line went on meanwhile, by a tool, a helper
+// or another turn, it looks anew what that means for this one.
 func beginTurn(node *Node, ctx context.Context, query *query) (any, error) {
-	other, err := node.begin(ctx, query, line.Event{Kind: line.TurnBegun}, true)
-	if mishap.Is(err, mishap.Conflict) {
-		// A tool or helper may have joined the line; only another turn is a conflict.
+	for try := 1; ; try++ {
+		other, err := node.begin(ctx, query, line.Event{Kind: line.TurnBegun}, true)
+		if other == nil && !mishap.Is(err, mishap.Conflict) {
+			return nil, err
+		}
 		answer, checked := again(node, ctx, query)
 		if checked != nil || answer != nil {
 			return answer, checked
 		}
-		if other, err = node.begin(ctx, query, line.Event{Kind: line.TurnBegun}, true); err != nil {
-			return nil, err
+		if try == mostBegins {
+			return nil, mishap.Later(mishap.NotRun, "the conversation goes on faster than this turn can join it", "ask again", time.Second)
 		}
 	}
-	if err != nil {
-		return nil, err
-	}
-	return node.repeatedTurn(query, other)
-}
-
-func (node *Node) repeatedTurn(query *query, other *line.Event) (any, error) {
-	switch {
-	case other == nil:
-		return nil, nil
-	case other.Kind == line.Fenced:
-		return nil, mishap.New(mishap.NotRun, "this turn was fenced off before", "follow the same turn with a new request key")
-	case other.Digest != query.digest():
-		return nil, mishap.New(mishap.Conflict, "another turn already follows turn "+strconv.FormatUint(query.follows, 10), "read the history and follow its last complete turn")
-	}
-	return node.tail(query.line(), query.conversation, other.Seq-1, other.Seq), nil
 }
 
 // checkOnce answers a repeated request key with what was recorded.
@@ -204,26 +242,31 @@
 		return nil, mishap.New(mishap.Conflict, "the request key was used with another body", "use a new request key for other work")
 	}
 	if begun.Kind == line.Fenced {
-		return nil, mishap.New(mishap.NotRun, "the work under this request key was fenced off and did not run", "send it under a new request key")
+		return nil, query.fencedOff()
 	}
 	after := begun.Seq
-	for {
+	for wait := time.Duration(0); ; wait = tailWait {
 		waiting, cancel := context.WithTimeout(ctx, commitPatience+tailWait)
-		reply, err := node.stores.Read(waiting, wire.ReadQuery{Line: query.line(), After: after, Wait: tailWait})
+		reply, err := node.stores.Read(waiting, wire.ReadQuery{Line: query.line(), After: after, Wait: wait})
 		cancel()
 		if err != nil {
 			return nil, mishap.Later(mishap.Unknown, "the work began before; its outcome cannot be read now", "ask again with the same request key", time.Second)
 		}
 		for _, event := range reply.Events {
 			after = event.Seq
-			if event.Turn == begun.Seq && event.Kind == closingKinds[begun.Kind] {
+			if event.Turn == begun.Seq && event.Kind == line.ClosingKind(begun.Kind) {
 				return node.told(query, event, true)
 			}
 		}
-		if time.Now().After(time.Unix(0, begun.Deadline)) {
+		gone := node.goneFor(ctx, begun)
+		switch {
+		case reply.Clock > begun.Deadline || gone == provenGone:
 			if err := node.closeOverdue(ctx, query.line(), begun, line.OutcomeUnknown); err != nil {
 				return nil, mishap.Later(mishap.Unknown, "the work began before; its outcome is not known", "ask again with the same request key", time.Second)
 			}
+		case gone == unheardOf:
+			// It may only be frozen, and still record what came of the work.
+			return nil, mishap.Later(mishap.Unknown, "the work began at a node that is not heard of; its outcome is not recorded yet", "ask again with the same request key", 2*time.Second)
 		}
 	}
 }
--- a/system/front/run.go
+++ b/system/front/run.go
@@ -19,7 +19,6 @@
 )
 
 const (
-	tailWait   = 5 * time.Second
 	mostDials  = 3
 	pieceQueue = 256
 )
@@ -85,6 +84,7 @@
 	node.runs.start(running.do)
 	_, ended, failed := running.journal.after(ctx, 0)
 	if ended && mishap.Is(failed, mishap.NotRun) {
+		query.proven = true // its end is recorded
 		return nil, failed
 	}
 	place := 0
@@ -203,6 +203,17 @@
 	words := conversation.CountWords(query.words) + running.counter.Count
 	if uncommitted != nil {
 		node.settle(query, words)
+		node.runs.start(func() {
+			ctx, cancel := context.WithTimeout(node.context, settlePatience)
+			defer cancel()
+			err := node.closeOverdue(ctx, query.line(), query.begun, line.OutcomeCut)
+			for err != nil && ctx.Err() == nil {
+				err = node.closeOverdue(ctx, query.line(), query.begun, line.OutcomeCut)
+			}
+			if err != nil {
+				log.WithFields(log.Fields{"node": node.name, "line": query.line(), "turn": query.begun.Seq, "error": err.Error()}).Warn("turn_left_open")
+			}
+		})
 		running.journal.append(mishap.New(mishap.Unknown, "the answer's pieces could not be committed: "+uncommitted.Error(), "tail the conversation from the last seq you have"), true)
 		return
 	}
@@ -224,7 +235,7 @@
 	}
 	var told error
 	if outcome == line.OutcomeNotRun {
-		told = asNotRun(failed)
+		told = query.fenced(failed)
 	}
 	running.journal.append(told, true, line.Event{Seq: seq, Kind: line.TurnEnded, Turn: query.begun.Seq, Outcome: outcome, Name: detail})
 }
@@ -237,14 +248,16 @@
 	if turn != 0 {
 		reached = turn - 1
 	}
-	var deadline int64
+	var begun line.Event
+	wait := time.Duration(0)
 	return &stream{conversation: conversationName, turn: turn, next: func(ctx context.Context) ([]line.Event, bool, error) {
 		waiting, cancel := context.WithTimeout(ctx, commitPatience+tailWait)
 		defer cancel()
-		reply, err := node.stores.Read(waiting, wire.ReadQuery{Line: name, After: reached, Limit: eventsAtOnce, Wait: tailWait})
+		reply, err := node.stores.Read(waiting, wire.ReadQuery{Line: name, After: reached, Limit: eventsAtOnce, Wait: wait})
 		if err != nil {
 			return nil, true, err
 		}
+		wait = tailWait
 		found, ended := []line.Event{}, false
 		for _, event := range reply.Events {
 			reached = event.Seq
@@ -252,15 +265,16 @@
 				continue
 			}
 			if event.Kind == line.TurnBegun {
-				deadline = event.Deadline
+				begun = event
 			}
 			ended = ended || (turn != 0 && event.Kind == line.TurnEnded)
 			if event.Seq > cursor || ended {
 				found = append(found, event)
 			}
 		}
-		if !ended && turn != 0 && time.Now().After(time.Unix(0, deadline)) {
-			if err := node.closeOverdue(ctx, name, line.Event{Seq: turn, Kind: line.TurnBegun}, line.OutcomeCut); err != nil {
+		silent := len(reply.Events) == 0 && turn != 0 && !ended
+		if silent && (reply.Clock > begun.Deadline || node.presumedGone(ctx, begun)) {
+			if err := node.closeOverdue(ctx, name, begun, line.OutcomeCut); err != nil {
 				return found, true, err
 			}
 		}
--- a/system/front/service.go
+++ b/system/front/service.go
@@ -214,7 +214,9 @@
 		return nil, asNotRun(err)
 	}
 	if outcomes[0].Status != line.Done {
-		return nil, mishap.New(mishap.NotRun, "the parent's line refused the helper", "ask again with a new request key")
+		return nil, mishap.Later(mishap.NotRun, "the parent's line refused the helper", "ask again", time.Second)
 	}
-	return node.pass(ctx, &helper, turnChain)
+	answer, err := node.pass(ctx, &helper, turnChain)
+	query.proven = helper.proven
+	return answer, err
 }
--- a/system/line/machine.go
+++ b/system/line/machine.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"iter"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,12 @@
 	return Tally{Name: name}
 }
 
+// Clock is the group's time. It moves with its leaders' commands, by the time that
+// went by at them.
+//
+//	overdue := event.Deadline < view.Clock()
+func (view *View) Clock() int64 { return view.clock }
+
 // Sessions iterates over all lines.
 //
 //	for session := range view.Sessions() { ... }
@@ -121,6 +128,23 @@
 	closes  = map[EventKind]bool{TurnEnded: true, ToolAnswered: true}
 )
 
+var closingKinds = map[EventKind]EventKind{TurnBegun: TurnEnded, ToolCalled: ToolAnswered}
+
+// ClosingKind tells which kind of event closes a run.
+//
+//	kind := line.ClosingKind(begun.Kind)
+func ClosingKind(opening EventKind) EventKind { return closingKinds[opening] }
+
+// CloseOverdue makes the command that closes a run whose node is gone. Whoever
+// closes it uses the same producer pair, so it is closed once.
+//
+//	command := line.CloseOverdue(begun, line.OutcomeCut)
+func CloseOverdue(begun Event, outcome string) Command {
+	return Command{Kind: AppendEvent, Producer: "closer/" + strconv.FormatUint(begun.Seq, 10), ProducerSeq: 1, Events: []Event{{
+		Kind: closingKinds[begun.Kind], Turn: begun.Seq, Outcome: outcome, Name: "overdue",
+	}}}
+}
+
 func (view *View) appendEvents(command *Command) Outcome {
 	existing, found := view.sessions.Get(command.Line)
 	if !found {
@@ -153,6 +177,7 @@
 		event.Producer, event.ProducerSeq = command.Producer, command.ProducerSeq
 		if opens[event.Kind] {
 			event.Turn = event.Seq
+			event.Deadline += view.clock
 			open = append(open, event.Seq)
 		}
 		if (belongs[event.Kind] || closes[event.Kind]) && !slices.Contains(open, event.Turn) {
@@ -199,15 +224,24 @@
 	return Outcome{}
 }
 
+// settledKept is how long a settled reservation is remembered: longer than any
+// Reserve for it can still be on its way.
+const settledKept = time.Minute
+
+func named(reservations []Reservation, name string) int {
+	return slices.IndexFunc(reservations, func(one Reservation) bool { return one.Name == name })
+}
+
 func (view *View) reserve(command *Command) Outcome {
 	tally := view.Tally(command.Line)
 	answer := func(status Status, deduped bool) Outcome {
 		return Outcome{Status: status, Deduped: deduped, Spent: tally.Spent, Reserved: tally.Reserved()}
 	}
-	for _, reservation := range tally.Reservations {
-		if reservation.Name == command.Reservation {
-			return answer(Done, true)
-		}
+	if named(tally.Reservations, command.Reservation) >= 0 {
+		return answer(Done, true)
+	}
+	if named(tally.Settled, command.Reservation) >= 0 {
+		return answer(StaleProducer, true)
 	}
 	reserved := tally.Reserved()
 	fits := tally.Spent+reserved+command.Words <= command.Allowance
@@ -215,21 +249,33 @@
 	if !fits && !lastTurn {
 		return answer(AllowanceExhausted, false)
 	}
-	tally.Reservations = append(slices.Clip(tally.Reservations), Reservation{Name: command.Reservation, Words: command.Words})
+	tally.Reservations = append(slices.Clip(tally.Reservations), Reservation{Name: command.Reservation, Words: command.Words, Until: view.clock + int64(command.Life)})
 	view.tallies = view.tallies.Set(command.Line, &tally)
 	return answer(Done, false)
 }
 
+// settle books what a reservation used. One that is not there is remembered as
+// settled all the same, as its Reserve may still be on its way.
 func (view *View) settle(command *Command) Outcome {
 	tally := view.Tally(command.Line)
-	at := slices.IndexFunc(tally.Reservations, func(reservation Reservation) bool { return reservation.Name == command.Reservation })
-	if at < 0 {
+	at := named(tally.Reservations, command.Reservation)
+	deduped := at < 0
+	if deduped && named(tally.Settled, command.Reservation) >= 0 {
 		return Outcome{Deduped: true, Spent: tally.Spent, Reserved: tally.Reserved()}
 	}
-	tally.Spent += min(command.Words, tally.Reservations[at].Words)
-	tally.Reservations = slices.Delete(slices.Clone(tally.Reservations), at, at+1)
+	if !deduped {
+		tally.Spent += min(command.Words, tally.Reservations[at].Words)
+		tally.Reservations = slices.Delete(slices.Clone(tally.Reservations), at, at+1)
+	}
+	remembered := []Reservation{{Name: command.Reservation, Until: view.clock + int64(settledKept)}}
+	for _, one := range tally.Settled {
+		if one.Until > view.clock {
+			remembered = append(remembered, one)
+		}
+	}
+	tally.Settled = remembered
 	view.tallies = view.tallies.Set(command.Line, &tally)
-	return Outcome{Spent: tally.Spent, Reserved: tally.Reserved()}
+	return Outcome{Deduped: deduped, Spent: tally.Spent, Reserved: tally.Reserved()}
 }
 
 // Image copies a view's content for a checkpoint.
--- a/system/line/types.go
+++ b/system/line/types.go
@@ -3,7 +3,10 @@
 // pure: time comes only from the leader's commands, so replicas agree.
 package line
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // EventKind tells what an event of a line records.
 type EventKind uint16
@@ -28,7 +31,8 @@
 	OutcomeUnknown  = "unknown"
 )
 
-// Event is one entry of a line. Its Seq is given by the group's leader.
+// Event is one entry of a line. Its Seq is given by the group's leader. At and
+// Deadline are by the group's clock; a command gives Deadline as a duration.
 type Event struct {
 	Seq         uint64
 	At          int64
@@ -67,7 +71,8 @@
 	ArchivedSeq uint64
 }
 
-// Command is what the leader puts into the log. Now is the leader's clock.
+// Command is what the leader puts into the log. Now is the group's clock as its
+// leader carries it on: it never runs ahead of the time that went by.
 type Command struct {
 	Kind        CommandKind
 	Line        string
@@ -85,6 +90,8 @@
 	Words       uint64
 	Allowance   uint64
 	Acks        []Ack
+	// Life is how long a reservation may be out before it is looked into.
+	Life time.Duration
 }
 
 // Status tells how a command ended.
@@ -142,17 +149,39 @@
 	return time.Unix(0, session.TouchedAt).Add(session.KeepFor)
 }
 
-// Reservation is what a running turn may still speak.
+// Reservation is what a running turn may still speak, and until when by the
+// group's clock it may be out.
 type Reservation struct {
 	Name  string
 	Words uint64
+	Until int64
+}
+
+// ReservationName names a turn's reservation after its line and its dispatch, so
+// that whoever finds it can look what became of the turn.
+//
+//	name := line.ReservationName("team/c-1", dispatch)
+func ReservationName(lineName, dispatch string) string {
+	return lineName + reservationSeparator + dispatch
+}
+
+const reservationSeparator = "|"
+
+// Turn gives the line and the dispatch that a reservation is for.
+//
+//	lineName, dispatch := reservation.Turn()
+func (reservation Reservation) Turn() (string, string) {
+	lineName, dispatch, _ := strings.Cut(reservation.Name, reservationSeparator)
+	return lineName, dispatch
 }
 
-// Tally is a program's spending. What is reserved counts as spent.
+// Tally is a program's spending. What is reserved counts as spent. Settled holds,
+// for a while, what was settled, so that a late Reserve can't reserve it again.
 type Tally struct {
 	Name         string
 	Spent        uint64
 	Reservations []Reservation
+	Settled      []Reservation
 }
 
 // Reserved sums what running turns may still speak.
--- a/system/link/link.go
+++ b/system/link/link.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"capnproto.org/go/capnp/v3"
@@ -176,7 +178,7 @@
 func (caller *Caller) Call(ctx context.Context, address string, query *wire.Query) (*wire.Reply, error) {
 	line, err := caller.connect(ctx, address)
 	if err != nil {
-		return nil, &mishap.Mishap{Kind: mishap.Unavailable, Message: "cannot reach " + address + ": " + err.Error(), Remedy: "check that the process runs and that its address is right", NeverSent: true}
+		return nil, &mishap.Mishap{Kind: mishap.Unavailable, Message: "cannot reach " + address + ": " + err.Error(), Remedy: "check that the process runs and that its address is right", NeverSent: true, NobodyThere: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	query.Version = wire.Version
 	// The library's own waits do not all end with the context: a sibling that
--- a/system/mishap/mishap.go
+++ b/system/mishap/mishap.go
@@ -47,6 +47,8 @@
 	Leader string
 	// NeverSent tells that the query provably did not reach the other side.
 	NeverSent bool
+	// NobodyThere tells that the other machine said that no process listens there.
+	NobodyThere bool
 }
 
 // Error gives the message with its remedy.
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -32,18 +32,19 @@
 			node.archive(group, status.Replicas.Voters)
 		}
 	}
-	if err := node.cold.Expire(time.Now(), node.keeps); err != nil {
+	if err := node.cold.Expire(node.clock, node.keeps); err != nil {
 		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("cold_expiry_failed")
 	}
 }
 
 func (node *Node) keeps(name string) bool {
-	machine := node.machine(placement.GroupOf(name, node.held.Load().Groups))
+	group := placement.GroupOf(name, node.held.Load().Groups)
+	machine := node.machine(group)
 	if machine == nil {
 		return false
 	}
-	_, kept := machine.View().Session(name)
-	return kept
+	session, kept := machine.View().Session(name)
+	return kept && session.Expires().UnixNano() >= node.clock(group)
 }
 
 // archive flushes one group's pending events to the cold stores of a majority of
@@ -51,7 +52,7 @@
 func (node *Node) archive(group uint32, voters []string) {
 	snapshot := node.machine(group).View()
 	chunks, acks, expired := []wire.ColdChunk{}, []line.Ack{}, false
-	budget, now := archiveBatch, time.Now()
+	budget, now := archiveBatch, time.Unix(0, node.clock(group))
 	for session := range snapshot.Sessions() {
 		if session.Expires().Before(now) {
 			expired = true
@@ -74,7 +75,7 @@
 	if len(chunks) > 0 && !node.putOnMajority(ctx, voters, chunks) {
 		return
 	}
-	command := line.Command{Kind: line.AckArchived, Now: time.Now().UnixNano(), Acks: acks}
+	command := line.Command{Kind: line.AckArchived, Now: node.clock(group), Acks: acks}
 	if _, err := node.host.Propose(ctx, group, [][]byte{wire.MustEncode(schema.Command_TypeID, &command)}); err != nil {
 		log.WithFields(log.Fields{"node": node.Name(), "group": group, "error": err.Error()}).Warn("archive_not_acknowledged")
 	}
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -22,6 +22,7 @@
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/placement"
 	"yardrock.example/system/replica"
+	"yardrock.example/system/storeclient"
 	"yardrock.example/system/wire"
 	"yardrock.example/system/wire/schema"
 )
@@ -45,6 +46,8 @@
 	Domain  string
 	Seeds   []string
 	Replica replica.Settings
+	// Wall is the machine's clock, which may be wrong; nil is the real one.
+	Wall func() time.Time
 }
 
 // Node is a running store node.
@@ -56,6 +59,8 @@
 	server   *link.Server
 	follow   *follower.Follower
 	machines sync.Map // group number to *lineMachine
+	clocks   sync.Map // group number to clockAnchor
+	lines    *storeclient.Client
 	held     atomic.Pointer[feed.View]
 
 	mutex   sync.Mutex
@@ -111,9 +116,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if settings.Wall == nil {
+		settings.Wall = time.Now
+	}
 	node := &Node{settings: settings, caller: link.NewCaller(network), cold: cold, waiters: map[string]chan struct{}{}}
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.held.Store(&feed.View{})
+	node.lines = storeclient.New(node.caller, node.held.Load)
 	courier := replica.NewCourier(node.caller, node.addressOf, func() string { return node.held.Load().Fleet })
 	node.host, err = replica.Open(settings.Replica, durable, records, node.newMachine, courier)
 	if err != nil {
@@ -137,6 +146,7 @@
 	node.server = link.Serve(listener, node.Answer)
 	node.foundGroups(held)
 	node.tasks.Go(func() { node.repeat(archiveInterval, node.archiveAll) })
+	node.tasks.Go(func() { node.repeat(archiveInterval, node.settler()) })
 	node.tasks.Go(func() { node.repeat(moveInterval, node.moveAll) })
 	node.tasks.Go(func() { node.repeat(repairInterval, node.repairAll) })
 	log.WithFields(log.Fields{"node": node.Name(), "address": settings.Address}).Info("store_started")
@@ -299,7 +309,7 @@
 	defer cancel()
 	commands := make([][]byte, len(query.Command.Commands))
 	for position, command := range query.Command.Commands {
-		command.Now = time.Now().UnixNano()
+		command.Now = node.clock(query.Command.Group)
 		commands[position] = wire.MustEncode(schema.Command_TypeID, &command)
 	}
 	outcomes, err := node.host.Propose(ctx, query.Command.Group, commands)
@@ -372,7 +382,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &wire.Reply{Which: schema.Reply_Which_read, Read: &wire.ReadReply{Session: *session, Events: events}}, nil
+	return &wire.Reply{Which: schema.Reply_Which_read, Read: &wire.ReadReply{Session: *session, Events: events, Clock: node.clock(group)}}, nil
 }
 
 func (node *Node) confirmed(ctx context.Context, group uint32) (*line.View, error) {
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -272,6 +272,7 @@
 	target.SetExpectedSeq(value.ExpectedSeq)
 	target.SetWords(value.Words)
 	target.SetAllowance(value.Allowance)
+	target.SetLife(int64(value.Life))
 	if err := errors.Join(target.SetLine(value.Line), target.SetTeam(value.Team), target.SetProgram(value.Program), target.SetWorkKind(value.WorkKind),
 		target.SetProducer(value.Producer), target.SetReservation(value.Reservation)); err != nil {
 		return err
@@ -290,7 +291,7 @@
 func takeCommand(source schema.Command, value *line.Command) error {
 	reading := &taking{}
 	*value = line.Command{Kind: line.CommandKind(source.Kind()), Now: source.Now(), KeepFor: time.Duration(source.KeepFor()), ProducerSeq: source.ProducerSeq(), Expects: source.Expects(),
-		ExpectedSeq: source.ExpectedSeq(), Words: source.Words(), Allowance: source.Allowance(), Line: field(reading, source.Line), Team: field(reading, source.Team),
+		ExpectedSeq: source.ExpectedSeq(), Words: source.Words(), Allowance: source.Allowance(), Life: time.Duration(source.Life()), Line: field(reading, source.Line), Team: field(reading, source.Team),
 		Program: field(reading, source.Program), WorkKind: field(reading, source.WorkKind), Producer: field(reading, source.Producer), Reservation: field(reading, source.Reservation)}
 	if reading.failed != nil {
 		return reading.failed
@@ -327,6 +328,7 @@
 func putRead(target schema.ReadReply, value *ReadReply) error {
 	target.SetSpent(value.Spent)
 	target.SetReserved(value.Reserved)
+	target.SetClock(value.Clock)
 	session, err := target.NewSession()
 	if err != nil {
 		return err
@@ -349,7 +351,7 @@
 		return err
 	}
 	reading := &taking{}
-	*value = ReadReply{Spent: source.Spent(), Reserved: source.Reserved(), Session: line.Session{CreatedAt: session.CreatedAt(), KeepFor: time.Duration(session.KeepFor()),
+	*value = ReadReply{Spent: source.Spent(), Reserved: source.Reserved(), Clock: source.Clock(), Session: line.Session{CreatedAt: session.CreatedAt(), KeepFor: time.Duration(session.KeepFor()),
 		TouchedAt: session.TouchedAt(), Head: session.Head(), ArchivedSeq: session.ArchivedSeq(), Line: field(reading, session.Line), Team: field(reading, session.Team),
 		Program: field(reading, session.Program), WorkKind: field(reading, session.WorkKind)}}
 	if reading.failed != nil {
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -25,6 +25,7 @@
     change @11 :ChangeQuery;
     digests @12 :DigestQuery;
     getCold @13 :GetColdQuery;
+    runner @14 :RunnerNote;
   }
 }
 
@@ -181,6 +182,7 @@
   words @14 :UInt64;
   allowance @15 :UInt64;
   acks @16 :List(Ack);
+  life @17 :Int64;
 }
 
 struct Ack {
@@ -226,12 +228,14 @@
 struct Reservation {
   name @0 :Text;
   words @1 :UInt64;
+  until @2 :Int64;
 }
 
 struct Tally {
   name @0 :Text;
   spent @1 :UInt64;
   reservations @2 :List(Reservation);
+  settled @3 :List(Reservation);
 }
 
 struct LineImage {
@@ -259,6 +263,7 @@
   events @1 :List(Event);
   spent @2 :UInt64;
   reserved @3 :UInt64;
+  clock @4 :Int64;
 }
 
 struct ColdChunk {
@@ -311,6 +316,13 @@
   through @2 :UInt64;
 }
 
+# --- between fronts ---
+
+struct RunnerNote {
+  address @0 :Text;
+  cooled @1 :Bool;
+}
+
 # --- the feed ---
 
 struct Runner {
@@ -319,6 +331,7 @@
   domain @2 :Text;
   state @3 :Text;
   since @4 :Int64;
+  warmed @5 :Bool;
 }
 
 struct Domain {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -37,6 +37,7 @@
 	Change    *ChangeQuery
 	Digests   *DigestQuery
 	GetCold   *GetColdQuery
+	Runner    *RunnerNote
 }
 
 // Reply answers a Query; a Mishap with a Kind says that it failed.
@@ -125,6 +126,8 @@
 	Events   []line.Event
 	Spent    uint64
 	Reserved uint64
+	// Clock is the time of the line's group, by which keeping times and deadlines go.
+	Clock int64
 }
 
 // ColdChunk is a run of archived events of one line.
@@ -177,6 +180,13 @@
 	Through uint64
 }
 
+// RunnerNote tells the other fronts that a runner looks just started, or that it
+// has answered again since.
+type RunnerNote struct {
+	Address string
+	Cooled  bool
+}
+
 // FollowQuery renews a node's session and asks for changes after a number. The
 // answer counts as confirmed by a control quorum.
 type FollowQuery struct {
