--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -50,8 +50,10 @@
 	Control *controlplane.Node
 	Store   *store.Node
 	Front   *front.Node
-	admin   *httpface.Server
-	start   func() error
+	// Ahead is how far the machine's wall clock is ahead of the time.
+	Ahead time.Duration
+	admin *httpface.Server
+	start func() error
 }
 
 // RunnerMachine is one host with a stand-in runner.
@@ -155,7 +157,7 @@
 func (cluster *Cluster) AddStore(index int) *Machine {
 	machine := &Machine{Host: fmt.Sprintf("10.0.1.%d", index+1), Domain: domain(index), Disk: NewDisk(cluster.Seed + 100 + uint64(index)), Cold: NewDisk(cluster.Seed + 200 + uint64(index))}
 	machine.start = func() (err error) {
-		machine.Store, err = store.Start(store.Settings{Address: machine.Host + ":7000", Domain: machine.Domain, Seeds: cluster.seeds, Replica: cluster.pace(100 + index)},
+		machine.Store, err = store.Start(store.Settings{Address: machine.Host + ":7000", Domain: machine.Domain, Seeds: cluster.seeds, Replica: cluster.pace(100 + index), Wall: machine.wall},
 			machine.Disk, machine.Cold, cluster.Network.At(machine.Host))
 		return err
 	}
@@ -171,6 +173,8 @@
 	return machine
 }
 
+func (machine *Machine) wall() time.Time { return time.Now().Add(machine.Ahead) }
+
 // Start starts the machine's node, on what its disk holds.
 //
 //	err := machine.Start()
--- /dev/null
+++ b/proof/simulator/deadfront_test.go
@@ -0,0 +1,223 @@
+package simulator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// asked sends work under a key in the background.
+func (cluster *Cluster) asked(front *Machine, path string, body map[string]any) <-chan *Answer {
+	answers := make(chan *Answer, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+		defer cancel()
+		answer, _ := cluster.Ask(ctx, http.MethodPost, front.Host+":7100", path, TeamToken, body)
+		answers <- answer
+	}()
+	return answers
+}
+
+// resumed tails the first turn of the conversation that a request key named.
+func (cluster *Cluster) resumed(front *Machine, key string) <-chan *Answer {
+	sum := sha256.Sum256([]byte(strings.Join([]string{"depot", "dialogue", "", key}, "\x00")))
+	answers := make(chan *Answer, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+		defer cancel()
+		answer, _ := cluster.Ask(ctx, http.MethodGet, front.Host+":7100", "/v1/conversations/c-"+hex.EncodeToString(sum[:16])+"/tail?cursor=1&turn=1", TeamToken, nil)
+		answers <- answer
+	}()
+	return answers
+}
+
+func receipt(key, words string) map[string]any {
+	return map[string]any{"program": "dialogue", "kind": "receipt", "request_key": key, "words": words}
+}
+
+func talk(key, words string) map[string]any {
+	return map[string]any{"program": "dialogue", "kind": "talk", "request_key": key, "words": words}
+}
+
+// TestWorkOfADeadFrontIsClosedAtOnce kills and freezes a front amid its runs. Who
+// asks for them elsewhere gets the final answer at once, long before the runs'
+// deadline; what a frozen front may still record is not closed over its head.
+func TestWorkOfADeadFrontIsClosedAtOnce(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		dead, other := cluster.Fronts[0], cluster.Fronts[1]
+		if err := cluster.PutCharter(strings.ReplaceAll(Rules, `patience: "5s"`, `patience: "20s"`)); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(2 * time.Second)
+		within := func(what string, bound time.Duration, answers <-chan *Answer) *Answer {
+			t.Helper()
+			select {
+			case answer := <-answers:
+				return answer
+			case <-time.After(bound):
+				t.Fatalf("%s: no answer within %s", what, bound)
+			}
+			return nil
+		}
+		cluster.asked(dead, "/v1/requests", receipt("dead-once", "pay !slow"))
+		cluster.asked(dead, "/v1/conversations", talk("dead-turn", "go on !endless"))
+		<-time.After(200 * time.Millisecond)
+		dead.Kill()
+		once := within("work of a killed front", 1500*time.Millisecond, cluster.asked(other, "/v1/requests", receipt("dead-once", "pay !slow")))
+		if once.Failure.Kind != "unknown" || once.Failure.RetryAfter != 0 {
+			t.Fatalf("work of a killed front: %s", once)
+		}
+		turn := within("turn of a killed front", 1500*time.Millisecond, cluster.resumed(other, "dead-turn"))
+		if said, err := ReadStream(newReader(turn.Body)); err != nil || said.End != "cut" {
+			t.Fatalf("turn of a killed front: %s", turn)
+		}
+		if err := dead.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		cluster.asked(dead, "/v1/requests", receipt("frozen-once", "pay !slow"))
+		cluster.asked(dead, "/v1/conversations", talk("frozen-turn", "go on !endless"))
+		<-time.After(200 * time.Millisecond)
+		cluster.Network.Freeze(dead.Host)
+		<-time.After(4 * time.Second) // its session is over
+		once = within("work of a frozen front", 2*time.Second, cluster.asked(other, "/v1/requests", receipt("frozen-once", "pay !slow")))
+		if once.Failure.Kind != "unknown" || once.Failure.RetryAfter == 0 {
+			t.Fatalf("work of a frozen front: %s", once)
+		}
+		turn = within("turn of a frozen front", 2*time.Second, cluster.resumed(other, "frozen-turn"))
+		if said, err := ReadStream(newReader(turn.Body)); err != nil || said.End != "cut" {
+			t.Fatalf("turn of a frozen front: %s", turn)
+		}
+		cluster.Network.Thaw(dead.Host)
+		<-time.After(2 * time.Second)
+		once = within("work of a woken front", 2*time.Second, cluster.asked(other, "/v1/requests", receipt("frozen-once", "pay !slow")))
+		if once.Status != http.StatusOK {
+			t.Fatalf("work of a woken front: %s", once)
+		}
+		for _, key := range []string{"dead-once", "frozen-once"} {
+			if count := cluster.executions("dialogue/receipt/" + key); count != 1 {
+				t.Fatalf("%s ran %d times", key, count)
+			}
+		}
+	})
+}
+
+type tallied struct {
+	Spent    int `json:"spent"`
+	Reserved int `json:"reserved"`
+}
+
+func (cluster *Cluster) tally(front *Machine, program string) (told tallied, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	answer, err := cluster.Ask(ctx, http.MethodGet, front.Host+":7100", "/v1/tallies/"+program, TeamToken, nil)
+	if err != nil {
+		return told, err
+	}
+	return told, json.Unmarshal(answer.Body, &told)
+}
+
+// TestWhatLostFrontsReservedIsSettled lets fronts die amid turns of a program, and
+// loses the answers to reservations, over and over. What was spoken stays counted;
+// what was only reserved comes back, so that the program can go on.
+func TestWhatLostFrontsReservedIsSettled(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 3, Fronts: 3, Models: 2, Applications: 1}, func(t *testing.T, cluster *Cluster) {
+		rules := strings.NewReplacer(`tight: {team: "depot", allowance: 60, turn_limit: 25}`, `tight: {team: "depot", allowance: 900, turn_limit: 150}`, `ramp: "1s"`, `ramp: "100ms"`).Replace(Rules)
+		if err := cluster.PutCharter(rules); err != nil {
+			t.Fatal(err)
+		}
+		spoken := 0
+		for round := range 6 {
+			front := cluster.Fronts[round%2]
+			ask := map[string]any{"program": "tight", "kind": "talk", "words": "say much !endless", "request_key": fmt.Sprintf("lost-%d", round)}
+			switch round {
+			case 3, 4: // the reservation arrives, its answer does not
+				for _, store := range cluster.Stores {
+					cluster.Network.CutOneWay(store.Host, front.Host)
+				}
+				answers := cluster.asked(front, "/v1/conversations", ask)
+				<-time.After(500 * time.Millisecond)
+				front.Kill()
+				<-answers
+				for _, store := range cluster.Stores {
+					cluster.Network.Mend(store.Host, front.Host)
+				}
+			default:
+				answers := cluster.asked(front, "/v1/conversations", ask)
+				<-time.After(time.Duration(60+cluster.Random(uint64(round)).IntN(300)) * time.Millisecond)
+				front.Kill()
+				<-answers
+				turn := <-cluster.asked(cluster.Fronts[2], "/v1/conversations", ask)
+				if turn != nil && turn.Status == http.StatusOK {
+					if said, err := ReadStream(newReader(turn.Body)); err == nil {
+						spoken += len(wordsOf(said.Words))
+					}
+				}
+			}
+			if err := front.Start(); err != nil {
+				t.Fatal(err)
+			}
+			if err := cluster.AwaitServing(12 * time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if spoken == 0 {
+			t.Fatal("no turn spoke before its front died: nothing was tested")
+		}
+		var told tallied
+		err := cluster.Await(90*time.Second, "settled tally", func() (err error) {
+			if told, err = cluster.tally(cluster.Fronts[2], "tight"); err == nil && told.Reserved > 0 {
+				err = fmt.Errorf("%d words are still reserved", told.Reserved)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if told.Spent < spoken || told.Spent > 900 {
+			t.Fatalf("%d words were heard, %d are counted", spoken, told.Spent)
+		}
+		if _, err := cluster.Turn(cluster.Fronts[2], map[string]any{"program": "tight", "kind": "talk", "words": "once more"}); err != nil {
+			t.Fatalf("the program cannot go on: %v", err)
+		}
+	})
+}
+
+// TestWrongClocksForgetNothingAndCloseNothingEarly lets store machines' clocks be two
+// days ahead, hours behind, and jump, while each of them leads for a time.
+func TestWrongClocksForgetNothingAndCloseNothingEarly(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		said := cluster.dialogues(t, 6)
+		random := cluster.Random(11)
+		for round := range 3 {
+			for position, store := range cluster.Stores {
+				store.Ahead = []time.Duration{48 * time.Hour, -5 * time.Hour, time.Duration(random.IntN(96)-48) * time.Hour}[(position+round)%3]
+			}
+			away := cluster.Stores[round]
+			away.Kill()
+			live := cluster.asked(cluster.Fronts[0], "/v1/requests", receipt(fmt.Sprintf("clock-%d", round), "pay !slow"))
+			again := cluster.asked(cluster.Fronts[1], "/v1/requests", receipt(fmt.Sprintf("clock-%d", round), "pay !slow"))
+			for _, answers := range []<-chan *Answer{live, again} {
+				if answer := <-answers; answer == nil || answer.Status != http.StatusOK {
+					t.Fatalf("a live run was closed early: %s", answer)
+				}
+			}
+			<-time.After(11 * time.Second) // archived, and what is over its time forgotten
+			if err := away.Start(); err != nil {
+				t.Fatal(err)
+			}
+			if err := cluster.AwaitServing(12 * time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cluster.followUp(t, said)
+	})
+}
--- a/proof/standin/runner.go
+++ b/proof/standin/runner.go
@@ -101,7 +101,10 @@
 	return most
 }
 
-const mostArrivals = 50000
+const (
+	mostArrivals = 50000
+	slowAnswer   = 2 * time.Second
+)
 
 func (runner *Runner) enter(path string) {
 	runner.mutex.Lock()
@@ -235,6 +238,9 @@
 		runner.mutex.Unlock()
 	}
 	time.Sleep(runner.pace.Plain)
+	if strings.Contains(asked.Words, "!slow") {
+		time.Sleep(slowAnswer)
+	}
 	switch {
 	case strings.Contains(asked.Words, "!lose"):
 		panic(http.ErrAbortHandler)
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -50,6 +50,8 @@
 	reserved string
 	// reservedAt is when the reservation was asked for; its life counts from then.
 	reservedAt time.Time
+	// answerLimit is the longest answer that the reservation holds.
+	answerLimit uint64
 	begun      line.Event
 	undo       []func()
 }
@@ -350,9 +352,10 @@
 	ctx, cancel := context.WithTimeout(ctx, commitPatience)
 	defer cancel()
 	query.dispatch = node.newDispatch()
+	query.answerLimit = query.terms.TurnLimit
 	query.reserved, query.reservedAt = line.ReservationName(query.line(), query.dispatch), time.Now()
 	outcomes, err := node.stores.Command(ctx, query.tallyName(), line.Command{
-		Kind: line.Reserve, Reservation: query.reserved, Words: conversation.CountWords(query.words) + query.terms.TurnLimit, Allowance: query.terms.Allowance,
+		Kind: line.Reserve, Reservation: query.reserved, Words: conversation.CountWords(query.words) + query.answerLimit, Allowance: query.terms.Allowance,
 		Life: reservationUse + time.Duration(query.work.Patience) + deadlineMargin + reservationMargin,
 	})
 	query.undo = append(query.undo, func() { node.settle(query, 0) })
@@ -438,6 +441,10 @@
 	return weighed && scheduling.Usable(query.rules.view, query.slot.Runner)
 }
 
+// limit is how many words the answer may hold: by the charter in force, but never
+// more than was reserved under the one before.
+func (query *query) limit() uint64 { return min(query.answerLimit, query.terms.TurnLimit) }
+
 // lastLook is what the first byte waits for: the dial may have been slow, or this
 // process frozen, since the runner was chosen. It works on a copy, as the library
 // may ask it after the query was given up.
--- a/system/front/run.go
+++ b/system/front/run.go
@@ -117,13 +117,13 @@
 	query, node := running.query, running.node
 	history := query.said.Said(query.follows)
 	for dial := 1; ; dial++ {
-		asked := runnerclient.TurnQuery{Conversation: query.conversation, Turn: query.begun.Seq, History: history, Words: query.words, Limit: query.terms.TurnLimit}
+		asked := runnerclient.TurnQuery{Conversation: query.conversation, Turn: query.begun.Seq, History: history, Words: query.words, Limit: query.limit()}
 		began := time.Now()
 		err := node.runners.Stream(ctx, query.slot.Runner.Address, query.work.Path, asked, node.lastLook(query), func(words string) error {
 			if running.first == 0 {
 				running.first = time.Since(began)
 			}
-			kept, whole := running.counter.Take(words, query.terms.TurnLimit)
+			kept, whole := running.counter.Take(words, query.limit())
 			if kept != "" {
 				select {
 				case running.pieces <- kept:
