A runner that restarts cold while listed as serving is not flooded

Cause: only the platform's list, which lags, brought a runner's limit down; its ramp went by two machines' wall clocks; a warm runner gave every front at least one, and a change of the fronts let two lists count at once. Now a refusal, a lost connection or a slow first piece takes it to its cold limit at the front that saw it, which tells the others; it grows again from the first answer on, by each front's steady clock. Shares lost count at once, shares gained after a second.

--- a/proof/simulator/bounds_test.go
+++ b/proof/simulator/bounds_test.go
@@ -293,6 +293,53 @@
 	})
 }
 
+// TestARunnerThatRestartsColdIsNotFlooded restarts a runner under a crowd while the
+// platform's list goes on calling it serving, and lets a front come and go meanwhile.
+// Refusals and lost connections alone must bring its limit down, at every front.
+func TestARunnerThatRestartsColdIsNotFlooded(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 3, Fronts: 4, Models: 2, Applications: 1}, func(t *testing.T, cluster *Cluster) {
+		const ramp, bears, cold = 4 * time.Second, 6, 1
+		if err := cluster.PutCharter(strings.ReplaceAll(Rules, `small: {concurrency: 16, cold_concurrency: 2, ramp: "1s"}`, `small: {concurrency: 6, cold_concurrency: 1, ramp: "4s"}`)); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(6 * time.Second)
+		stop := cluster.callers(15 * time.Millisecond)
+		defer stop()
+		<-time.After(3 * time.Second)
+		runner, random := cluster.Runners[0], cluster.Random(17)
+		if before := runner.Runner.TakeMostOut(); before < bears/2 || before > bears {
+			t.Fatalf("%d queries at once before, of %d: nothing is tested", before, bears)
+		}
+		for round := range 2 {
+			runner.Leave()
+			<-time.After(time.Duration(300+random.IntN(1500)) * time.Millisecond)
+			runner.Runner.TakeMostOut()
+			if err := runner.Return(cluster); err != nil {
+				t.Fatal(err)
+			}
+			if round > 0 {
+				front := cluster.Fronts[random.IntN(3)]
+				front.Kill()
+				if err := front.Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for step := range 10 {
+				<-time.After(ramp / 20)
+				most := runner.Runner.TakeMostOut()
+				bound := cold + (bears-cold)*(step+1)/20 + 1 // the ramp starts with the first answer
+				if most > bound {
+					t.Fatalf("round %d: %d queries at once %s after the return, which bears %d", round, most, time.Duration(step+1)*ramp/20, bound)
+				}
+			}
+			<-time.After(ramp)
+			if most := runner.Runner.TakeMostOut(); most < bears/2 || most > bears {
+				t.Fatalf("round %d: %d queries at once after the ramp, of %d", round, most, bears)
+			}
+		}
+	})
+}
+
 // TestWorkThatWaitedIsHandledByTheCharterInForceWhenItIsSent holds a query up
 // between its admission and its dispatch while the charter changes.
 func TestWorkThatWaitedIsHandledByTheCharterInForceWhenItIsSent(t *testing.T) {
--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -227,20 +227,35 @@
 	}
 }
 
+// Leave ends the runner's process, Return starts it again; what it did is remembered.
+//
+//	machine.Leave()
+func (machine *RunnerMachine) Leave() { machine.server.Close() }
+
+// Return starts the runner again.
+//
+//	err := machine.Return(cluster)
+func (machine *RunnerMachine) Return(cluster *Cluster) error {
+	listener, err := cluster.Network.At(machine.Host).Listen(machine.Host + ":8000")
+	if err != nil {
+		return err
+	}
+	machine.server = &http.Server{Handler: machine.Runner}
+	go machine.server.Serve(listener)
+	return nil
+}
+
 func (cluster *Cluster) startRunners(shape Shape) error {
 	pace := standin.Pace{First: 20 * time.Millisecond, Piece: 10 * time.Millisecond, Plain: 10 * time.Millisecond}
 	listed := []standin.ListedRunner{}
 	add := func(host, group string, index int) error {
 		runner := standin.NewRunner(pace)
-		address := host + ":8000"
-		listener, err := cluster.Network.At(host).Listen(address)
-		if err != nil {
+		machine := &RunnerMachine{Host: host, Domain: domain(index), Runner: runner}
+		if err := machine.Return(cluster); err != nil {
 			return err
 		}
-		server := &http.Server{Handler: runner}
-		go server.Serve(listener)
-		cluster.Runners = append(cluster.Runners, &RunnerMachine{Host: host, Domain: domain(index), Runner: runner, server: server})
-		listed = append(listed, standin.ListedRunner{Address: address, Group: group, Domain: domain(index), State: "serving"})
+		cluster.Runners = append(cluster.Runners, machine)
+		listed = append(listed, standin.ListedRunner{Address: host + ":8000", Group: group, Domain: domain(index), State: "serving"})
 		return nil
 	}
 	var failed error
--- a/system/controlplane/duties.go
+++ b/system/controlplane/duties.go
@@ -27,6 +27,10 @@
 	once   sync.Once
 	client *http.Client
 	due    time.Time
+	// serving is since when this node, while it has held the duty under this fence,
+	// has seen each runner serve, by its steady clock.
+	serving map[string]time.Time
+	fence   uint64
 }
 
 // runDuties takes the duties that the live control nodes' ranking gives this
@@ -96,14 +100,18 @@
 		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("roster_unreadable")
 		return
 	}
-	runners := mergeRoster(view.Runners, list, time.Now())
+	if node.roster.fence != held.Fence {
+		node.roster.fence, node.roster.serving = held.Fence, map[string]time.Time{}
+	}
+	runners := node.roster.merge(view.Runners, list, made.Groups, time.Now())
 	if !slices.Equal(runners, view.Runners) {
 		node.propose(ctx, feed.Change{Kind: feed.ChangeRoster, By: node.Name(), Duty: held, Runners: runners})
 	}
 }
 
-// mergeRoster keeps since when each runner is in its state.
-func mergeRoster(before []feed.Runner, list rosterList, now time.Time) []feed.Runner {
+// merge keeps since when each runner is in its state, and tells which have served
+// for their group's ramp.
+func (roster *rosterState) merge(before []feed.Runner, list rosterList, groups map[string]charter.Group, now time.Time) []feed.Runner {
 	known := map[string]feed.Runner{}
 	for _, runner := range before {
 		known[runner.Address] = runner
@@ -112,7 +120,16 @@
 	for _, listed := range list.Runners {
 		runner := feed.Runner{Address: listed.Address, Group: listed.Group, Domain: listed.Domain, State: listed.State, Since: now.UnixNano()}
 		if old, found := known[runner.Address]; found && old.State == runner.State {
-			runner.Since = old.Since
+			runner.Since, runner.Warmed = old.Since, old.Warmed
+		}
+		since, seen := roster.serving[runner.Address]
+		switch {
+		case runner.State != feed.Serving:
+			delete(roster.serving, runner.Address)
+		case !seen:
+			roster.serving[runner.Address] = now
+		default:
+			runner.Warmed = runner.Warmed || now.Sub(since) >= time.Duration(groups[runner.Group].Ramp)
 		}
 		runners = append(runners, runner)
 	}
--- a/system/feed/feed.go
+++ b/system/feed/feed.go
@@ -37,13 +37,15 @@
 	Administration string
 }
 
-// Runner is one model or application runner of the platform's list.
+// Runner is one model or application runner of the platform's list. Since is a wall
+// clock's word, for people; Warmed tells that it has served for its group's ramp.
 type Runner struct {
 	Address string
 	Group   string
 	Domain  string
 	State   string
 	Since   int64
+	Warmed  bool
 }
 
 // Domain is a zone, and whether it takes work.
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -51,6 +51,8 @@
 	public   *httpface.Server
 	rules    atomic.Pointer[inForce]
 	draining atomic.Bool
+	// listedSince is since when this node's own session has been in the list.
+	listedSince atomic.Pointer[time.Time]
 
 	context context.Context
 	stop    context.CancelFunc
@@ -66,7 +68,7 @@
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.rules.Store(&inForce{view: &feed.View{}, charter: &charter.Charter{}})
 	node.stores = storeclient.New(node.caller, func() *feed.View { return node.rules.Load().view })
-	node.board = scheduling.NewBoard(node.name, settings.Domain, node.boardState)
+	node.board = scheduling.NewBoard(node.name, settings.Domain, node.boardState, node.tellOfRunner)
 	linkListener, err := network.Listen(settings.Address)
 	if err != nil {
 		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "choose an address of this machine that is free")
@@ -97,27 +99,62 @@
 	log.WithFields(log.Fields{"node": node.name, "number": view.Number, "charter": view.CharterNumber}).Info("view_taken")
 }
 
+// boardState tells the board which fronts share the runners. This one counts only
+// once it has been listed for a while, so that the others have heard of it too.
 func (node *Node) boardState() scheduling.State {
 	rules := node.rules.Load()
-	fronts := []placement.Place{}
+	fronts, listed := []placement.Place{}, false
 	for _, member := range node.follow.Members() {
 		if member.Role == feed.RoleFront {
 			fronts = append(fronts, placement.Place{Name: member.Name, Domain: member.Domain})
+			listed = listed || member.Name == node.name
 		}
 	}
+	if listed {
+		node.listedSince.CompareAndSwap(nil, new(time.Now()))
+	}
+	if since := node.listedSince.Load(); since == nil || time.Since(*since) < joinSettle {
+		fronts = nil
+	}
 	return scheduling.State{View: rules.view, Charter: rules.charter, Fronts: fronts}
 }
 
-// answer tells other processes who this is, so that it may serve as a seed.
+// tellOfRunner lets the other fronts know that a runner looks just started, or
+// answers again. Each also finds out by itself; this only makes it sooner.
+func (node *Node) tellOfRunner(address string, cooled bool) {
+	log.WithFields(log.Fields{"node": node.name, "runner": address, "cooled": cooled}).Info("runner_noted")
+	for _, member := range node.follow.Members() {
+		if member.Role != feed.RoleFront || member.Name == node.name {
+			continue
+		}
+		node.runs.start(func() {
+			ctx, cancel := context.WithTimeout(node.context, probePatience)
+			defer cancel()
+			if _, err := node.caller.Call(ctx, member.Address, &wire.Query{Fleet: node.rules.Load().view.Fleet, Which: schema.Query_Which_runner, Runner: &wire.RunnerNote{Address: address, Cooled: cooled}}); err != nil {
+				log.WithFields(log.Fields{"node": node.name, "front": member.Name, "error": err.Error()}).Debug("note_not_taken")
+			}
+		})
+	}
+}
+
+// answer takes other fronts' notes, and tells other processes who this is, so that it
+// may serve as a seed.
 func (node *Node) answer(_ context.Context, query *wire.Query) *wire.Reply {
-	if query.Which != schema.Query_Which_status {
-		return wire.Failed(mishap.New(mishap.Invalid, "a front node answers only who it is", "ask a store or control node"))
+	switch query.Which {
+	case schema.Query_Which_runner:
+		if fleet := node.rules.Load().view.Fleet; query.Fleet != fleet {
+			return wire.Failed(mishap.New(mishap.ForeignFleet, "the asking front belongs to fleet "+query.Fleet+", this one to "+fleet, "correct its seeds"))
+		}
+		node.board.Note(query.Runner.Address, query.Runner.Cooled)
+		return &wire.Reply{}
+	case schema.Query_Which_status:
+		view := node.follow.View()
+		return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
+			Name: node.name, Role: feed.RoleFront, Address: node.settings.Address, Domain: node.settings.Domain,
+			Fleet: view.Fleet, Number: view.Number, Controls: view.Controls,
+		}}
 	}
-	view := node.follow.View()
-	return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
-		Name: node.name, Role: feed.RoleFront, Address: node.settings.Address, Domain: node.settings.Domain,
-		Fleet: view.Fleet, Number: view.Number, Controls: view.Controls,
-	}}
+	return wire.Failed(mishap.New(mishap.Invalid, "a front node answers only who it is, and takes notes on runners", "ask a store or control node"))
 }
 
 // Name is the node's name, made anew at each start.
@@ -181,6 +218,7 @@
 	reservationMargin = 15 * time.Second
 	tailWait          = time.Second
 	probePatience     = 500 * time.Millisecond
+	joinSettle        = time.Second
 	provePatience     = 1500 * time.Millisecond
 	sessionsKnown     = 1500 * time.Millisecond
 )
--- a/system/front/plain.go
+++ b/system/front/plain.go
@@ -25,10 +25,10 @@
 	for dial := 1; ; dial++ {
 		answer, err := node.runners.Ask(ctx, query.slot.Runner.Address, query.work.Path, query.plain(), node.lastLook(query))
 		if err == nil || !mishap.Of(err).NeverSent || dial == mostDials {
-			query.slot.Release(err != nil)
+			query.slot.Release(node.endingOf(err))
 			return answer, err
 		}
-		if node.nextRunner(ctx, query) != nil {
+		if node.nextRunner(ctx, query, err) != nil {
 			return nil, err
 		}
 	}
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -52,8 +53,8 @@
 	reservedAt time.Time
 	// answerLimit is the longest answer that the reservation holds.
 	answerLimit uint64
-	begun      line.Event
-	undo       []func()
+	begun       line.Event
+	undo        []func()
 }
 
 // filter looks at a query and may answer it; the chain ends with the first that
@@ -337,7 +338,7 @@
 		return nil, err
 	}
 	query.slot = slot
-	query.undo = append(query.undo, func() { query.slot.Release(false) })
+	query.undo = append(query.undo, func() { query.slot.Release(scheduling.Unused) })
 	return nil, nil
 }
 
@@ -412,7 +413,7 @@
 		if query.runnerStands() {
 			return nil
 		}
-		query.slot.Release(false)
+		query.slot.Release(scheduling.Unused)
 		slot, err := node.board.Acquire(ctx, query.work)
 		if err != nil {
 			return err
@@ -465,9 +466,26 @@
 	}
 }
 
+// endingOf tells what a failure says about the runner.
+func (node *Node) endingOf(err error) scheduling.Ending {
+	if err == nil || errors.Is(err, errCutAtLimit) {
+		return scheduling.Answered
+	}
+	failed := mishap.Of(err)
+	switch {
+	case node.context.Err() != nil:
+		return scheduling.Unused
+	case failed.Lost:
+		return scheduling.Lost
+	case failed.NeverSent:
+		return scheduling.Unused
+	}
+	return scheduling.Troubled
+}
+
 // nextRunner takes another runner after one that provably was sent nothing.
-func (node *Node) nextRunner(ctx context.Context, query *query) error {
-	query.slot.Release(true)
+func (node *Node) nextRunner(ctx context.Context, query *query, failed error) error {
+	query.slot.Release(node.endingOf(failed))
 	slot, err := node.board.Acquire(ctx, query.work)
 	if err != nil {
 		return err
--- a/system/front/run.go
+++ b/system/front/run.go
@@ -15,6 +15,7 @@
 	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/scheduling"
 	"yardrock.example/system/wire"
 )
 
@@ -65,15 +66,14 @@
 
 // run is one turn that this front feeds from a runner into the line.
 type run struct {
-	node     *Node
-	query    *query
-	journal  *journal
-	counter  conversation.Counter
-	pieces   chan string
-	next     uint64 // producer seq of the next append
-	parts    uint64
-	first    time.Duration
-	troubled bool
+	node    *Node
+	query   *query
+	journal *journal
+	counter conversation.Counter
+	pieces  chan string
+	next    uint64 // producer seq of the next append
+	parts   uint64
+	first   time.Duration
 }
 
 // startRun takes over slot and reservation and feeds the turn whether or not the
@@ -107,7 +107,11 @@
 	}()
 	committed := running.commitPieces(cancel)
 	failed := <-dispatched
-	defer func() { query.slot.Release(running.troubled || (failed != nil && !errors.Is(failed, errCutAtLimit))) }()
+	ending := node.endingOf(failed)
+	if committed != nil {
+		ending = scheduling.Unused // it was broken off from here
+	}
+	defer query.slot.Release(ending)
 	running.close(failed, committed)
 }
 
@@ -122,6 +126,7 @@
 		err := node.runners.Stream(ctx, query.slot.Runner.Address, query.work.Path, asked, node.lastLook(query), func(words string) error {
 			if running.first == 0 {
 				running.first = time.Since(began)
+				query.slot.First(running.first)
 			}
 			kept, whole := running.counter.Take(words, query.limit())
 			if kept != "" {
@@ -139,7 +144,7 @@
 		if err == nil || !mishap.Of(err).NeverSent || dial == mostDials {
 			return err
 		}
-		if node.nextRunner(ctx, query) != nil {
+		if node.nextRunner(ctx, query, err) != nil {
 			return err
 		}
 	}
--- a/system/mishap/mishap.go
+++ b/system/mishap/mishap.go
@@ -49,6 +49,9 @@
 	NeverSent bool
 	// NobodyThere tells that the other machine said that no process listens there.
 	NobodyThere bool
+	// Lost tells that the other side refused for want of room, was not there, or went
+	// away: it may have just started anew.
+	Lost bool
 }
 
 // Error gives the message with its remedy.
--- a/system/runnerclient/runnerclient.go
+++ b/system/runnerclient/runnerclient.go
@@ -141,17 +141,18 @@
 		if refused := trying.refused.Load(); neverSent && refused != nil {
 			return nil, &mishap.Mishap{Kind: refused.Kind, Message: refused.Message, Remedy: refused.Remedy, RetryAfter: refused.RetryAfter, NeverSent: true}
 		}
-		return nil, &mishap.Mishap{Kind: mishap.RunnerMishap, Message: "runner " + address + ": " + err.Error(), Remedy: "see the runner's own log", NeverSent: neverSent}
+		return nil, &mishap.Mishap{Kind: mishap.RunnerMishap, Message: "runner " + address + ": " + err.Error(), Remedy: "see the runner's own log", NeverSent: neverSent, Lost: true}
 	}
 	return answer, nil
 }
 
 // refusal reads a status that is no success.
 func refusal(address string, answer *http.Response) error {
+	full := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests
 	if answer.Header.Get(NotRunHeader) == "true" {
-		return &mishap.Mishap{Kind: mishap.NotRun, Message: "runner " + address + " refused: " + answer.Status, Remedy: "ask again later", RetryAfter: time.Second}
+		return &mishap.Mishap{Kind: mishap.NotRun, Message: "runner " + address + " refused: " + answer.Status, Remedy: "ask again later", RetryAfter: time.Second, Lost: full}
 	}
-	return mishap.New(mishap.RunnerMishap, "runner "+address+" answered "+answer.Status, "see the runner's own log")
+	return &mishap.Mishap{Kind: mishap.RunnerMishap, Message: "runner " + address + " answered " + answer.Status, Remedy: "see the runner's own log", Lost: full}
 }
 
 // Ask posts to an application runner and gives its whole JSON answer.
@@ -170,7 +171,10 @@
 		return nil, mishap.New(mishap.RunnerMishap, "runner "+address+" answered with content type "+answer.Header.Get("Content-Type"), "runners answer application/json")
 	}
 	data, err := io.ReadAll(io.LimitReader(answer.Body, longestPiece+1))
-	if err != nil || len(data) > longestPiece || !json.Valid(data) {
+	if err != nil {
+		return nil, &mishap.Mishap{Kind: mishap.RunnerMishap, Message: "runner " + address + " broke off: " + err.Error(), Remedy: "see the runner's own log", Lost: true}
+	}
+	if len(data) > longestPiece || !json.Valid(data) {
 		return nil, mishap.New(mishap.RunnerMishap, "runner "+address+" answered no whole JSON value", "see the runner's own log")
 	}
 	return bytes.TrimSpace(data), nil
@@ -216,7 +220,7 @@
 		}
 	}
 	if err := errors.Join(lines.Err(), ctx.Err()); err != nil {
-		return mishap.New(mishap.RunnerMishap, "runner "+address+" broke off: "+err.Error(), "see the runner's own log")
+		return &mishap.Mishap{Kind: mishap.RunnerMishap, Message: "runner " + address + " broke off: " + err.Error(), Remedy: "see the runner's own log", Lost: true}
 	}
-	return mishap.New(mishap.RunnerMishap, "runner "+address+" ended its stream without the end mark", "see the runner's own log")
+	return &mishap.Mishap{Kind: mishap.RunnerMishap, Message: "runner " + address + " ended its stream without the end mark", Remedy: "see the runner's own log", Lost: true}
 }
--- a/system/scheduling/board.go
+++ b/system/scheduling/board.go
@@ -19,6 +19,16 @@
 const (
 	mishapBackoff = time.Second
 	rampRecheck   = 250 * time.Millisecond
+	// frontsSettle is how long a front waits before it takes over the share of one
+	// that has left: the others must have heard of the change too.
+	frontsSettle = time.Second
+	// cooledLongest is how long a front that gets no work for a cooled runner waits
+	// to be told that it answers again.
+	cooledLongest = 10 * time.Second
+	// A first piece is slow if it takes so many times the usual, and at least this.
+	slowFactor   = 4
+	slowShortest = 500 * time.Millisecond
+	usualAfter   = 8
 )
 
 // Urgencies from first served to last.
@@ -31,9 +41,31 @@
 	Fronts  []placement.Place
 }
 
+// Ending tells how a slot was used.
+type Ending int
+
+// The ways in which a slot can end.
+const (
+	// Unused slots were given back before anything was sent.
+	Unused Ending = iota
+	// Answered tells that the runner did its work.
+	Answered
+	// Troubled tells of a broken answer that says nothing about the runner's warmth.
+	Troubled
+	// Lost tells that the runner refused, was not there, or went away: it may have
+	// just started anew, whatever the platform's list says.
+	Lost
+)
+
 type runnerUse struct {
 	out   int
 	avoid time.Time
+	// cooled is when the runner was last taken for just started; zero if it is not.
+	cooled time.Time
+	// ramped is when its limit began to grow; zero while it does not.
+	ramped time.Time
+	usual  time.Duration // to the first piece
+	firsts int
 }
 
 type waiter struct {
@@ -46,12 +78,20 @@
 	front   string
 	domain  string
 	state   func() State
+	tell    func(address string, cooled bool)
 	mutex   sync.Mutex
+	fronts  []frontList
 	wheels  map[string]map[string]float64
 	uses    map[string]*runnerUse
 	waiting [3][]*waiter
 }
 
+// frontList is which fronts were live, until the next list came.
+type frontList struct {
+	places []placement.Place
+	until  time.Time
+}
+
 // Slot is the right to send one query to a runner. Release must be called once.
 type Slot struct {
 	board  *Board
@@ -60,11 +100,12 @@
 	once   sync.Once
 }
 
-// NewBoard makes a board for a front; state gives what is in force.
+// NewBoard makes a board for a front; state gives what is in force, and tell lets
+// the other fronts know that a runner looks just started, or answers again.
 //
-//	board := scheduling.NewBoard("front-1", "east", state)
-func NewBoard(front, domain string, state func() State) *Board {
-	return &Board{front: front, domain: domain, state: state, wheels: map[string]map[string]float64{}, uses: map[string]*runnerUse{}}
+//	board := scheduling.NewBoard("front-1", "east", state, tell)
+func NewBoard(front, domain string, state func() State, tell func(address string, cooled bool)) *Board {
+	return &Board{front: front, domain: domain, state: state, tell: tell, wheels: map[string]map[string]float64{}, uses: map[string]*runnerUse{}}
 }
 
 // Usable tells whether a runner may get new work under a view.
@@ -77,37 +118,64 @@
 	return listed && !view.DomainEmptied(runner.Domain)
 }
 
-// limit is how many queries a runner bears now, over all fronts.
-func limit(runner feed.Runner, bears charter.Group, now time.Time) int {
-	if runner.State == feed.Cold {
+// limit is how many queries a runner bears now, over all fronts. All times are by
+// this process's steady clock, so that no machine's wrong wall clock counts.
+func (use *runnerUse) limit(runner feed.Runner, bears charter.Group, now time.Time) int {
+	ramp := time.Duration(bears.Ramp)
+	switch {
+	case runner.State == feed.Cold:
+		use.ramped = time.Time{}
 		return bears.ColdConcurrency
+	case !use.cooled.IsZero() && use.ramped.IsZero() && now.Sub(use.cooled) < cooledLongest:
+		return bears.ColdConcurrency
+	case use.cooled.IsZero() && runner.Warmed:
+		return bears.Concurrency
+	case use.ramped.IsZero():
+		use.ramped = now
 	}
-	since := now.Sub(time.Unix(0, runner.Since))
-	ramp := time.Duration(bears.Ramp)
+	since := now.Sub(use.ramped)
 	if since >= ramp || bears.Concurrency <= bears.ColdConcurrency {
+		use.cooled = time.Time{}
 		return bears.Concurrency
 	}
-	return bears.ColdConcurrency + int(float64(bears.Concurrency-bears.ColdConcurrency)*float64(max(since, 0))/float64(ramp))
+	return bears.ColdConcurrency + int(float64(bears.Concurrency-bears.ColdConcurrency)*float64(since)/float64(ramp))
 }
 
 // share cuts a runner's limit by key over the live fronts, so that all fronts
-// together keep to it. A warm runner gives every front at least one.
-func (board *Board) share(runner feed.Runner, total int, warm bool, fronts []placement.Place) int {
-	ranked := placement.Ranked(runner.Address, fronts)
-	rank := slices.IndexFunc(ranked, func(place placement.Place) bool { return place.Name == board.front })
-	if rank < 0 {
-		return 0
-	}
-	share := total / len(ranked)
-	if rank < total%len(ranked) {
-		share++
-	}
-	if warm {
-		share = max(share, 1)
+// together keep to it; where it bears less than one a front, some have none. What a
+// change of the fronts takes away counts at once, what it gives only after a while.
+func (board *Board) share(runner feed.Runner, total int, fronts []placement.Place, now time.Time) int {
+	board.noteFronts(fronts, now)
+	share := total
+	for _, list := range board.fronts {
+		ranked := placement.Ranked(runner.Address, list.places)
+		rank := slices.IndexFunc(ranked, func(place placement.Place) bool { return place.Name == board.front })
+		if rank < 0 {
+			return 0
+		}
+		mine := total / len(ranked)
+		if rank < total%len(ranked) {
+			mine++
+		}
+		share = min(share, mine)
 	}
 	return share
 }
 
+// noteFronts keeps the list of fronts and those that were replaced a short time ago.
+func (board *Board) noteFronts(fronts []placement.Place, now time.Time) {
+	last := len(board.fronts) - 1
+	if last < 0 || !slices.Equal(board.fronts[last].places, fronts) {
+		if last >= 0 {
+			board.fronts[last].until = now
+		}
+		board.fronts = append(board.fronts, frontList{places: fronts})
+	}
+	board.fronts = slices.DeleteFunc(board.fronts, func(list frontList) bool {
+		return !list.until.IsZero() && now.Sub(list.until) >= frontsSettle
+	})
+}
+
 func (board *Board) free(state State, group string, now time.Time) (feed.Runner, bool) {
 	bears := state.Charter.Groups[group]
 	best, bestScore, found := feed.Runner{}, -1.0, false
@@ -115,9 +183,8 @@
 		if runner.Group != group || !Usable(state.View, runner) {
 			continue
 		}
-		total := limit(runner, bears, now)
-		share := board.share(runner, total, total >= bears.Concurrency, state.Fronts)
 		use := board.use(runner.Address)
+		share := board.share(runner, use.limit(runner, bears, now), state.Fronts, now)
 		if use.out >= share {
 			continue
 		}
@@ -185,7 +252,7 @@
 // and tells when to come back.
 //
 //	slot, err := board.Acquire(ctx, kind)
-//	defer slot.Release(false)
+//	defer slot.Release(scheduling.Answered)
 func (board *Board) Acquire(ctx context.Context, kind charter.WorkKind) (*Slot, error) {
 	state := board.state()
 	board.mutex.Lock()
@@ -271,24 +338,75 @@
 	}
 }
 
-// Release gives the slot back; troubled tells that the runner refused, broke off
-// or was slow with its first piece, so that it is chosen less for a while.
+// Release gives the slot back and tells how it was used.
 //
-//	slot.Release(err != nil)
-func (slot *Slot) Release(troubled bool) {
+//	slot.Release(scheduling.Answered)
+func (slot *Slot) Release(ending Ending) {
 	slot.once.Do(func() {
 		board := slot.board
 		board.mutex.Lock()
 		defer board.mutex.Unlock()
 		use := board.use(slot.Runner.Address)
 		use.out--
-		if troubled {
+		switch ending {
+		case Answered:
+			if !use.cooled.IsZero() && use.ramped.IsZero() {
+				use.ramped = time.Now()
+				board.tell(slot.Runner.Address, false)
+			}
+		case Troubled:
+			use.avoid = time.Now().Add(mishapBackoff)
+		case Lost:
 			use.avoid = time.Now().Add(mishapBackoff)
+			board.cool(slot.Runner.Address, use)
 		}
 		board.serveWaiting()
 	})
 }
 
+// First notes how long the first piece took. Much longer than usual is a sign that
+// the runner has just started, or bears too much.
+//
+//	slot.First(time.Since(began))
+func (slot *Slot) First(took time.Duration) {
+	board := slot.board
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	use := board.use(slot.Runner.Address)
+	if use.firsts >= usualAfter && took > slowShortest && took > slowFactor*use.usual {
+		use.avoid = time.Now().Add(mishapBackoff)
+		board.cool(slot.Runner.Address, use)
+		return
+	}
+	use.firsts++
+	use.usual += (took - use.usual) / time.Duration(min(use.firsts, 4*usualAfter))
+}
+
+// cool takes a runner for just started, here and, if that is news, at the others.
+func (board *Board) cool(address string, use *runnerUse) {
+	news := use.cooled.IsZero() || !use.ramped.IsZero()
+	use.cooled, use.ramped = time.Now(), time.Time{}
+	if news {
+		board.tell(address, true)
+	}
+}
+
+// Note takes another front's word that a runner looks just started, or answers
+// again.
+//
+//	board.Note("10.0.3.1:8000", true)
+func (board *Board) Note(address string, cooled bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	use := board.use(address)
+	switch {
+	case cooled:
+		use.cooled, use.ramped = time.Now(), time.Time{}
+	case !use.cooled.IsZero() && use.ramped.IsZero():
+		use.ramped = time.Now()
+	}
+}
+
 // Demand tells how many queries are out to each runner, and how many wait.
 //
 //	out, waiting := board.Demand()
--- a/system/scheduling/board_test.go
+++ b/system/scheduling/board_test.go
@@ -39,7 +39,7 @@
 	properties.Property("each window is within two of its weights", prop.ForAll(func(first, second, third, retuned int) string {
 		weights := map[string]float64{"a": float64(first), "b": float64(second), "c": float64(third)}
 		state := stateOf(weights, 1000000)
-		board := NewBoard("front", "east", func() State { return state })
+		board := NewBoard("front", "east", func() State { return state }, func(string, bool) {})
 		for _, weights := range []map[string]float64{weights, {"a": float64(retuned), "b": float64(second), "c": float64(third)}} {
 			state = stateOf(weights, 1000000)
 			picked := []string{}
@@ -73,7 +73,7 @@
 func TestOverloadIsRefusedAsNotRunAndTheUrgentGoFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state := stateOf(map[string]float64{"a": 1}, 1)
-		board := NewBoard("front", "east", func() State { return state })
+		board := NewBoard("front", "east", func() State { return state }, func(string, bool) {})
 		held, err := board.Acquire(t.Context(), talk)
 		if err != nil {
 			t.Fatal(err)
@@ -88,7 +88,7 @@
 				return
 			}
 			order <- urgency
-			slot.Release(false)
+			slot.Release(Answered)
 		}
 		for _, urgency := range []string{"bulk", "normal", "normal", "urgent"} {
 			go ask(urgency)
@@ -98,7 +98,7 @@
 		if got := <-order; got != "not_run 1s" {
 			t.Fatalf("beyond the queue: %s", got)
 		}
-		held.Release(false)
+		held.Release(Answered)
 		for _, want := range []string{"urgent", "normal", "normal", "bulk"} {
 			if got := <-order; got != want {
 				t.Fatalf("served %s, want %s", got, want)
@@ -110,7 +110,7 @@
 		if got := <-order; got != "not_run 1s" || time.Since(began) != 2*time.Second {
 			t.Fatalf("after its patience: %s in %s", got, time.Since(began))
 		}
-		held.Release(false)
+		held.Release(Answered)
 		state.View.Domains = []feed.Domain{{Name: "east", State: feed.Emptied}}
 		if _, err := board.Acquire(t.Context(), talk); !mishap.Is(err, mishap.NotRun) {
 			t.Fatalf("an emptied domain got work: %v", err)
