A wiped node that met a control plane amid recovery follows it; waiting costs less

A node is bound to a fleet only once its view has a store list. While that lasted, settling asked again without a pause (334 s of CPU); it pauses now. Each waiting query rechecked all others four times a second; one timer per front does, and a group without a free runner is asked once a round. A front says it is ready once it has a share of runners, and tells new fronts which runners look just started.

--- a/proof/simulator/changes_test.go
+++ b/proof/simulator/changes_test.go
@@ -58,6 +58,7 @@
 	CharterNumber uint64        `json:"charter_number"`
 	Stores        []feed.Member `json:"stores"`
 	Controls      []feed.Member `json:"controls"`
+	Unhealed      int           `json:"unhealed_groups"`
 }, err error) {
 	answer, err := cluster.Administer(http.MethodGet, "/v1/fleet", nil)
 	if err != nil {
--- a/system/feed/feed.go
+++ b/system/feed/feed.go
@@ -170,6 +170,18 @@
 	return false
 }
 
+// Bound names the fleet that a node with this view belongs to for good. Until there
+// is a store list nothing was acknowledged, and the control plane that founded the
+// fleet may still find that it is the one of an older fleet that lost its disks.
+//
+//	query.Fleet = view.Bound()
+func (view *View) Bound() string {
+	if len(view.Stores) == 0 {
+		return ""
+	}
+	return view.Fleet
+}
+
 // DutyOf finds who holds a duty.
 //
 //	duty := view.DutyOf("roster")
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -111,7 +111,7 @@
 	follower.adopting.Lock()
 	defer follower.adopting.Unlock()
 	held := follower.view.Load()
-	if view.Number <= held.Number || (held.Fleet != "" && held.Fleet != view.Fleet) {
+	if view.Number <= held.Number || (held.Bound() != "" && held.Bound() != view.Fleet) {
 		return
 	}
 	follower.onView(view)
@@ -174,7 +174,7 @@
 	ctx, cancel := context.WithTimeout(follower.context, askPatience)
 	defer cancel()
 	view := follower.view.Load()
-	reply, err := follower.caller.Call(ctx, address, &wire.Query{Fleet: view.Fleet, Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{Member: follower.member, After: view.Number}})
+	reply, err := follower.caller.Call(ctx, address, &wire.Query{Fleet: view.Bound(), Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{Member: follower.member, After: view.Number}})
 	if err != nil {
 		if ctx.Err() != nil {
 			follower.caller.Drop(address)
@@ -262,7 +262,7 @@
 	answers := make(chan *wire.NewestReply, len(stores))
 	for _, store := range stores {
 		go func() {
-			reply, err := follower.caller.Call(ctx, store.Address, &wire.Query{Fleet: view.Fleet, Which: schema.Query_Which_newest, Newest: &wire.NewestQuery{After: view.Number}})
+			reply, err := follower.caller.Call(ctx, store.Address, &wire.Query{Fleet: view.Bound(), Which: schema.Query_Which_newest, Newest: &wire.NewestQuery{After: view.Number}})
 			if err != nil {
 				answers <- nil
 				return
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,7 @@
 	}
 	member := feed.Member{Name: node.name, Role: feed.RoleFront, Address: settings.Address, Domain: settings.Domain}
 	node.follow = follower.Start(node.caller, member, settings.Seeds, nil, node.take)
+	go node.greet()
 	node.linked = link.Serve(linkListener, node.answer)
 	node.public = httpface.Serve(publicListener, node.handler(), func() int64 {
 		return max(node.rules.Load().charter.Limits.BodyBytes, 1024)
@@ -113,27 +115,63 @@
 	if listed {
 		node.listedSince.CompareAndSwap(nil, new(time.Now()))
 	}
-	if since := node.listedSince.Load(); since == nil || time.Since(*since) < joinSettle {
+	if !node.joined() {
 		fronts = nil
 	}
 	return scheduling.State{View: rules.view, Charter: rules.charter, Fronts: fronts}
 }
 
+// joined tells whether the other fronts have had time to hear of this one.
+func (node *Node) joined() bool {
+	since := node.listedSince.Load()
+	return since != nil && time.Since(*since) >= joinSettle
+}
+
 // tellOfRunner lets the other fronts know that a runner looks just started, or
 // answers again. Each also finds out by itself; this only makes it sooner.
 func (node *Node) tellOfRunner(address string, cooled bool) {
 	log.WithFields(log.Fields{"node": node.name, "runner": address, "cooled": cooled}).Info("runner_noted")
-	for _, member := range node.follow.Members() {
-		if member.Role != feed.RoleFront || member.Name == node.name {
-			continue
+	for _, member := range node.siblings() {
+		node.runs.start(func() { node.tell(member, wire.RunnerNote{Address: address, Cooled: cooled}) })
+	}
+}
+
+func (node *Node) tell(member feed.Member, note wire.RunnerNote) {
+	ctx, cancel := context.WithTimeout(node.context, probePatience)
+	defer cancel()
+	if _, err := node.caller.Call(ctx, member.Address, &wire.Query{Fleet: node.rules.Load().view.Fleet, Which: schema.Query_Which_runner, Runner: &note}); err != nil {
+		log.WithFields(log.Fields{"node": node.name, "front": member.Name, "error": err.Error()}).Debug("note_not_taken")
+	}
+}
+
+func (node *Node) siblings() []feed.Member {
+	return slices.DeleteFunc(slices.Clone(node.follow.Members()), func(member feed.Member) bool {
+		return member.Role != feed.RoleFront || member.Name == node.name
+	})
+}
+
+// greet tells fronts that are new which runners look just started.
+func (node *Node) greet() {
+	ticker := time.NewTicker(greetInterval)
+	defer ticker.Stop()
+	known := map[string]bool{}
+	for {
+		select {
+		case <-ticker.C:
+		case <-node.context.Done():
+			return
 		}
-		node.runs.start(func() {
-			ctx, cancel := context.WithTimeout(node.context, probePatience)
-			defer cancel()
-			if _, err := node.caller.Call(ctx, member.Address, &wire.Query{Fleet: node.rules.Load().view.Fleet, Which: schema.Query_Which_runner, Runner: &wire.RunnerNote{Address: address, Cooled: cooled}}); err != nil {
-				log.WithFields(log.Fields{"node": node.name, "front": member.Name, "error": err.Error()}).Debug("note_not_taken")
+		now := map[string]bool{}
+		for _, member := range node.siblings() {
+			now[member.Name] = true
+			if known[member.Name] {
+				continue
+			}
+			for _, address := range node.board.Cooled() {
+				node.tell(member, wire.RunnerNote{Address: address, Cooled: true})
 			}
-		})
+		}
+		known = now
 	}
 }
 
@@ -172,7 +210,7 @@
 //	if node.Ready() { ... }
 func (node *Node) Ready() bool {
 	view, err := node.follow.Fresh()
-	return err == nil && view.CharterNumber > 0 && len(view.Stores) > 0 && !node.draining.Load()
+	return err == nil && view.CharterNumber > 0 && len(view.Stores) > 0 && len(node.boardState().Fronts) > 0 && !node.draining.Load()
 }
 
 // Drain refuses new work and waits until the runs under way have ended.
@@ -219,6 +257,8 @@
 	tailWait          = time.Second
 	probePatience     = 500 * time.Millisecond
 	joinSettle        = time.Second
+	greetInterval     = 300 * time.Millisecond
+	backgroundPause   = 300 * time.Millisecond
 	provePatience     = 1500 * time.Millisecond
 	sessionsKnown     = 1500 * time.Millisecond
 )
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -390,10 +390,19 @@
 			if _, err := node.stores.Command(ctx, name, line.Command{Kind: line.Settle, Reservation: reservation, Words: words}); err == nil {
 				return
 			}
+			pauseAWhile(ctx)
 		}
 	})
 }
 
+// pauseAWhile keeps what is tried again in the background from doing so at once.
+func pauseAWhile(ctx context.Context) {
+	select {
+	case <-time.After(backgroundPause):
+	case <-ctx.Done():
+	}
+}
+
 // confirmRunner looks once more, just before the first byte: the view must still
 // be fresh, the query allowed by the charter now in force, and the runner one that
 // it may be sent to.
--- a/system/front/run.go
+++ b/system/front/run.go
@@ -213,6 +213,7 @@
 			defer cancel()
 			err := node.closeOverdue(ctx, query.line(), query.begun, line.OutcomeCut)
 			for err != nil && ctx.Err() == nil {
+				pauseAWhile(ctx)
 				err = node.closeOverdue(ctx, query.line(), query.begun, line.OutcomeCut)
 			}
 			if err != nil {
--- a/system/scheduling/board.go
+++ b/system/scheduling/board.go
@@ -84,12 +84,24 @@
 	wheels  map[string]map[string]float64
 	uses    map[string]*runnerUse
 	waiting [3][]*waiter
+	recheck *time.Timer // runs while someone waits: ramps and lists go on by themselves
 }
 
 // frontList is which fronts were live, until the next list came.
 type frontList struct {
 	places []placement.Place
 	until  time.Time
+	ranks  map[string]int // of this front, by runner address
+}
+
+// rank tells which place this front has among those that share a runner.
+func (list frontList) rank(runner string, itself func(placement.Place) bool) int {
+	rank, known := list.ranks[runner]
+	if !known {
+		rank = slices.IndexFunc(placement.Ranked(runner, list.places), itself)
+		list.ranks[runner] = rank
+	}
+	return rank
 }
 
 // Slot is the right to send one query to a runner. Release must be called once.
@@ -145,16 +157,14 @@
 // together keep to it; where it bears less than one a front, some have none. What a
 // change of the fronts takes away counts at once, what it gives only after a while.
 func (board *Board) share(runner feed.Runner, total int, fronts []placement.Place, now time.Time) int {
+	if !slices.ContainsFunc(fronts, board.itself) {
+		return 0
+	}
 	board.noteFronts(fronts, now)
 	share := total
 	for _, list := range board.fronts {
-		ranked := placement.Ranked(runner.Address, list.places)
-		rank := slices.IndexFunc(ranked, func(place placement.Place) bool { return place.Name == board.front })
-		if rank < 0 {
-			return 0
-		}
-		mine := total / len(ranked)
-		if rank < total%len(ranked) {
+		mine := total / len(list.places)
+		if list.rank(runner.Address, board.itself) < total%len(list.places) {
 			mine++
 		}
 		share = min(share, mine)
@@ -162,6 +172,8 @@
 	return share
 }
 
+func (board *Board) itself(place placement.Place) bool { return place.Name == board.front }
+
 // noteFronts keeps the list of fronts and those that were replaced a short time ago.
 func (board *Board) noteFronts(fronts []placement.Place, now time.Time) {
 	last := len(board.fronts) - 1
@@ -169,7 +181,7 @@
 		if last >= 0 {
 			board.fronts[last].until = now
 		}
-		board.fronts = append(board.fronts, frontList{places: fronts})
+		board.fronts = append(board.fronts, frontList{places: fronts, ranks: map[string]int{}})
 	}
 	board.fronts = slices.DeleteFunc(board.fronts, func(list frontList) bool {
 		return !list.until.IsZero() && now.Sub(list.until) >= frontsSettle
@@ -275,6 +287,9 @@
 	}
 	waiting := &waiter{group: group, chosen: make(chan feed.Runner, 1)}
 	board.waiting[urgency] = append(board.waiting[urgency], waiting)
+	if board.recheck == nil {
+		board.recheck = time.AfterFunc(rampRecheck, board.lookAgain)
+	}
 	board.mutex.Unlock()
 	return board.await(ctx, waiting, urgency, time.Duration(state.Charter.Limits.QueuePatience))
 }
@@ -296,39 +311,46 @@
 func (board *Board) await(ctx context.Context, waiting *waiter, urgency int, patience time.Duration) (*Slot, error) {
 	expired := time.NewTimer(patience)
 	defer expired.Stop()
-	recheck := time.NewTicker(rampRecheck)
-	defer recheck.Stop()
-	for {
-		select {
-		case runner := <-waiting.chosen:
-			return &Slot{board: board, Runner: runner, Group: waiting.group}, nil
-		case <-recheck.C:
-			board.mutex.Lock()
-			board.serveWaiting()
-			board.mutex.Unlock()
-			continue
-		case <-expired.C:
-		case <-ctx.Done():
-		}
-		board.mutex.Lock()
-		defer board.mutex.Unlock()
-		select {
-		case runner := <-waiting.chosen:
-			return &Slot{board: board, Runner: runner, Group: waiting.group}, nil
-		default:
-		}
-		board.waiting[urgency] = slices.DeleteFunc(board.waiting[urgency], func(one *waiter) bool { return one == waiting })
-		return nil, overload(waiting.group)
+	select {
+	case runner := <-waiting.chosen:
+		return &Slot{board: board, Runner: runner, Group: waiting.group}, nil
+	case <-expired.C:
+	case <-ctx.Done():
+	}
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	select {
+	case runner := <-waiting.chosen:
+		return &Slot{board: board, Runner: runner, Group: waiting.group}, nil
+	default:
 	}
+	board.waiting[urgency] = slices.DeleteFunc(board.waiting[urgency], func(one *waiter) bool { return one == waiting })
+	return nil, overload(waiting.group)
+}
+
+// lookAgain serves those who wait, as long as there are any.
+func (board *Board) lookAgain() {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.serveWaiting()
+	if len(board.waiting[0])+len(board.waiting[1])+len(board.waiting[2]) == 0 {
+		board.recheck = nil
+		return
+	}
+	board.recheck.Reset(rampRecheck)
 }
 
 // serveWaiting gives free slots to those who wait, the most urgent first.
 func (board *Board) serveWaiting() {
 	state := board.state()
-	now := time.Now()
+	now, full := time.Now(), map[string]bool{}
 	for urgency, queue := range board.waiting {
 		board.waiting[urgency] = slices.DeleteFunc(queue, func(waiting *waiter) bool {
+			if full[waiting.group] {
+				return false
+			}
 			runner, free := board.free(state, waiting.group, now)
+			full[waiting.group] = !free
 			if free {
 				board.use(runner.Address).out++
 				waiting.chosen <- runner
@@ -391,6 +413,22 @@
 	}
 }
 
+// Cooled lists the runners that are taken for just started and have not answered
+// since, for a front that is new.
+//
+//	for _, address := range board.Cooled() { ... }
+func (board *Board) Cooled() []string {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	found := []string{}
+	for address, use := range board.uses {
+		if !use.cooled.IsZero() {
+			found = append(found, address)
+		}
+	}
+	return found
+}
+
 // Note takes another front's word that a runner looks just started, or answers
 // again.
 //
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -89,7 +89,7 @@
 				results <- node.cold.Put(chunks)
 				return
 			}
-			_, err := node.caller.Call(ctx, node.addressOf(voter), &wire.Query{Fleet: node.held.Load().Fleet, Which: schema.Query_Which_putCold, PutCold: &wire.ColdChunkBatch{Chunks: chunks}})
+			_, err := node.caller.Call(ctx, node.addressOf(voter), &wire.Query{Fleet: node.held.Load().Bound(), Which: schema.Query_Which_putCold, PutCold: &wire.ColdChunkBatch{Chunks: chunks}})
 			results <- err
 		}()
 	}
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -182,7 +182,7 @@
 func (node *Node) mend(group uint32, sibling string) bool {
 	ctx, cancel := context.WithTimeout(node.context, commandPatience)
 	defer cancel()
-	fleet, address := node.held.Load().Fleet, node.addressOf(sibling)
+	fleet, address := node.held.Load().Bound(), node.addressOf(sibling)
 	reply, err := node.caller.Call(ctx, address, &wire.Query{Fleet: fleet, Which: schema.Query_Which_digests, Digests: &wire.DigestQuery{Group: group}})
 	if err != nil || reply.Digests == nil {
 		return false
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -123,7 +123,7 @@
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.held.Store(&feed.View{})
 	node.lines = storeclient.New(node.caller, node.held.Load)
-	courier := replica.NewCourier(node.caller, node.addressOf, func() string { return node.held.Load().Fleet })
+	courier := replica.NewCourier(node.caller, node.addressOf, func() string { return node.held.Load().Bound() })
 	node.host, err = replica.Open(settings.Replica, durable, records, node.newMachine, courier)
 	if err != nil {
 		return nil, err
@@ -257,7 +257,7 @@
 		return wire.Failed(mishap.New(mishap.Invalid, "a store node does not answer this query", "ask a control node"))
 	}
 	exempt := query.Which == schema.Query_Which_newest || query.Which == schema.Query_Which_status
-	if fleet := node.held.Load().Fleet; !exempt && query.Fleet != "" && fleet != "" && query.Fleet != fleet {
+	if fleet := node.held.Load().Bound(); !exempt && query.Fleet != "" && fleet != "" && query.Fleet != fleet {
 		return wire.Failed(mishap.New(mishap.ForeignFleet, "the asking process belongs to fleet "+query.Fleet+", this one to "+fleet, "correct its seeds, or empty its data folder so that it joins this fleet"))
 	}
 	reply, err := answer(node, ctx, query)
@@ -446,7 +446,7 @@
 			continue
 		}
 		asked, cancel := context.WithTimeout(ctx, callPatience)
-		reply, err := node.caller.Call(asked, node.addressOf(sibling), &wire.Query{Fleet: node.held.Load().Fleet, Which: schema.Query_Which_getCold, GetCold: &wire.GetColdQuery{Line: name, After: after, Through: through}})
+		reply, err := node.caller.Call(asked, node.addressOf(sibling), &wire.Query{Fleet: node.held.Load().Bound(), Which: schema.Query_Which_getCold, GetCold: &wire.GetColdQuery{Line: name, After: after, Through: through}})
 		cancel()
 		if err != nil || reply.Read == nil {
 			continue
