A front's own session is noted as it comes, not at its first query

Cause: that a front is listed was noted only when something asked for a runner, so the second that it then waits began with its first query, and seven fronts asked one after the other for readiness took seven. Ruled out: the control plane (views 1.5 s after the start).

--- a/system/front/node.go
+++ b/system/front/node.go
@@ -105,19 +105,12 @@
 // once it has been listed for a while, so that the others have heard of it too.
 func (node *Node) boardState() scheduling.State {
 	rules := node.rules.Load()
-	fronts, listed := []placement.Place{}, false
+	fronts := []placement.Place{}
 	for _, member := range node.follow.Members() {
-		if member.Role == feed.RoleFront {
+		if member.Role == feed.RoleFront && node.joined() {
 			fronts = append(fronts, placement.Place{Name: member.Name, Domain: member.Domain})
-			listed = listed || member.Name == node.name
 		}
 	}
-	if listed {
-		node.listedSince.CompareAndSwap(nil, new(time.Now()))
-	}
-	if !node.joined() {
-		fronts = nil
-	}
 	return scheduling.State{View: rules.view, Charter: rules.charter, Fronts: fronts}
 }
 
@@ -150,7 +143,8 @@
 	})
 }
 
-// greet tells fronts that are new which runners look just started.
+// greet notes when this front is listed itself, and tells fronts that are new which
+// runners look just started.
 func (node *Node) greet() {
 	ticker := time.NewTicker(greetInterval)
 	defer ticker.Stop()
@@ -161,6 +155,9 @@
 		case <-node.context.Done():
 			return
 		}
+		if slices.ContainsFunc(node.follow.Members(), func(member feed.Member) bool { return member.Name == node.name }) {
+			node.listedSince.CompareAndSwap(nil, new(time.Now()))
+		}
 		now := map[string]bool{}
 		for _, member := range node.siblings() {
 			now[member.Name] = true
