--- a/proof/cmd/faults/main.go
+++ b/proof/cmd/faults/main.go
@@ -1,13 +1,18 @@
 // Command faults starts a deployment as real processes and harms it by a seeded
-// script, while the load program checks every rule.
+// script, while the load program checks every rule; it ends with a total outage.
 package main
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -23,9 +28,16 @@
 	Duration   time.Duration `arg:"--duration" default:"60s"`
 	Seed       uint64        `arg:"--seed" default:"1"`
 	Harm       string        `arg:"--harm" help:"only this fault, over and over"`
-	Outage     bool          `arg:"--outage" help:"end with a total outage, one store missing"`
+	Each       bool          `arg:"--each" help:"every fault once, in seeded order, as long as that takes; all rules must have been tested"`
+	Pairs      bool          `arg:"--pairs" help:"now and then two faults at once"`
+	Outage     bool          `arg:"--outage" help:"end with a total outage, some machines missing"`
 }
 
+// rules must all have had something to judge in a run with --each and --outage.
+var rules = []string{"leaving", "emptied", "cold", "charter obeyed", "charter read back", "two operators", "crowd", "outage", "turns stay known"}
+
+var errMisused = errors.New("wrong use")
+
 type done struct {
 	Harm   string `json:"harm"`
 	At     string `json:"at"`
@@ -36,78 +48,140 @@
 func main() {
 	var chosen options
 	arg.MustParse(&chosen)
-	if err := run(chosen); err != nil {
+	switch err := run(chosen); {
+	case errors.Is(err, errMisused):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	case err != nil:
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(chosen options) error {
+// check refuses what is not there, and says what is.
+func check(chosen *options) error {
 	if chosen.Mix == "" {
 		chosen.Mix = chosen.Deployment
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), chosen.Duration+2*time.Minute)
+	if _, found := fleet.Deployments[chosen.Deployment]; !found {
+		return fmt.Errorf("%w: no deployment is named %q; use one of %s", errMisused, chosen.Deployment, strings.Join(slices.Sorted(maps.Keys(fleet.Deployments)), ", "))
+	}
+	if _, found := load.Mixes[chosen.Mix]; !found {
+		return fmt.Errorf("%w: no mix is named %q; use one of %s", errMisused, chosen.Mix, strings.Join(slices.Sorted(maps.Keys(load.Mixes)), ", "))
+	}
+	names := []string{}
+	for _, one := range fleet.Harms {
+		names = append(names, one.Name)
+	}
+	if chosen.Harm != "" && !slices.Contains(names, chosen.Harm) {
+		return fmt.Errorf("%w: no fault is named %q; use one of %s", errMisused, chosen.Harm, strings.Join(names, ", "))
+	}
+	return nil
+}
+
+func run(chosen options) error {
+	if err := check(&chosen); err != nil {
+		return err
+	}
+	random := rand.New(rand.NewPCG(chosen.Seed, 8))
+	script := plan(chosen, random)
+	if chosen.Each {
+		chosen.Duration = 15 * time.Minute // the script ends it
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), chosen.Duration+4*time.Minute)
 	defer cancel()
-	running, err := fleet.Launch(ctx, chosen.Deployment, chosen.Programs, "")
+	running, err := fleet.Launch(ctx, chosen.Deployment, chosen.Programs, "", true)
 	if err != nil {
 		return err
 	}
 	defer running.Stop()
 	reports := make(chan *load.Report, 1)
+	driving, stop := context.WithCancel(ctx)
+	defer stop()
+	until := make(chan struct{})
 	go func() {
-		reports <- load.Run(ctx, running.Target(), load.Mixes[chosen.Mix], chosen.Duration, chosen.Seed)
+		reports <- load.Run(driving, running.Target(), load.Mixes[chosen.Mix], chosen.Duration, chosen.Seed, until)
 	}()
-	script := harm(ctx, running, chosen)
+	harmed := harm(ctx, running, script, random, chosen)
+	if chosen.Each {
+		close(until)
+	}
 	report := <-reports
-	report.Broken = append(report.Broken, running.Panics()...)
-	told := map[string]any{"report": report, "script": script}
+	running.JudgeCharter(ctx)
+	told := map[string]any{"report": report, "script": harmed}
 	if chosen.Outage {
-		took, err := running.Outage(ctx, rand.New(rand.NewPCG(chosen.Seed, 9)))
-		told["outage"] = took.String()
-		if err != nil || took > 12*time.Second {
-			report.Broken = append(report.Broken, fmt.Sprintf("outage: serving after %s (%v)", took, err))
-		}
+		before, failed := load.Tally(ctx, running.Target(), "tight")
+		missing, took, err := running.Outage(ctx, rand.New(rand.NewPCG(chosen.Seed, 9)))
+		told["outage"] = map[string]any{"missing": missing, "took": took.String()}
+		running.Verdicts.Judge("outage", err == nil, "%v", err)
+		again := load.Revisit(ctx, running.Target(), report.Kept, chosen.Seed)
+		report.Broken = append(report.Broken, again.Broken...)
+		running.Verdicts.Judge("turns stay known", len(again.Broken) == 0 && again.Histories > 0, "%d histories, %v", again.Histories, again.Broken)
+		after, failedLater := load.Tally(ctx, running.Target(), "tight")
+		running.Verdicts.Judge("allowance", errors.Join(failed, failedLater) == nil && after >= before, "the tally was %d before the outage, is %d (%v, %v)", before, after, failed, failedLater)
+		told["revisited"] = again.Histories
+		running.JudgeCharter(ctx)
 	}
+	report.Broken = append(report.Broken, running.Panics()...)
+	report.Broken = append(report.Broken, running.Verdicts.Broken...)
+	told["judged"] = running.Verdicts.Checked
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", " ")
 	if err := encoder.Encode(told); err != nil {
 		return err
 	}
+	if untested := running.Verdicts.Untested(rules); chosen.Each && chosen.Outage && len(untested) > 0 {
+		return fmt.Errorf("not tested, as nothing was there to judge: %s (logs are in %s)", strings.Join(untested, ", "), running.Folder)
+	}
 	return running.Judge(report)
 }
 
-// harm does one fault after another, with a rest between, until the time is over.
-func harm(ctx context.Context, running *fleet.Fleet, chosen options) []done {
-	random := rand.New(rand.NewPCG(chosen.Seed, 8))
+// plan draws the script; nil draws as long as the time lasts.
+func plan(chosen options, random *rand.Rand) []fleet.Harm {
+	if !chosen.Each {
+		return nil
+	}
+	script := slices.Clone(fleet.Harms)
+	random.Shuffle(len(script), func(left, right int) { script[left], script[right] = script[right], script[left] })
+	return script
+}
+
+// harm does one fault after another, with a rest between, until the script or the
+// time is over; with pairs, a second that strikes elsewhere is done along with some.
+func harm(ctx context.Context, running *fleet.Fleet, script []fleet.Harm, random *rand.Rand, chosen options) []done {
 	began := time.Now()
-	script := []done{}
-	for {
-		rest := time.Duration(1000+random.IntN(2000)) * time.Millisecond
-		if time.Since(began)+rest+8*time.Second > chosen.Duration {
-			return script
-		}
-		<-time.After(rest)
-		one := fleet.Harms[random.IntN(len(fleet.Harms))]
-		if chosen.Harm != "" && one.Name != chosen.Harm {
-			one = named(chosen.Harm)
-		}
+	var mutex sync.Mutex
+	harmed := []done{}
+	do := func(one fleet.Harm, seed uint64) {
 		at := time.Now()
-		err := one.Do(ctx, running, random)
+		err := one.Do(ctx, running, rand.New(rand.NewPCG(seed, 1)))
 		noted := done{Harm: one.Name, At: at.Sub(began).Round(time.Millisecond).String(), Took: time.Since(at).Round(time.Millisecond).String()}
 		if err != nil {
 			noted.Failed = err.Error()
 		}
-		script = append(script, noted)
+		fmt.Fprintf(os.Stderr, "%s %s took %s %s\n", noted.At, noted.Harm, noted.Took, noted.Failed)
+		mutex.Lock()
+		harmed = append(harmed, noted)
+		mutex.Unlock()
 	}
-}
-
-func named(name string) fleet.Harm {
-	for _, one := range fleet.Harms {
-		if one.Name == name {
-			return one
+	for position := 0; ; position++ {
+		rest := time.Duration(1000+random.IntN(2000)) * time.Millisecond
+		if (chosen.Each && position == len(script)) || (!chosen.Each && time.Since(began)+rest+8*time.Second > chosen.Duration) {
+			return harmed
+		}
+		<-time.After(rest)
+		one := fleet.Harms[random.IntN(len(fleet.Harms))]
+		if chosen.Each {
+			one = script[position]
+		}
+		if chosen.Harm != "" {
+			one = fleet.Harms[slices.IndexFunc(fleet.Harms, func(other fleet.Harm) bool { return other.Name == chosen.Harm })]
+		}
+		var both sync.WaitGroup
+		both.Go(func() { do(one, chosen.Seed*1000+uint64(position)) })
+		if other := fleet.Harms[random.IntN(len(fleet.Harms))]; chosen.Pairs && random.IntN(3) == 0 && other.Strike != one.Strike {
+			both.Go(func() { do(other, chosen.Seed*1000+500+uint64(position)) })
 		}
+		both.Wait()
 	}
-	fmt.Fprintf(os.Stderr, "no fault is named %q\n", name)
-	os.Exit(2)
-	return fleet.Harm{}
 }
--- a/proof/cmd/fleet/main.go
+++ b/proof/cmd/fleet/main.go
@@ -38,7 +38,7 @@
 	starting, cancel := context.WithTimeout(ctx, chosen.Patience)
 	defer cancel()
 	began := time.Now()
-	running, err := fleet.Launch(starting, chosen.Deployment, chosen.Programs, chosen.Folder)
+	running, err := fleet.Launch(starting, chosen.Deployment, chosen.Programs, chosen.Folder, false)
 	if err != nil {
 		return err
 	}
--- a/proof/cmd/load/main.go
+++ b/proof/cmd/load/main.go
@@ -34,12 +34,12 @@
 func run(chosen options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), chosen.Duration+3*time.Minute)
 	defer cancel()
-	running, err := fleet.Launch(ctx, chosen.Deployment, chosen.Programs, "")
+	running, err := fleet.Launch(ctx, chosen.Deployment, chosen.Programs, "", false)
 	if err != nil {
 		return err
 	}
 	defer running.Stop()
-	report := load.Run(ctx, running.Target(), load.Mixes[chosen.Deployment], chosen.Duration, chosen.Seed)
+	report := load.Run(ctx, running.Target(), load.Mixes[chosen.Deployment], chosen.Duration, chosen.Seed, nil)
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(report); err != nil {
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -63,6 +64,7 @@
 	Address   string
 	Outside   string // public, administration or health address
 	Folder    string
+	Faults    string // the file that names disk faults, if the process has a disk
 	binary    string
 	arguments []string
 	log       string
@@ -77,6 +79,17 @@
 	Processes  []*Process
 	Runners    []standin.ListedRunner
 	Platform   string
+	Links      *Links // nil unless the fleet is to be harmed
+	Verdicts   *Verdicts
+
+	programs string
+	mutex    sync.Mutex
+	seeds    []string
+	fresh    int // how many daemons were added
+	// acknowledged is the newest charter number that was; unclear tells that a later
+	// change may have been taken.
+	acknowledged uint64
+	unclear      bool
 }
 
 // reserve finds a free port on a loopback address of its own.
@@ -100,9 +113,9 @@
 // Launch starts a deployment by name, with the programs beside this one and a new
 // folder unless others are named.
 //
-//	running, err := fleet.Launch(ctx, "trial", "", "")
+//	running, err := fleet.Launch(ctx, "trial", "", "", false)
 //	defer running.Stop()
-func Launch(ctx context.Context, name, programs, folder string) (*Fleet, error) {
+func Launch(ctx context.Context, name, programs, folder string, harmed bool) (*Fleet, error) {
 	deployment, found := Deployments[name]
 	if !found {
 		return nil, fmt.Errorf("no deployment is named %q: use trial, agency or logistics", name)
@@ -123,7 +136,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	running, err := Start(ctx, deployment, programs, folder, standin.Pace{First: 20 * time.Millisecond, Piece: 5 * time.Millisecond, Plain: 10 * time.Millisecond})
+	running, err := Start(ctx, deployment, programs, folder, standin.Pace{First: 20 * time.Millisecond, Piece: 5 * time.Millisecond, Plain: 10 * time.Millisecond}, harmed)
 	if err != nil {
 		return nil, fmt.Errorf("%w (logs are in %s)", err, folder)
 	}
@@ -143,13 +156,16 @@
 }
 
 // Start starts a deployment with the programs in a folder, and returns once every
-// front is ready.
+// front is ready. One that is to be harmed has its links and disks in our hands.
 //
-//	running, err := fleet.Start(ctx, fleet.Deployments["trial"], "bin", folder, pace)
+//	running, err := fleet.Start(ctx, fleet.Deployments["trial"], "bin", folder, pace, false)
 //	defer running.Stop()
-func Start(ctx context.Context, deployment Deployment, programs, folder string, pace standin.Pace) (*Fleet, error) {
-	running := &Fleet{Deployment: deployment, Folder: folder}
-	if err := running.plan(programs, pace); err != nil {
+func Start(ctx context.Context, deployment Deployment, programs, folder string, pace standin.Pace, harmed bool) (*Fleet, error) {
+	running := &Fleet{Deployment: deployment, Folder: folder, programs: programs, Verdicts: NewVerdicts()}
+	if harmed {
+		running.Links = NewLinks()
+	}
+	if err := running.plan(pace); err != nil {
 		return nil, err
 	}
 	for _, process := range running.Processes {
@@ -171,7 +187,7 @@
 	return running, nil
 }
 
-func (running *Fleet) plan(programs string, pace standin.Pace) error {
+func (running *Fleet) plan(pace standin.Pace) error {
 	deployment, found := running.Deployment, &addresses{}
 	host := func(kind, index int) string { return fmt.Sprintf("127.%d.%d.%d", 20+kind, os.Getpid()%250, index+1) }
 	domain := func(index int) string { return deployment.Domains[index%len(deployment.Domains)] }
@@ -181,32 +197,26 @@
 	}
 	running.Platform = found.next(host(1, 0))
 	listFile := filepath.Join(running.Folder, "runners.json")
-	daemon := func(name, role, program string, index int, address, outside string, extra ...string) {
-		process := &Process{Name: name, Role: role, Domain: domain(index), Address: address, Outside: outside, binary: filepath.Join(programs, program), log: filepath.Join(running.Folder, name+".log")}
-		process.arguments = append([]string{"--address", address, "--domain", domain(index), "--seeds", controls[0], controls[1], controls[2]}, extra...)
-		if role != "front" {
-			process.Folder = filepath.Join(running.Folder, name)
-			process.arguments = append(process.arguments, "--folder", process.Folder)
-		}
-		running.Processes = append(running.Processes, process)
+	if err := running.setSeeds(controls[:3]); err != nil {
+		return err
+	}
+	add := func(name, role string, index int, address string) {
+		_, err := running.add(name, role, domain(index), address)
+		found.failed = errors.Join(found.failed, err)
 	}
 	for index := range deployment.Controls {
-		outside := found.next(host(0, index))
-		daemon(fmt.Sprintf("control-%d", index+1), "control", "yardrock-control-plane", index, controls[index], outside,
-			"--administration", outside, "--root-token-hash", charter.Hash(RootToken), "--founding-stores", strconv.Itoa(deployment.Stores))
+		add(fmt.Sprintf("control-%d", index+1), "control", index, controls[index])
 	}
 	for index := range deployment.Stores {
-		outside := found.next(host(2, index))
-		daemon(fmt.Sprintf("store-%d", index+1), "store", "yardrock-data-plane", index, found.next(host(2, index)), outside, "--role", "store", "--health", outside)
+		add(fmt.Sprintf("store-%d", index+1), "store", index, found.next(host(2, index)))
 	}
 	for index := range deployment.Fronts {
-		outside := found.next(host(3, index))
-		daemon(fmt.Sprintf("front-%d", index+1), "front", "yardrock-data-plane", index, found.next(host(3, index)), outside, "--role", "front", "--public", outside)
+		add(fmt.Sprintf("front-%d", index+1), "front", index, found.next(host(3, index)))
 	}
 	runner := func(name, group string, kind, index int) {
 		address := found.next(host(kind, index))
 		running.Runners = append(running.Runners, standin.ListedRunner{Address: address, Group: group, Domain: domain(index), State: "serving"})
-		running.Processes = append(running.Processes, &Process{Name: name, Role: "runner", Domain: domain(index), Address: address, binary: filepath.Join(programs, "standin"), log: filepath.Join(running.Folder, name+".log"),
+		running.Processes = append(running.Processes, &Process{Name: name, Role: "runner", Domain: domain(index), Address: address, binary: filepath.Join(running.programs, "standin"), log: filepath.Join(running.Folder, name+".log"),
 			arguments: []string{"--address", address, "--first", pace.First.String(), "--piece", pace.Piece.String(), "--plain", pace.Plain.String(), "--record", filepath.Join(running.Folder, name+".executions")}})
 	}
 	for index := range deployment.Models {
@@ -219,12 +229,61 @@
 	for index := range deployment.Applications {
 		runner(fmt.Sprintf("application-%d", index+1), "application", 5, index)
 	}
-	running.Processes = append(running.Processes, &Process{Name: "platform", Role: "platform", Address: running.Platform, binary: filepath.Join(programs, "standin"), log: filepath.Join(running.Folder, "platform.log"),
+	running.Processes = append(running.Processes, &Process{Name: "platform", Role: "platform", Address: running.Platform, binary: filepath.Join(running.programs, "standin"), log: filepath.Join(running.Folder, "platform.log"),
 		arguments: []string{"--serve", "platform", "--address", running.Platform, "--runners", listFile}})
 	list, err := json.Marshal(running.Runners)
 	return errors.Join(err, found.failed, os.WriteFile(listFile, list, 0o600))
 }
 
+// seedsFile is what every daemon reads its seeds from, at its start and on SIGHUP.
+func (running *Fleet) seedsFile() string { return filepath.Join(running.Folder, "seeds.json") }
+
+func (running *Fleet) setSeeds(seeds []string) error {
+	running.seeds = slices.Clone(seeds)
+	data, err := json.Marshal(map[string]any{"seeds": seeds})
+	return errors.Join(err, os.WriteFile(running.seedsFile(), data, 0o600))
+}
+
+var roleArguments = map[string]func(running *Fleet, outside string) []string{
+	"control": func(running *Fleet, outside string) []string {
+		return []string{"--administration", outside, "--root-token-hash", charter.Hash(RootToken), "--founding-stores", strconv.Itoa(running.Deployment.Stores)}
+	},
+	"store": func(_ *Fleet, outside string) []string { return []string{"--role", "store", "--health", outside} },
+	"front": func(_ *Fleet, outside string) []string { return []string{"--role", "front", "--public", outside} },
+}
+
+// add plans a daemon at an address. In a fleet that is to be harmed, what others send
+// it goes through a link of ours, and its disk loses what it had not synced.
+func (running *Fleet) add(name, role, domain, address string) (*Process, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	found := &addresses{}
+	process := &Process{Name: name, Role: role, Domain: domain, Address: address, Outside: found.next(host), binary: filepath.Join(running.programs, "yardrock-data-plane"), log: filepath.Join(running.Folder, name+".log")}
+	if role == "control" {
+		process.binary = filepath.Join(running.programs, "yardrock-control-plane")
+	}
+	process.arguments = append([]string{"--settings", running.seedsFile(), "--address", address, "--domain", domain}, roleArguments[role](running, process.Outside)...)
+	if role != "front" {
+		process.Folder = filepath.Join(running.Folder, name)
+		process.arguments = append(process.arguments, "--folder", process.Folder)
+	}
+	if running.Links != nil {
+		listen := found.next(host)
+		process.arguments = append(process.arguments, "--listen", listen)
+		found.failed = errors.Join(found.failed, running.Links.Serve(address, listen))
+		if role != "front" {
+			process.Faults = process.Folder + ".faults"
+			process.arguments = append(process.arguments, "--trial-disk", process.Faults)
+		}
+	}
+	running.mutex.Lock()
+	running.Processes = append(running.Processes, process)
+	running.mutex.Unlock()
+	return process, found.failed
+}
+
 // Charter is the charter that a deployment starts with.
 //
 //	source := running.Charter()
@@ -248,7 +307,7 @@
 }
 kinds: {
 	talk: {serves: "turn", table: "talk", path: "/turn"}
-	lookup: {serves: "plain", table: "plain", path: "/plain"}
+	lookup: {serves: "plain", table: "plain", path: "/lookup-0"}
 	receipt: {serves: "plain", table: "plain", path: "/plain", repeatable: false}
 	invoice: {serves: "plain", table: "plain", path: "/plain", repeatable: false, urgency: "bulk"}
 	activation: {serves: "plain", table: "plain", path: "/plain", repeatable: false, urgency: "urgent"}
@@ -261,7 +320,7 @@
 	for {
 		number, _, err := running.ReadCharter(ctx)
 		if err == nil {
-			if _, err = running.PutCharter(ctx, running.Charter(), number); err == nil {
+			if _, err = running.change(ctx, http.MethodPut, map[string]any{"source": running.Charter(), "expected": number}); err == nil {
 				return nil
 			}
 		}
@@ -337,15 +396,6 @@
 	Acknowledged bool   `json:"acknowledged"`
 }
 
-// PutCharter puts a whole charter.
-//
-//	changed, err := running.PutCharter(ctx, source, number)
-func (running *Fleet) PutCharter(ctx context.Context, source string, expected uint64) (Changed, error) {
-	var told Changed
-	err := running.Administer(ctx, http.MethodPut, "/v1/charter", map[string]any{"source": source, "expected": expected}, &told)
-	return told, err
-}
-
 // AwaitReady waits until a process says that it can take work.
 //
 //	err := fleet.AwaitReady(ctx, front.Outside)
@@ -374,6 +424,8 @@
 //
 //	for _, front := range running.Of("front") { ... }
 func (running *Fleet) Of(role string) []*Process {
+	running.mutex.Lock()
+	defer running.mutex.Unlock()
 	return slices.DeleteFunc(slices.Clone(running.Processes), func(process *Process) bool { return process.Role != role })
 }
 
--- a/proof/fleet/harm.go
+++ b/proof/fleet/harm.go
@@ -8,17 +8,31 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
-	"syscall"
 	"time"
+
+	"yardrock.example/proof/load"
+	"yardrock.example/system/files"
 )
 
-// Harm is one kind of fault that a fleet can be done, and undone.
+// Harm is one kind of fault that a fleet can be done, and undone. Two that differ in
+// what they Strike may be done at once; the brief bears one disk-bearing machine or
+// one domain at a time.
 type Harm struct {
-	Name string
-	Do   func(ctx context.Context, running *Fleet, random *rand.Rand) error
+	Name   string
+	Strike string
+	Do     func(ctx context.Context, running *Fleet, random *rand.Rand) error
 }
 
+// What harms strike.
+const (
+	machines  = "machines"
+	fronts    = "fronts"
+	runners   = "runners"
+	operators = "operators"
+)
+
 // pick draws a process of a role.
 func (running *Fleet) pick(random *rand.Rand, role string) *Process {
 	found := running.Of(role)
@@ -110,94 +124,173 @@
 	}
 }
 
-// Outage kills every daemon at once and starts all but one store again; it tells
-// how long it took until every front was ready.
-//
-//	took, err := running.Outage(ctx)
-func (running *Fleet) Outage(ctx context.Context, random *rand.Rand) (time.Duration, error) {
-	daemons := []*Process{}
-	for _, role := range []string{"front", "control", "store"} {
-		daemons = append(daemons, running.Of(role)...)
+// withDisk does harm to the disk of a store or control node for a while.
+func withDisk(faults files.TrialFaults, lasts time.Duration) func(context.Context, *Fleet, *rand.Rand) error {
+	return func(ctx context.Context, running *Fleet, random *rand.Rand) error {
+		process := running.pick(random, []string{"store", "control"}[random.IntN(2)])
+		data, err := json.Marshal(faults)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(process.Faults, data, 0o600); err != nil {
+			return err
+		}
+		wait(ctx, lasts)
+		return os.Remove(process.Faults)
+	}
+}
+
+// losePower ends a process amid its work; what its disk had not synced is lost.
+func losePower(ctx context.Context, running *Fleet, random *rand.Rand) error {
+	process := running.pick(random, []string{"store", "store", "control"}[random.IntN(3)])
+	process.Kill()
+	return process.Start()
+}
+
+// withLink does harm to the ways between one disk-bearing machine and some others.
+func withLink(do func(links *Links, one, other *Process), all bool) func(context.Context, *Fleet, *rand.Rand) error {
+	return func(ctx context.Context, running *Fleet, random *rand.Rand) error {
+		one := running.pick(random, []string{"store", "control"}[random.IntN(2)])
+		others := slices.Concat(running.Of("store"), running.Of("control"), running.Of("front"))
+		if !all {
+			random.Shuffle(len(others), func(left, right int) { others[left], others[right] = others[right], others[left] })
+			others = others[:len(others)/2]
+		}
+		for _, other := range others {
+			if other != one {
+				do(running.Links, one, other)
+			}
+		}
+		wait(ctx, 4*time.Second)
+		for _, other := range others {
+			running.Links.Mend(one.Address, other.Address)
+		}
+		return nil
+	}
+}
+
+func loseDomain(ctx context.Context, running *Fleet, random *rand.Rand) error {
+	name := running.Deployment.Domains[random.IntN(len(running.Deployment.Domains))]
+	lost := []*Process{}
+	for _, role := range []string{"control", "store", "front", "runner"} {
+		for _, process := range running.Of(role) {
+			if process.Domain == name {
+				process.Kill()
+				lost = append(lost, process)
+			}
+		}
 	}
+	wait(ctx, 4*time.Second)
+	for _, process := range lost {
+		if err := process.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Outage kills every daemon at once, with what was not synced lost, and starts all
+// again but some: a store, a control node and a store, or a domain. It tells what was
+// missing and how long it took until every front had served a turn.
+//
+//	missing, took, err := running.Outage(ctx, random)
+func (running *Fleet) Outage(ctx context.Context, random *rand.Rand) (string, time.Duration, error) {
+	daemons := slices.Concat(running.Of("control"), running.Of("store"), running.Of("front"))
 	for _, process := range daemons {
 		process.Kill()
 	}
-	missing := running.pick(random, "store")
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, 40*time.Second)
+	store, control := running.pick(random, "store"), running.pick(random, "control")
+	name := running.Deployment.Domains[random.IntN(len(running.Deployment.Domains))]
+	cases := []struct {
+		name string
+		gone func(process *Process) bool
+	}{
+		{"a store", func(process *Process) bool { return process == store }},
+		{"a control node and a store", func(process *Process) bool { return process == store || process == control }},
+		{"domain " + name, func(process *Process) bool { return process.Domain == name }},
+	}
+	chosen := cases[random.IntN(len(cases))]
+	ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
 	defer cancel()
+	began := time.Now()
+	back := []*Process{}
 	for _, process := range daemons {
-		if process == missing {
+		if chosen.gone(process) {
 			continue
 		}
 		if err := process.Start(); err != nil {
-			return 0, err
+			return chosen.name, 0, err
 		}
+		back = append(back, process)
 	}
-	for _, front := range running.Of("front") {
-		if err := AwaitReady(ctx, front.Outside); err != nil {
-			return 0, err
+	for _, process := range back {
+		if process.Role != "front" {
+			continue
+		}
+		if err := load.AwaitTurn(ctx, running.Target(), process.Outside); err != nil {
+			return chosen.name, time.Since(began), fmt.Errorf("%s: %w", process.Name, err)
 		}
 	}
 	took := time.Since(began)
-	return took, missing.Start()
+	running.Verdicts.Judge("outage", took <= outageBound, "a turn was served at every front only after %s, without %s", took, chosen.name)
+	for _, process := range daemons {
+		if chosen.gone(process) {
+			if err := process.Start(); err != nil {
+				return chosen.name, took, err
+			}
+		}
+	}
+	return chosen.name, took, nil
 }
 
 // Harms are the faults that a seeded run draws from.
 var Harms = []Harm{
-	{"front killed", killAndRestart("front", time.Second)},
-	{"store killed", killAndRestart("store", 2*time.Second)},
-	{"control killed", killAndRestart("control", 2*time.Second)},
-	{"runner killed", killAndRestart("runner", time.Second)},
-	{"front frozen", freezeAndWake("front", 4*time.Second)},
-	{"store frozen", freezeAndWake("store", 4*time.Second)},
-	{"control frozen", freezeAndWake("control", 4*time.Second)},
-	{"runner frozen", freezeAndWake("runner", 2*time.Second)},
-	{"store wiped", wipeAndRestart("store")},
-	{"control wiped", wipeAndRestart("control")},
-	{"domain lost", func(ctx context.Context, running *Fleet, random *rand.Rand) error {
-		name := running.Deployment.Domains[random.IntN(len(running.Deployment.Domains))]
-		lost := []*Process{}
-		for _, process := range running.Processes {
-			if process.Domain == name {
-				process.Kill()
-				lost = append(lost, process)
-			}
-		}
-		wait(ctx, 4*time.Second)
-		for _, process := range lost {
-			if err := process.Start(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}},
-	{"domain emptied and refilled", func(ctx context.Context, running *Fleet, random *rand.Rand) error {
-		path := "/v1/domains/" + running.Deployment.Domains[random.IntN(len(running.Deployment.Domains))]
-		if err := running.Administer(ctx, http.MethodPost, path, map[string]any{"state": "emptied"}, nil); err != nil {
-			return err
-		}
-		wait(ctx, 3*time.Second)
-		return running.Administer(ctx, http.MethodPost, path, map[string]any{"state": "serving"}, nil)
-	}},
-	{"weights changed in a burst", func(ctx context.Context, running *Fleet, random *rand.Rand) error {
-		for range 10 {
-			if err := running.Administer(ctx, http.MethodPatch, "/v1/charter", map[string]any{"path": "tables.talk.small", "value": 1 + random.IntN(5)}, nil); err != nil {
-				return err
-			}
-		}
+	{"front killed", fronts, killAndRestart("front", time.Second)},
+	{"store killed", machines, killAndRestart("store", 2*time.Second)},
+	{"control killed", machines, killAndRestart("control", 2*time.Second)},
+	{"runner restarted", runners, restartRunner},
+	{"front frozen", fronts, freezeAndWake("front", 4*time.Second)},
+	{"store frozen", machines, freezeAndWake("store", 4*time.Second)},
+	{"control frozen", machines, freezeAndWake("control", 4*time.Second)},
+	{"runner frozen", runners, freezeAndWake("runner", 2*time.Second)},
+	{"runners replaced", runners, replaceRunners},
+	{"store wiped", machines, wipeAndRestart("store")},
+	{"control wiped", machines, wipeAndRestart("control")},
+	{"store exchanged", machines, exchangeStore},
+	{"seeds exchanged", machines, exchangeSeeds},
+	{"power lost", machines, losePower},
+	{"disk slow", machines, withDisk(files.TrialFaults{Slow: "150ms"}, 4*time.Second)},
+	{"disk stalled", machines, withDisk(files.TrialFaults{Stalled: true}, 4*time.Second)},
+	{"disk full", machines, withDisk(files.TrialFaults{Full: true}, 3*time.Second)},
+	{"links cut", machines, withLink(func(links *Links, one, other *Process) {
+		links.CutOneWay(one.Address, other.Address)
+		links.CutOneWay(other.Address, one.Address)
+	}, true)},
+	{"links cut one way", machines, withLink(func(links *Links, one, other *Process) { links.CutOneWay(one.Address, other.Address) }, false)},
+	{"links slow", machines, withLink(func(links *Links, one, other *Process) {
+		links.Slow(one.Address, other.Address, 100*time.Millisecond)
+		links.Slow(other.Address, one.Address, 100*time.Millisecond)
+	}, true)},
+	{"domain lost", machines, loseDomain},
+	{"domain emptied and refilled", operators, emptyDomain},
+	{"charter changed under a frozen front", operators, obeyCharter},
+	{"weights changed in a burst", operators, burst},
+	{"two operators at once", operators, twoOperators},
+	{"many new routes", operators, manyRoutes},
+	{"crowd", runners, func(ctx context.Context, running *Fleet, random *rand.Rand) error {
+		seen := load.Crowd(ctx, running.Target(), 4*time.Second, 250)
+		running.Verdicts.Judge("crowd", seen.Wrong == 0, "%d of %d refusals were not as not run with when to come back", seen.Wrong, seen.Refused)
 		return nil
 	}},
-	{"front drained and restarted", func(ctx context.Context, running *Fleet, random *rand.Rand) error {
+	{"front drained and restarted", fronts, func(ctx context.Context, running *Fleet, random *rand.Rand) error {
 		process := running.pick(random, "front")
 		if err := process.Terminate(ctx); err != nil {
 			return err
 		}
 		return process.Start()
 	}},
-	{"settings reread", func(_ context.Context, running *Fleet, random *rand.Rand) error {
-		running.pick(random, "store").signal(syscall.SIGHUP)
-		running.pick(random, "front").signal(syscall.SIGHUP)
+	{"settings reread", fronts, func(_ context.Context, running *Fleet, _ *rand.Rand) error {
+		running.hangUp()
 		return nil
 	}},
 }
--- a/proof/load/load.go
+++ b/proof/load/load.go
@@ -69,6 +69,15 @@
 	FirstPiece    Quantiles      `json:"first_piece"`
 	Spoken        int            `json:"tight_words"`
 	Broken        []string       `json:"broken"`
+	// Kept are conversations to come back to later.
+	Kept []Kept `json:"-"`
+}
+
+// Kept is a conversation that ended well, with all that was said.
+type Kept struct {
+	Conversation string
+	Last         uint64
+	Said         []runnerclient.Message
 }
 
 // Quantiles are of a measured time.
@@ -108,14 +117,12 @@
 	})
 }
 
-// Run drives the mix for a time, lets what is under way end, and checks.
+// Run drives the mix for a time or until it is told to end, lets what is under way
+// end, and checks.
 //
-//	report := load.Run(ctx, target, load.Mixes["agency"], time.Minute, 7)
-func Run(ctx context.Context, target Target, mix Mix, duration time.Duration, seed uint64) *Report {
-	if target.Client == nil {
-		target.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	}
-	load := &load{target: target, mix: mix, outcomes: map[string]string{}, report: Report{Refusals: map[string]int{}, Abandoned: map[string]int{}, Broken: []string{}}}
+//	report := load.Run(ctx, target, load.Mixes["agency"], time.Minute, 7, nil)
+func Run(ctx context.Context, target Target, mix Mix, duration time.Duration, seed uint64, until <-chan struct{}) *Report {
+	load := newLoad(target, mix)
 	var callers sync.WaitGroup
 	arrive := func(number uint64, rate float64, call func(random *rand.Rand, number int)) {
 		if rate == 0 {
@@ -131,6 +138,8 @@
 					callers.Go(func() { call(one, position) })
 				case <-ended:
 					return
+				case <-until:
+					return
 				case <-ctx.Done():
 					return
 				}
@@ -150,6 +159,13 @@
 	return &load.report
 }
 
+func newLoad(target Target, mix Mix) *load {
+	if target.Client == nil {
+		target.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	}
+	return &load{target: target, mix: mix, outcomes: map[string]string{}, report: Report{Refusals: map[string]int{}, Abandoned: map[string]int{}, Broken: []string{}}}
+}
+
 func quantiles(delays []time.Duration) Quantiles {
 	if len(delays) == 0 {
 		return Quantiles{}
@@ -399,6 +415,9 @@
 		}
 	}
 	load.checkHistory(ctx, random, conversationName, said)
+	load.count(func(report *Report) {
+		report.Kept = append(report.Kept, Kept{Conversation: conversationName, Last: follows, Said: said})
+	})
 }
 
 // tool calls a tool between turns; its call and result become part of what was
@@ -612,3 +631,126 @@
 		}
 	}
 }
+
+// Tally asks what a program has spent.
+//
+//	spent, err := load.Tally(ctx, target, "tight")
+func Tally(ctx context.Context, target Target, program string) (int, error) {
+	load := newLoad(target, Mix{})
+	for try := 0; ; try++ {
+		answer, failure, err := load.send(ctx, http.MethodGet, target.Fronts[try%len(target.Fronts)], "/v1/tallies/"+program, nil)
+		if err == nil && failure == nil {
+			var told struct{ Spent, Reserved int }
+			err = json.NewDecoder(answer.Body).Decode(&told)
+			answer.Body.Close()
+			return told.Spent, err
+		}
+		if try == tries {
+			return 0, fmt.Errorf("no tally: %v %v", failure, err)
+		}
+		pause(ctx, failure)
+	}
+}
+
+const revisits = 40
+
+// Revisit follows up conversations of an earlier run, and reads them back: their
+// turns must be known and heard as they were said.
+//
+//	again := load.Revisit(ctx, target, report.Kept, 7)
+func Revisit(ctx context.Context, target Target, kept []Kept, seed uint64) *Report {
+	load := newLoad(target, Mix{})
+	random := rand.New(rand.NewPCG(seed, 77))
+	for _, position := range random.Perm(len(kept))[:min(len(kept), revisits)] {
+		one := kept[position]
+		question := "and after " + one.Conversation
+		load.ask(ctx, random, "/v1/conversations/"+one.Conversation+"/turns", map[string]any{"kind": "talk", "words": question, "follows": one.Last, "request_key": "revisit"},
+			strings.Join(standin.Answer(one.Said, question), ""))
+		load.checkHistory(ctx, random, one.Conversation, one.Said)
+	}
+	return &load.report
+}
+
+// AwaitTurn waits until one front has served a whole turn.
+//
+//	err := load.AwaitTurn(ctx, target, front)
+func AwaitTurn(ctx context.Context, target Target, front string) error {
+	load := newLoad(target, Mix{})
+	for {
+		asked, cancel := context.WithTimeout(ctx, 10*time.Second)
+		answer, failure, err := load.send(asked, http.MethodPost, front, "/v1/conversations", map[string]any{"program": "dialogue", "kind": "talk", "words": "are you there"})
+		if err == nil && failure == nil {
+			got := &heard{}
+			load.listen(answer.Body, got, 0)
+			answer.Body.Close()
+			if got.end == "complete" {
+				cancel()
+				return nil
+			}
+		}
+		cancel()
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("no turn was served: %v %v", failure, err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Crowded is what a crowd got.
+type Crowded struct {
+	Sent, Served, Refused, Wrong int
+	Urgent, UrgentServed         int
+}
+
+// Crowd sends lookups at a rate on top of all else, with urgent work among them.
+//
+//	seen := load.Crowd(ctx, target, 4*time.Second, 500)
+func Crowd(ctx context.Context, target Target, lasts time.Duration, perSecond int) Crowded {
+	load := newLoad(target, Mix{})
+	var mutex sync.Mutex
+	var asked sync.WaitGroup
+	seen := Crowded{}
+	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 3))
+	for number := range int(lasts.Seconds() * float64(perSecond)) {
+		front := load.front(random)
+		urgent := number%20 == 0
+		asked.Go(func() {
+			path, body := "/v1/lookups", map[string]any{"program": "dialogue", "kind": "lookup", "words": "where is everybody"}
+			if urgent {
+				path, body = "/v1/requests", map[string]any{"program": "counter", "kind": "activation", "words": "now", "request_key": fmt.Sprintf("crowd-%d-%d", time.Now().UnixNano(), number)}
+			}
+			limited, cancel := context.WithTimeout(ctx, answerPatience)
+			defer cancel()
+			answer, failure, err := load.send(limited, http.MethodPost, front, path, body)
+			if err == nil && failure == nil {
+				answer.Body.Close()
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			seen.Sent++
+			served := err == nil && failure == nil
+			if served {
+				seen.Served++
+			}
+			if failure != nil {
+				seen.Refused++
+				if failure.RetryAfter == 0 && failure.Kind == "not_run" {
+					seen.Wrong++
+				}
+			}
+			if urgent {
+				seen.Urgent++
+				if served {
+					seen.UrgentServed++
+				}
+			}
+		})
+		select {
+		case <-time.After(time.Second / time.Duration(perSecond)):
+		case <-ctx.Done():
+		}
+	}
+	asked.Wait()
+	return seen
+}
--- a/proof/load/load_test.go
+++ b/proof/load/load_test.go
@@ -129,7 +129,7 @@
 		if breach == "overspends" {
 			mix.Tight = 10
 		}
-		report = Run(t.Context(), Target{Fronts: []string{"front"}, Runners: []string{"runner"}, Client: client, Allowance: 100, Turn: 30}, mix, 5*time.Second, 3)
+		report = Run(t.Context(), Target{Fronts: []string{"front"}, Runners: []string{"runner"}, Client: client, Allowance: 100, Turn: 30}, mix, 5*time.Second, 3, nil)
 		server.Close()
 		<-time.After(time.Minute)
 	})
--- a/proof/simulator/disk.go
+++ b/proof/simulator/disk.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"yardrock.example/system/files"
 )
 
 // Disk is a folder in memory. What was written but not synced is lost, or torn,
@@ -17,7 +19,7 @@
 	random  *rand.Rand
 	live    map[string][]byte
 	lasting map[string][]byte
-	pending map[string][]unsynced
+	pending map[string][]files.Unsynced
 	stalled chan struct{} // non-nil while syncs hang
 	slow    time.Duration
 	full    bool
@@ -25,28 +27,11 @@
 	read    int
 }
 
-// unsynced is one write that is not synced yet, or with no data one cut.
-type unsynced struct {
-	offset int64
-	data   []byte
-}
-
-func (write unsynced) on(data []byte) []byte {
-	if write.data == nil {
-		return data[:min(int64(len(data)), write.offset)]
-	}
-	if missing := int(write.offset) + len(write.data) - len(data); missing > 0 {
-		data = append(data, make([]byte, missing)...)
-	}
-	copy(data[write.offset:], write.data)
-	return data
-}
-
 // NewDisk makes an empty disk.
 //
 //	disk := simulator.NewDisk(7)
 func NewDisk(seed uint64) *Disk {
-	return &Disk{random: rand.New(rand.NewPCG(seed, 3)), live: map[string][]byte{}, lasting: map[string][]byte{}, pending: map[string][]unsynced{}}
+	return &Disk{random: rand.New(rand.NewPCG(seed, 3)), live: map[string][]byte{}, lasting: map[string][]byte{}, pending: map[string][]files.Unsynced{}}
 }
 
 var errFull = errors.New("no space left on device")
@@ -85,8 +70,8 @@
 	if disk.full && len(data) > 0 {
 		return errFull
 	}
-	write := unsynced{offset: offset, data: append([]byte{}, data...)}
-	disk.live[name] = write.on(disk.live[name])
+	write := files.Unsynced{Offset: offset, Data: append([]byte{}, data...)}
+	disk.live[name] = write.On(disk.live[name])
 	disk.pending[name] = append(disk.pending[name], write)
 	return nil
 }
@@ -99,8 +84,8 @@
 	if !found {
 		return fs.ErrNotExist
 	}
-	cut := unsynced{offset: size}
-	disk.live[name] = cut.on(data)
+	cut := files.Unsynced{Offset: size}
+	disk.live[name] = cut.On(data)
 	disk.pending[name] = append(disk.pending[name], cut)
 	return nil
 }
@@ -122,7 +107,7 @@
 	if _, found := disk.live[name]; found {
 		lasting := disk.lasting[name]
 		for _, write := range disk.pending[name] {
-			lasting = write.on(lasting)
+			lasting = write.On(lasting)
 		}
 		disk.lasting[name] = lasting
 		delete(disk.pending, name)
--- a/proof/standin/runner.go
+++ b/proof/standin/runner.go
@@ -33,7 +33,10 @@
 	// Arrivals are the Unix nanoseconds at which queries arrived, the last thousands.
 	Arrivals []int64 `json:"arrivals"`
 	Turns    int     `json:"turns"`
-	MostOut  int     `json:"most_out"`
+	// MostOut is the most queries that were there at once since it was last taken.
+	MostOut int `json:"most_out"`
+	// LastOn tells when the last query came on each path, in Unix nanoseconds.
+	LastOn map[string]int64 `json:"last_on"`
 }
 
 // Runner is a stand-in model and application runner.
@@ -50,7 +53,7 @@
 //
 //	http.Serve(listener, standin.NewRunner(standin.Pace{Piece: time.Millisecond}))
 func NewRunner(pace Pace) *Runner {
-	return &Runner{pace: pace, record: Record{Executions: map[string]int{}}, paths: map[int64]string{}}
+	return &Runner{pace: pace, record: Record{Executions: map[string]int{}, LastOn: map[string]int64{}}, paths: map[int64]string{}}
 }
 
 // Remember keeps the executions in a file over restarts, as the ledger of a real
@@ -77,6 +80,7 @@
 	defer runner.mutex.Unlock()
 	copied := runner.record
 	copied.Executions = maps.Clone(runner.record.Executions)
+	copied.LastOn = maps.Clone(runner.record.LastOn)
 	copied.Arrivals = append([]int64{}, runner.record.Arrivals...)
 	return copied
 }
@@ -111,6 +115,7 @@
 	defer runner.mutex.Unlock()
 	runner.out++
 	runner.record.MostOut = max(runner.record.MostOut, runner.out)
+	runner.record.LastOn[path] = time.Now().UnixNano()
 	if len(runner.record.Arrivals) < mostArrivals {
 		runner.record.Arrivals = append(runner.record.Arrivals, time.Now().UnixNano())
 		runner.paths[time.Now().UnixNano()] = path
@@ -123,12 +128,18 @@
 	runner.mutex.Unlock()
 }
 
-// ServeHTTP answers POST /turn, POST /plain and GET /standin/record.
+// ServeHTTP answers POST /turn, POST on any other path, GET /standin/record, and GET
+// /standin/take, which also begins to count MostOut anew.
 func (runner *Runner) ServeHTTP(writer http.ResponseWriter, query *http.Request) {
 	switch query.URL.Path {
 	case "/standin/record":
 		writer.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(writer).Encode(runner.Record())
+	case "/standin/take":
+		taken := runner.Record()
+		taken.MostOut = runner.TakeMostOut()
+		writer.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(writer).Encode(taken)
 	case "/turn":
 		runner.enter(query.URL.Path)
 		defer runner.leave()
--- a/system/cmd/yardrock-control-plane/main.go
+++ b/system/cmd/yardrock-control-plane/main.go
@@ -9,8 +9,6 @@
 
 	"yardrock.example/system/controlplane"
 	"yardrock.example/system/daemon"
-	"yardrock.example/system/files"
-	"yardrock.example/system/link"
 	"yardrock.example/system/replica"
 	"yardrock.example/system/settings"
 )
@@ -28,14 +26,14 @@
 		return err
 	}
 	daemon.Logs(loaded.Log)
-	folder, err := files.Open(loaded.Folder)
+	folder, err := loaded.OpenFolder("")
 	if err != nil {
 		return err
 	}
 	node, err := controlplane.Start(controlplane.Settings{
 		Address: loaded.Address, Administration: loaded.Administration, Domain: loaded.Domain, Seeds: loaded.Seeds,
 		FoundingStores: loaded.FoundingStores, Groups: loaded.Groups, MostControls: loaded.MostControls, Replica: replica.Usual(rand.Uint64()),
-	}, folder, link.TCP{})
+	}, folder, loaded.Network())
 	if err != nil {
 		return err
 	}
--- a/system/cmd/yardrock-data-plane/main.go
+++ b/system/cmd/yardrock-data-plane/main.go
@@ -6,10 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 
 	"yardrock.example/system/daemon"
-	"yardrock.example/system/files"
 	"yardrock.example/system/front"
 	"yardrock.example/system/httpface"
 	"yardrock.example/system/link"
@@ -45,7 +43,7 @@
 }
 
 func startFront(loaded *settings.DataPlane) (daemon.Running, error) {
-	node, err := front.Start(front.Settings{Address: loaded.Address, Public: loaded.Public, Domain: loaded.Domain, Seeds: loaded.Seeds}, link.TCP{})
+	node, err := front.Start(front.Settings{Address: loaded.Address, Public: loaded.Public, Domain: loaded.Domain, Seeds: loaded.Seeds}, loaded.Network())
 	if err != nil {
 		return daemon.Running{}, err
 	}
@@ -53,15 +51,15 @@
 }
 
 func startStore(loaded *settings.DataPlane) (daemon.Running, error) {
-	folder, err := files.Open(loaded.Folder)
+	folder, err := loaded.OpenFolder("")
 	if err != nil {
 		return daemon.Running{}, err
 	}
-	coldFolder, err := files.Open(filepath.Join(loaded.Folder, "cold"))
+	coldFolder, err := loaded.OpenFolder("cold")
 	if err != nil {
 		return daemon.Running{}, err
 	}
-	node, err := store.Start(store.Settings{Address: loaded.Address, Domain: loaded.Domain, Seeds: loaded.Seeds, Replica: replica.Usual(rand.Uint64())}, folder, coldFolder, link.TCP{})
+	node, err := store.Start(store.Settings{Address: loaded.Address, Domain: loaded.Domain, Seeds: loaded.Seeds, Replica: replica.Usual(rand.Uint64())}, folder, coldFolder, loaded.Network())
 	if err != nil {
 		return daemon.Running{}, err
 	}
--- a/system/link/link.go
+++ b/system/link/link.go
@@ -25,19 +25,34 @@
 }
 
 // TCP is the real network.
-type TCP struct{}
+type TCP struct {
+	// From is the IP that connections come from; "" leaves it to the system.
+	From string
+	// Listens tells where to listen instead, for addresses that others reach in a
+	// roundabout way.
+	Listens map[string]string
+}
 
 // Dial connects by IP and port.
 //
 //	connection, err := link.TCP{}.Dial(ctx, "127.0.0.1:7000")
-func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
-	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+func (network TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{}
+	if from := net.ParseIP(network.From); from != nil && !from.IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: from}
+	}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Listen opens a port.
 //
 //	listener, err := link.TCP{}.Listen("127.0.0.1:7000")
-func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+func (network TCP) Listen(address string) (net.Listener, error) {
+	if other, found := network.Listens[address]; found {
+		address = other
+	}
+	return net.Listen("tcp", address)
+}
 
 // Handler answers one query.
 type Handler func(ctx context.Context, query *wire.Query) *wire.Reply
--- a/system/settings/settings.go
+++ b/system/settings/settings.go
@@ -9,12 +9,15 @@
 	"io"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/alexflint/go-arg"
 
+	"yardrock.example/system/files"
+	"yardrock.example/system/link"
 	"yardrock.example/system/mishap"
 )
 
@@ -25,10 +28,39 @@
 type Common struct {
 	File    string   `arg:"--settings" json:"-" help:"settings file (JSON); flags win over it"`
 	Address string   `arg:"--address" json:"address" help:"IP and port for other processes"`
+	Listen  string   `arg:"--listen" json:"listen" help:"IP and port to listen on, if others reach it under the address [default: the address]"`
 	Domain  string   `arg:"--domain" json:"domain" help:"domain (zone) of this machine"`
 	Seeds   []string `arg:"--seeds" json:"seeds" help:"three addresses of other processes"`
 	Folder  string   `arg:"--folder" json:"folder" help:"data folder"`
 	Log     string   `arg:"--log" json:"log" help:"log level: debug, info, warn or error"`
+	// TrialDisk is for trials of failure only.
+	TrialDisk string `arg:"--trial-disk" json:"trial_disk" help:"for trials only: keep unsynced writes in memory, and obey the disk faults that this file names"`
+}
+
+// Network is how the process reaches others and is reached: it dials from its own
+// address's IP.
+//
+//	node, err := front.Start(front.Settings{...}, loaded.Network())
+func (common *Common) Network() link.TCP {
+	network := link.TCP{Listens: map[string]string{}}
+	if host, _, err := net.SplitHostPort(common.Address); err == nil {
+		network.From = host
+	}
+	if common.Listen != "" {
+		network.Listens[common.Address] = common.Listen
+	}
+	return network
+}
+
+// OpenFolder opens the data folder, or one below it.
+//
+//	folder, err := loaded.OpenFolder("cold")
+func (common *Common) OpenFolder(below string) (files.Folder, error) {
+	folder, err := files.Open(filepath.Join(common.Folder, below))
+	if err != nil || common.TrialDisk == "" {
+		return folder, err
+	}
+	return files.NewTrial(folder, common.TrialDisk), nil
 }
 
 // DataPlane is what yardrock-data-plane is told.
@@ -99,6 +131,11 @@
 	if err := checkAddress("address", common.Address); err != nil {
 		return err
 	}
+	if common.Listen != "" {
+		if err := checkAddress("listen", common.Listen); err != nil {
+			return err
+		}
+	}
 	if common.Domain == "" {
 		return bad("domain", "is missing", "name the zone of this machine")
 	}
