Archiving, expiry and repair cost what changed, not what is kept

Cause: each acknowledged archive step walked every line of its group to find expired ones, the archiver walked them to find pending events, and repair sent all ranges of all groups every ten seconds. Now a group knows its pending lines and an order of expiries, and copies are compared by 64 sums a group, ranges only of the buckets that differ.

--- a/system/coldstore/coldstore.go
+++ b/system/coldstore/coldstore.go
@@ -4,6 +4,7 @@
 package coldstore
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
@@ -46,7 +47,11 @@
 	mutex  sync.RWMutex
 	lines  map[string][]place
 	living map[uint64]int // how many chunks of each file still count
-	next   uint64
+	// sums are digests of how far each line is here without a hole, by group; byGroup
+	// names the lines of a group.
+	sums    map[uint32]*line.Sums
+	byGroup map[uint32]map[string]bool
+	next    uint64
 	// scrubbed is the line that Scrub came to; only Scrub's caller touches it.
 	scrubbed string
 }
@@ -56,7 +61,7 @@
 //
 //	cold, err := coldstore.Open(folder)
 func Open(folder files.Folder) (*Store, error) {
-	store := &Store{folder: folder, lines: map[string][]place{}, living: map[uint64]int{}, next: 1}
+	store := &Store{folder: folder, lines: map[string][]place{}, living: map[uint64]int{}, sums: map[uint32]*line.Sums{}, byGroup: map[uint32]map[string]bool{}, next: 1}
 	names, err := folder.Names()
 	if err != nil {
 		return nil, err
@@ -97,10 +102,56 @@
 func (store *Store) add(file uint64, at wire.ColdPlace) {
 	made := place{file: file, offset: int64(at.Offset), length: int(at.Length), group: at.Group, first: at.First, last: at.Last, expires: at.Expires, sum: at.Checksum}
 	copy(made.digest[:], at.Digest)
-	store.lines[at.Line] = append(slices.Clip(store.lines[at.Line]), made)
+	store.setPlaces(at.Line, at.Group, append(slices.Clip(store.lines[at.Line]), made))
 	store.living[file]++
 }
 
+// setPlaces replaces where a line's chunks are, and brings its group's sums up to date.
+func (store *Store) setPlaces(name string, group uint32, places []place) {
+	sums, found := store.sums[group]
+	if !found {
+		sums = &line.Sums{}
+		store.sums[group], store.byGroup[group] = sums, map[string]bool{}
+	}
+	sums.Toggle(name, reached(store.lines[name]))
+	if len(places) == 0 {
+		delete(store.lines, name)
+		delete(store.byGroup[group], name)
+		return
+	}
+	store.lines[name] = places
+	store.byGroup[group][name] = true
+	sums.Toggle(name, reached(places))
+}
+
+// reached tells up to which seq places hold a line without a hole.
+func reached(places []place) uint64 {
+	sorted, through := places, uint64(0)
+	byFirst := func(left, right place) int { return cmp.Compare(left.first, right.first) }
+	if !slices.IsSortedFunc(sorted, byFirst) {
+		sorted = slices.SortedFunc(slices.Values(places), byFirst)
+	}
+	for _, at := range sorted {
+		if at.first > through+1 {
+			break
+		}
+		through = max(through, at.last)
+	}
+	return through
+}
+
+// Sums gives the digests of how far a group's lines are here, one a bucket.
+//
+//	if cold.Sums(7) == view.Sums() { ... }
+func (store *Store) Sums(group uint32) line.Sums {
+	store.mutex.RLock()
+	defer store.mutex.RUnlock()
+	if sums, found := store.sums[group]; found {
+		return *sums
+	}
+	return line.Sums{}
+}
+
 // readChunk reads a chunk's events; a damaged or missing one is a gap.
 func (store *Store) readChunk(at place) (wire.ColdChunk, bool) {
 	body, err := store.folder.ReadPart(fileName(at.file), at.offset, at.length)
@@ -197,18 +248,19 @@
 	return events, nil
 }
 
-// Digests lists the ranges of a group with their digests.
+// Digests lists the ranges of some buckets of a group with their digests.
 //
-//	ranges := cold.Digests(7)
-func (store *Store) Digests(group uint32) []wire.RangeDigest {
+//	ranges := cold.Digests(7, []uint32{0, 12})
+func (store *Store) Digests(group uint32, buckets []uint32) []wire.RangeDigest {
 	store.mutex.RLock()
 	defer store.mutex.RUnlock()
 	ranges := []wire.RangeDigest{}
-	for name, places := range store.lines {
-		for _, at := range places {
-			if at.group == group {
-				ranges = append(ranges, wire.RangeDigest{Line: name, First: at.first, Last: at.last, Digest: at.digest[:]})
-			}
+	for name := range store.byGroup[group] {
+		if !slices.Contains(buckets, uint32(line.BucketOf(name))) {
+			continue
+		}
+		for _, at := range store.lines[name] {
+			ranges = append(ranges, wire.RangeDigest{Line: name, First: at.first, Last: at.last, Digest: at.digest[:]})
 		}
 	}
 	return ranges
@@ -238,7 +290,7 @@
 		for _, at := range places {
 			store.living[at.file]--
 		}
-		delete(store.lines, name)
+		store.setPlaces(name, places[0].group, nil)
 	}
 	for number, count := range store.living {
 		if count == 0 {
@@ -279,7 +331,7 @@
 			}
 			dropped++
 			store.mutex.Lock()
-			store.lines[name] = slices.DeleteFunc(slices.Clone(store.lines[name]), func(one place) bool { return one == at })
+			store.setPlaces(name, at.group, slices.DeleteFunc(slices.Clone(store.lines[name]), func(one place) bool { return one == at }))
 			store.living[at.file]--
 			store.mutex.Unlock()
 		}
--- a/system/line/machine.go
+++ b/system/line/machine.go
@@ -1,7 +1,9 @@
 package line
 
 import (
+	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"iter"
 	"slices"
 	"strconv"
@@ -21,6 +23,102 @@
 	sessions *immutable.Map[string, *Session]
 	tallies  *immutable.Map[string, *Tally]
 	clock    int64
+
+	// What follows is derived, so that no command and no round of the archiver walks
+	// all lines. Hot are the lines with events that are not archived. Expiries holds
+	// each line under a time that is no later than its expiry; when that time comes,
+	// the line goes or is put under its present expiry. Sums are digests, by bucket, of
+	// how far each line is archived.
+	hot      *immutable.Map[string, struct{}]
+	expiries *immutable.SortedMap[string, string]
+	sums     Sums
+}
+
+// Sums are digests over a group's lines, one a bucket of them.
+type Sums [Buckets]uint64
+
+// Buckets is how many digests a group's lines are cut into.
+const Buckets = 64
+
+// BucketOf tells in which bucket a line is.
+//
+//	bucket := line.BucketOf("team/c-1")
+func BucketOf(name string) int { return int(hashed(name, 0) % Buckets) }
+
+// Toggle puts a line's archive progress into the sums, or takes it out again.
+//
+//	sums.Toggle("team/c-1", 40)
+func (sums *Sums) Toggle(name string, archived uint64) {
+	if archived > 0 {
+		sums[BucketOf(name)] ^= hashed(name, archived)
+	}
+}
+
+func hashed(name string, number uint64) uint64 {
+	digest := fnv.New64a()
+	digest.Write([]byte(name))
+	digest.Write(binary.BigEndian.AppendUint64(nil, number))
+	return digest.Sum64()
+}
+
+func expiryKey(session *Session) string {
+	return string(binary.BigEndian.AppendUint64(nil, uint64(session.Expires().UnixNano()))) + session.Line
+}
+
+// Sums gives the digests of how far the group's lines are archived.
+//
+//	if view.Sums() == told { ... }
+func (view *View) Sums() Sums { return view.sums }
+
+// Hot iterates over the lines that have events to be archived.
+//
+//	for session := range view.Hot() { ... }
+func (view *View) Hot() iter.Seq[*Session] {
+	return func(yield func(*Session) bool) {
+		iterator := view.hot.Iterator()
+		for !iterator.Done() {
+			name, _, _ := iterator.Next()
+			if session, found := view.sessions.Get(name); found && !yield(session) {
+				return
+			}
+		}
+	}
+}
+
+// AnyExpired tells whether some line's keeping time may be over at a time.
+//
+//	if view.AnyExpired(clock) { ... }
+func (view *View) AnyExpired(clock int64) bool {
+	iterator := view.expiries.Iterator()
+	key, _, found := iterator.Next()
+	return found && int64(binary.BigEndian.Uint64([]byte(key))) < clock
+}
+
+// forgetExpired forgets the lines whose keeping time is over.
+func (view *View) forgetExpired() {
+	for {
+		iterator := view.expiries.Iterator()
+		key, name, found := iterator.Next()
+		if !found || int64(binary.BigEndian.Uint64([]byte(key))) >= view.clock {
+			return
+		}
+		view.expiries = view.expiries.Delete(key)
+		session, known := view.sessions.Get(name)
+		switch {
+		case !known:
+		case session.Expires().UnixNano() >= view.clock:
+			view.expiries = view.expiries.Set(expiryKey(session), name)
+		default:
+			view.sessions = view.sessions.Delete(name)
+			view.hot = view.hot.Delete(name)
+			view.sums.Toggle(name, session.ArchivedSeq)
+		}
+	}
+}
+
+func emptyView() *View {
+	return &View{sessions: immutable.NewMap[string, *Session](nil), tallies: immutable.NewMap[string, *Tally](nil),
+		hot: immutable.NewMap[string, struct{}](nil), expiries: immutable.NewSortedMap[string, string](nil)}
 }
 
 // Session finds a line.
@@ -76,7 +174,7 @@
 //	machine := line.NewMachine()
 func NewMachine() *Machine {
 	machine := &Machine{}
-	machine.published.Store(&View{sessions: immutable.NewMap[string, *Session](nil), tallies: immutable.NewMap[string, *Tally](nil)})
+	machine.published.Store(emptyView())
 	return machine
 }
 
@@ -113,10 +211,12 @@
 	if existing, found := view.sessions.Get(command.Line); found {
 		return Outcome{Head: existing.Head, Deduped: true}
 	}
-	view.sessions = view.sessions.Set(command.Line, &Session{
+	made := &Session{
 		Line: command.Line, Team: command.Team, Program: command.Program, WorkKind: command.WorkKind,
 		CreatedAt: view.clock, TouchedAt: view.clock, KeepFor: command.KeepFor,
-	})
+	}
+	view.sessions = view.sessions.Set(command.Line, made)
+	view.expiries = view.expiries.Set(expiryKey(made), made.Line)
 	return Outcome{}
 }
 
@@ -199,6 +299,9 @@
 		session.Producers = append(session.Producers, entry)
 	}
 	view.sessions = view.sessions.Set(session.Line, &session)
+	if len(existing.Hot) == 0 {
+		view.hot = view.hot.Set(session.Line, struct{}{})
+	}
 	return Outcome{Seq: first, Head: session.Head}
 }
 
@@ -214,13 +317,13 @@
 		session.ArchivedSeq = ack.ArchivedSeq
 		session.Hot = slices.Clone(session.Hot[ack.ArchivedSeq-existing.ArchivedSeq:])
 		view.sessions = view.sessions.Set(session.Line, &session)
-	}
-	now := time.Unix(0, view.clock)
-	for session := range view.Sessions() {
-		if session.Expires().Before(now) {
-			view.sessions = view.sessions.Delete(session.Line)
+		view.sums.Toggle(session.Line, existing.ArchivedSeq)
+		view.sums.Toggle(session.Line, session.ArchivedSeq)
+		if len(session.Hot) == 0 {
+			view.hot = view.hot.Delete(session.Line)
 		}
 	}
+	view.forgetExpired()
 	return Outcome{}
 }
 
@@ -299,14 +402,21 @@
 	if image.Version > ImageVersion {
 		return mishap.New(mishap.FormatTooNew, fmt.Sprintf("checkpoint of format %d, this program knows up to %d", image.Version, ImageVersion), "run the newer version of the program")
 	}
-	sessions := immutable.NewMapBuilder[string, *Session](nil)
+	sessions, tallies := immutable.NewMapBuilder[string, *Session](nil), immutable.NewMapBuilder[string, *Tally](nil)
+	hot, expiries := immutable.NewMapBuilder[string, struct{}](nil), immutable.NewSortedMapBuilder[string, string](nil)
+	view := &View{clock: image.Clock}
 	for _, session := range image.Sessions {
 		sessions.Set(session.Line, &session)
+		expiries.Set(expiryKey(&session), session.Line)
+		view.sums.Toggle(session.Line, session.ArchivedSeq)
+		if len(session.Hot) > 0 {
+			hot.Set(session.Line, struct{}{})
+		}
 	}
-	tallies := immutable.NewMapBuilder[string, *Tally](nil)
 	for _, tally := range image.Tallies {
 		tallies.Set(tally.Name, &tally)
 	}
-	machine.published.Store(&View{sessions: sessions.Map(), tallies: tallies.Map(), clock: image.Clock})
+	view.sessions, view.tallies, view.hot, view.expiries = sessions.Map(), tallies.Map(), hot.Map(), expiries.Map()
+	machine.published.Store(view)
 	return nil
 }
--- a/system/line/machine_test.go
+++ b/system/line/machine_test.go
@@ -134,3 +134,37 @@
 		t.Fatal("a newer image was taken")
 	}
 }
+
+// aDay is about what one of 32 groups holds after a day of the agency's
+// conversations: 27 a second.
+const aDay = 27 * 86400 / 32
+
+func fullDay(lines int) *Machine {
+	machine := NewMachine()
+	for number := range lines {
+		name := fmt.Sprintf("team/c-%d", number)
+		now := int64(time.Hour) + int64(number)*int64(86400*time.Second)/int64(lines)
+		machine.Apply(&Command{Kind: CreateSession, Line: name, Now: now, KeepFor: 24 * time.Hour})
+		machine.Apply(&Command{Kind: AppendEvents, Line: name, Now: now, Producer: "p", ProducerSeq: 1, Events: []Event{{Kind: TurnBegun}, {Kind: Piece, Turn: 1}, {Kind: TurnEnded, Turn: 1}}})
+		machine.Apply(&Command{Kind: AckArchived, Now: now, Acks: []Ack{{Line: name, ArchivedSeq: 3}}})
+	}
+	return machine
+}
+
+// BenchmarkAcknowledgeAmongADaysLines is the cost of archiving one line of a group
+// that keeps a day of them.
+func BenchmarkAcknowledgeAmongADaysLines(b *testing.B) {
+	for _, lines := range []int{aDay / 100, aDay / 10, aDay} {
+		b.Run(fmt.Sprint(lines), func(b *testing.B) {
+			machine := fullDay(lines)
+			now := machine.View().Clock()
+			b.ResetTimer()
+			for number := range b.N {
+				name := fmt.Sprintf("team/c-%d", number%lines)
+				machine.Apply(&Command{Kind: AppendEvent, Line: name, Now: now, Producer: "q", ProducerSeq: uint64(number + 2), Events: []Event{{Kind: HelperStarted}}})
+				session, _ := machine.View().Session(name)
+				machine.Apply(&Command{Kind: AckArchived, Now: now, Acks: []Ack{{Line: name, ArchivedSeq: session.Head}}})
+			}
+		})
+	}
+}
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -51,14 +51,14 @@
 // its replicas, and only then commits how far they may be evicted.
 func (node *Node) archive(group uint32, voters []string) {
 	snapshot := node.machine(group).View()
-	chunks, acks, expired := []wire.ColdChunk{}, []line.Ack{}, false
-	budget, now := archiveBatch, time.Unix(0, node.clock(group))
-	for session := range snapshot.Sessions() {
-		if session.Expires().Before(now) {
-			expired = true
-			continue
+	chunks, acks := []wire.ColdChunk{}, []line.Ack{}
+	budget, now := archiveBatch, node.clock(group)
+	expired := snapshot.AnyExpired(now)
+	for session := range snapshot.Hot() {
+		if budget <= 0 {
+			break
 		}
-		if len(session.Hot) == 0 || budget <= 0 {
+		if session.Expires().UnixNano() < now {
 			continue
 		}
 		events := session.Hot[:min(len(session.Hot), budget)]
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -115,14 +115,31 @@
 	}
 }
 
-// holes lists, for the archived part of each line, what a copy's ranges lack.
-func holes(snapshot *line.View, ranges []wire.RangeDigest) []wire.GetColdQuery {
+// differing lists the buckets of lines in which a copy is not as far as the record
+// says. Each is compared by one digest, so that copies which agree cost next to
+// nothing, however many lines they hold.
+func differing(snapshot *line.View, sums []uint64) []uint32 {
+	wanted, found := snapshot.Sums(), []uint32{}
+	for bucket := range wanted {
+		if bucket >= len(sums) || sums[bucket] != wanted[bucket] {
+			found = append(found, uint32(bucket))
+		}
+	}
+	return found
+}
+
+// holes lists, for the archived part of each line in some buckets, what a copy's
+// ranges lack.
+func holes(snapshot *line.View, buckets []uint32, ranges []wire.RangeDigest) []wire.GetColdQuery {
 	byLine := map[string][]wire.RangeDigest{}
 	for _, one := range ranges {
 		byLine[one.Line] = append(byLine[one.Line], one)
 	}
 	found := []wire.GetColdQuery{}
 	for session := range snapshot.Sessions() {
+		if !slices.Contains(buckets, uint32(line.BucketOf(session.Line))) {
+			continue
+		}
 		have := byLine[session.Line]
 		slices.SortFunc(have, func(left, right wire.RangeDigest) int { return int(left.First) - int(right.First) })
 		reached := uint64(0)
@@ -165,7 +182,12 @@
 // mendSelf fills this node's own holes from its siblings.
 func (node *Node) mendSelf(group uint32) {
 	snapshot := node.machine(group).View()
-	missing := holes(snapshot, node.cold.Digests(group))
+	sums := node.cold.Sums(group)
+	buckets := differing(snapshot, sums[:])
+	if len(buckets) == 0 {
+		return
+	}
+	missing := holes(snapshot, buckets, node.cold.Digests(group, buckets))
 	if len(missing) == 0 {
 		return
 	}
@@ -183,12 +205,29 @@
 	ctx, cancel := context.WithTimeout(node.context, commandPatience)
 	defer cancel()
 	fleet, address := node.held.Load().Bound(), node.addressOf(sibling)
-	reply, err := node.caller.Call(ctx, address, &wire.Query{Fleet: fleet, Which: schema.Query_Which_digests, Digests: &wire.DigestQuery{Group: group}})
-	if err != nil || reply.Digests == nil {
+	ask := func(buckets []uint32) (*wire.DigestReply, error) {
+		reply, err := node.caller.Call(ctx, address, &wire.Query{Fleet: fleet, Which: schema.Query_Which_digests, Digests: &wire.DigestQuery{Group: group, Buckets: buckets}})
+		if err != nil {
+			return nil, err
+		}
+		if reply.Digests == nil {
+			return &wire.DigestReply{}, nil
+		}
+		return reply.Digests, nil
+	}
+	told, err := ask(nil)
+	if err != nil {
 		return false
 	}
 	snapshot := node.machine(group).View()
-	missing := holes(snapshot, reply.Digests.Ranges)
+	buckets := differing(snapshot, told.Sums)
+	if len(buckets) == 0 {
+		return true
+	}
+	if told, err = ask(buckets); err != nil {
+		return false
+	}
+	missing := holes(snapshot, buckets, told.Ranges)
 	if len(missing) == 0 {
 		return true
 	}
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -474,5 +474,6 @@
 }
 
 func (node *Node) answerDigests(_ context.Context, query *wire.Query) (*wire.Reply, error) {
-	return &wire.Reply{Which: schema.Reply_Which_digests, Digests: &wire.DigestReply{Ranges: node.cold.Digests(query.Digests.Group)}}, nil
+	sums := node.cold.Sums(query.Digests.Group)
+	return &wire.Reply{Which: schema.Reply_Which_digests, Digests: &wire.DigestReply{Sums: sums[:], Ranges: node.cold.Digests(query.Digests.Group, query.Digests.Buckets)}}, nil
 }
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -297,6 +297,7 @@
 
 struct DigestQuery {
   group @0 :UInt32;
+  buckets @1 :List(UInt32);
 }
 
 struct RangeDigest {
@@ -308,6 +309,7 @@
 
 struct DigestReply {
   ranges @0 :List(RangeDigest);
+  sums @1 :List(UInt64);
 }
 
 struct GetColdQuery {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -159,8 +159,12 @@
 // ColdIndex lists the chunks of one cold file.
 type ColdIndex struct{ Places []ColdPlace }
 
-// DigestQuery asks a store for the digests of a group's cold ranges.
-type DigestQuery struct{ Group uint32 }
+// DigestQuery asks a store for the sums of a group's cold lines, one a bucket; with
+// buckets named, for the digests of the ranges in these.
+type DigestQuery struct {
+	Group   uint32
+	Buckets []uint32
+}
 
 // RangeDigest is the digest of one cold range.
 type RangeDigest struct {
@@ -171,7 +175,10 @@
 }
 
 // DigestReply answers a DigestQuery.
-type DigestReply struct{ Ranges []RangeDigest }
+type DigestReply struct {
+	Ranges []RangeDigest
+	Sums   []uint64
+}
 
 // GetColdQuery asks a store for its own cold events of a line.
 type GetColdQuery struct {
