Urgent work keeps its delay in a crowd, and no team's crowd keeps another out

Cause: long work of a crowd held every slot, so that urgent work waited for the next to end; a full queue took whoever came first. Every eighth slot of a share is now left by normal work and every fourth by bulk, a full queue makes room for a team that has less in it, and of those who wait the team with least out is served first. Exchanging machines in the fault program waits for the lost voter to go.

--- a/proof/fleet/harm.go
+++ b/proof/fleet/harm.go
@@ -113,7 +113,7 @@
 			}
 			taken = taken || (name != "" && member.Name == name)
 		}
-		if err == nil && taken && told.Unhealed == 0 && len(told.Stores) == running.Deployment.Stores && enrolled == running.Deployment.Stores+running.Deployment.Controls {
+		if err == nil && taken && told.Unhealed == 0 && len(told.Stores) == running.Deployment.Stores && len(told.Controls) == running.Deployment.Controls && enrolled == running.Deployment.Stores+running.Deployment.Controls {
 			return nil
 		}
 		select {
--- a/proof/fleet/operators.go
+++ b/proof/fleet/operators.go
@@ -286,11 +286,14 @@
 	return err
 }
 
-// hangUp signals all daemons that their settings have changed.
-func (running *Fleet) hangUp() {
+// hangUp signals all daemons but those that have only just started, which read the
+// settings anyway, that these have changed.
+func (running *Fleet) hangUp(started ...*Process) {
 	for _, role := range []string{"control", "store", "front"} {
 		for _, process := range running.Of(role) {
-			process.signal(syscall.SIGHUP)
+			if !slices.Contains(started, process) {
+				process.signal(syscall.SIGHUP)
+			}
 		}
 	}
 }
@@ -333,7 +336,7 @@
 		if err := running.setSeeds(seeds); err != nil {
 			return err
 		}
-		running.hangUp()
+		running.hangUp(fresh)
 	}
 	return running.awaitHealed(ctx, fresh)
 }
--- a/proof/simulator/bounds_test.go
+++ b/proof/simulator/bounds_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -377,3 +378,82 @@
 		}
 	})
 }
+
+// TestUrgentWorkPassesACrowd sends what runners bear, then twice and five times as
+// much of a team's long lookups. Urgent work and another team keep their places, what
+// can't be served is refused with when to come back, as much is done as before, and
+// the queue is gone soon after the crowd.
+func TestUrgentWorkPassesACrowd(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 3, Fronts: 2, Models: 1, Applications: 2}, func(t *testing.T, cluster *Cluster) {
+		rules := strings.NewReplacer("kinds: {\n", "kinds: {\n\talarm: {serves: \"plain\", table: \"plain\", path: \"/plain\", urgency: \"urgent\", patience: \"5s\"}\n",
+			"platform:", "limits: {queue: 20, queue_patience: \"2500ms\"}\nplatform:").Replace(Rules)
+		if err := cluster.PutCharter(rules); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(3 * time.Second) // the charter is obeyed, the runners are warm
+		const bears = 16.0            // two runners, 16 at once each, 2 s a lookup
+		type seen struct {
+			served, refused int
+			slowest         time.Duration
+		}
+		var mutex sync.Mutex
+		var asked sync.WaitGroup
+		ask := func(into *seen, token, program, kind, words string, number int) {
+			asked.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+				defer cancel()
+				began := time.Now()
+				answer, err := cluster.Ask(ctx, http.MethodPost, cluster.Fronts[number%2].Host+":7100", "/v1/lookups", token, map[string]any{"program": program, "kind": kind, "words": words})
+				mutex.Lock()
+				defer mutex.Unlock()
+				took := time.Since(began)
+				switch {
+				case err != nil:
+					t.Error(err)
+				case answer.Status == http.StatusOK:
+					into.served++
+					into.slowest = max(into.slowest, took)
+				case answer.Failure.Kind != "not_run" || answer.Header.Get("Retry-After") == "":
+					t.Errorf("refused as %s", answer)
+				case took > 2700*time.Millisecond:
+					t.Errorf("refused only after %s", took)
+				default:
+					into.refused++
+				}
+			})
+		}
+		goodput := map[float64]float64{}
+		for _, times := range []float64{1, 2, 5} {
+			crowd, urgent, other := &seen{}, &seen{}, &seen{}
+			const lasts = 12 * time.Second
+			began := time.Now()
+			for number := 0; time.Since(began) < lasts; number++ {
+				ask(crowd, TeamToken, "dialogue", "lookup", "long !slow", number)
+				if step := int(times * bears / 4); number%step == 0 {
+					ask(urgent, TeamToken, "dialogue", "alarm", "now", number/step)
+					ask(other, OtherToken, "foreign", "lookup", "short", number/step)
+				}
+				<-time.After(time.Duration(float64(time.Second) / (times * bears)))
+			}
+			asked.Wait()
+			ended := time.Since(began) - lasts
+			goodput[times] = float64(crowd.served) / (lasts + 2*time.Second).Seconds()
+			t.Logf("%v times: crowd %+v, urgent %+v, other team %+v, %.1f a second, over %s after", times, *crowd, *urgent, *other, goodput[times], ended)
+			if urgent.refused > 0 || urgent.slowest > 300*time.Millisecond {
+				t.Errorf("%v times: %d urgent ones were refused, one took %s", times, urgent.refused, urgent.slowest)
+			}
+			if other.refused > 0 || other.slowest > 3*time.Second {
+				t.Errorf("%v times: %d of the other team were refused, one took %s", times, other.refused, other.slowest)
+			}
+			if ended > 5*time.Second {
+				t.Errorf("%v times: the queue was gone only %s after the crowd", times, ended)
+			}
+			if times > 1 && crowd.refused == 0 {
+				t.Errorf("%v times: nothing was refused, so nothing was tested", times)
+			}
+			if goodput[times] < 0.85*goodput[1] {
+				t.Errorf("%v times: %.1f a second were served, %.1f before the crowd", times, goodput[times], goodput[1])
+			}
+		}
+	})
+}
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -333,7 +333,7 @@
 }
 
 func takeSlot(node *Node, ctx context.Context, query *query) (any, error) {
-	slot, err := node.board.Acquire(ctx, query.work)
+	slot, err := node.board.Acquire(ctx, query.work, query.team)
 	if err != nil {
 		return nil, err
 	}
@@ -423,7 +423,7 @@
 			return nil
 		}
 		query.slot.Release(scheduling.Unused)
-		slot, err := node.board.Acquire(ctx, query.work)
+		slot, err := node.board.Acquire(ctx, query.work, query.team)
 		if err != nil {
 			return err
 		}
@@ -495,7 +495,7 @@
 // nextRunner takes another runner after one that provably was sent nothing.
 func (node *Node) nextRunner(ctx context.Context, query *query, failed error) error {
 	query.slot.Release(node.endingOf(failed))
-	slot, err := node.board.Acquire(ctx, query.work)
+	slot, err := node.board.Acquire(ctx, query.work, query.team)
 	if err != nil {
 		return err
 	}
--- a/system/scheduling/board.go
+++ b/system/scheduling/board.go
@@ -31,8 +31,12 @@
 	usualAfter   = 8
 )
 
-// Urgencies from first served to last.
-var urgencies = map[string]int{"urgent": 0, "normal": 1, "bulk": 2}
+// Urgencies from first served to last. Each leaves a part of every runner's share to
+// those before it, so that long work of a crowd does not hold up the urgent.
+var (
+	urgencies = map[string]int{"urgent": 0, "normal": 1, "bulk": 2}
+	leaves    = [3]int{0, 8, 4} // one slot of so many
+)
 
 // State is what the choice rests on; it is replaced whole.
 type State struct {
@@ -68,8 +72,10 @@
 	firsts int
 }
 
+// waiter waits for a slot; the channel is closed if another team's takes its place.
 type waiter struct {
 	group  string
+	team   string
 	chosen chan feed.Runner
 }
 
@@ -83,6 +89,7 @@
 	fronts  []frontList
 	wheels  map[string]map[string]float64
 	uses    map[string]*runnerUse
+	outs    map[string]int // slots out, by team
 	waiting [3][]*waiter
 	recheck *time.Timer // runs while someone waits: ramps and lists go on by themselves
 }
@@ -109,6 +116,7 @@
 	board  *Board
 	Runner feed.Runner
 	Group  string
+	team   string
 	once   sync.Once
 }
 
@@ -117,7 +125,7 @@
 //
 //	board := scheduling.NewBoard("front-1", "east", state, tell)
 func NewBoard(front, domain string, state func() State, tell func(address string, cooled bool)) *Board {
-	return &Board{front: front, domain: domain, state: state, tell: tell, wheels: map[string]map[string]float64{}, uses: map[string]*runnerUse{}}
+	return &Board{front: front, domain: domain, state: state, tell: tell, wheels: map[string]map[string]float64{}, uses: map[string]*runnerUse{}, outs: map[string]int{}}
 }
 
 // Usable tells whether a runner may get new work under a view.
@@ -188,7 +196,7 @@
 	})
 }
 
-func (board *Board) free(state State, group string, now time.Time) (feed.Runner, bool) {
+func (board *Board) free(state State, group string, urgency int, now time.Time) (feed.Runner, bool) {
 	bears := state.Charter.Groups[group]
 	best, bestScore, found := feed.Runner{}, -1.0, false
 	for _, runner := range state.View.Runners {
@@ -197,7 +205,11 @@
 		}
 		use := board.use(runner.Address)
 		share := board.share(runner, use.limit(runner, bears, now), state.Fronts, now)
-		if use.out >= share {
+		mine := share
+		if leaves[urgency] > 0 {
+			mine -= share / leaves[urgency]
+		}
+		if use.out >= mine {
 			continue
 		}
 		score := float64(share-use.out) / float64(share)
@@ -260,12 +272,12 @@
 	return best, best != ""
 }
 
-// Acquire waits for a slot on a runner for a kind of work. A refusal is NotRun
-// and tells when to come back.
+// Acquire waits for a slot on a runner for a team's work of a kind. A refusal is
+// NotRun and tells when to come back.
 //
-//	slot, err := board.Acquire(ctx, kind)
+//	slot, err := board.Acquire(ctx, kind, "depot")
 //	defer slot.Release(scheduling.Answered)
-func (board *Board) Acquire(ctx context.Context, kind charter.WorkKind) (*Slot, error) {
+func (board *Board) Acquire(ctx context.Context, kind charter.WorkKind, team string) (*Slot, error) {
 	state := board.state()
 	board.mutex.Lock()
 	group, found := board.pick(state, kind.Table)
@@ -275,17 +287,17 @@
 	}
 	urgency := urgencies[kind.Urgency]
 	if !board.queued(urgency, group) {
-		if runner, free := board.free(state, group, time.Now()); free {
-			board.use(runner.Address).out++
+		if runner, free := board.free(state, group, urgency, time.Now()); free {
+			board.take(runner, team)
 			board.mutex.Unlock()
-			return &Slot{board: board, Runner: runner, Group: group}, nil
+			return &Slot{board: board, Runner: runner, Group: group, team: team}, nil
 		}
 	}
-	if len(board.waiting[urgency]) >= state.Charter.Limits.Queue {
+	if len(board.waiting[urgency]) >= state.Charter.Limits.Queue && !board.makeRoom(urgency, team) {
 		board.mutex.Unlock()
 		return nil, overload(group)
 	}
-	waiting := &waiter{group: group, chosen: make(chan feed.Runner, 1)}
+	waiting := &waiter{group: group, team: team, chosen: make(chan feed.Runner, 1)}
 	board.waiting[urgency] = append(board.waiting[urgency], waiting)
 	if board.recheck == nil {
 		board.recheck = time.AfterFunc(rampRecheck, board.lookAgain)
@@ -294,6 +306,38 @@
 	return board.await(ctx, waiting, urgency, time.Duration(state.Charter.Limits.QueuePatience))
 }
 
+func (board *Board) take(runner feed.Runner, team string) {
+	board.use(runner.Address).out++
+	board.outs[team]++
+}
+
+// makeRoom refuses the newest in a full queue of the team that has most there, if
+// that is more than the asking team has: no team's crowd keeps the others out.
+func (board *Board) makeRoom(urgency int, team string) bool {
+	counts := map[string]int{}
+	for _, waiting := range board.waiting[urgency] {
+		counts[waiting.team]++
+	}
+	most := team
+	for _, other := range slices.Sorted(maps.Keys(counts)) {
+		if counts[other] > counts[most] {
+			most = other
+		}
+	}
+	if counts[most] <= counts[team]+1 {
+		return false
+	}
+	queue := board.waiting[urgency]
+	for position := len(queue) - 1; position >= 0; position-- {
+		if queue[position].team == most {
+			close(queue[position].chosen)
+			board.waiting[urgency] = slices.Delete(slices.Clone(queue), position, position+1)
+			return true
+		}
+	}
+	return false
+}
+
 func overload(group string) error {
 	return mishap.Later(mishap.NotRun, "all runners of group "+group+" are busy", "ask again later", time.Second)
 }
@@ -311,17 +355,23 @@
 func (board *Board) await(ctx context.Context, waiting *waiter, urgency int, patience time.Duration) (*Slot, error) {
 	expired := time.NewTimer(patience)
 	defer expired.Stop()
+	served := func(runner feed.Runner, given bool) (*Slot, error) {
+		if !given {
+			return nil, overload(waiting.group)
+		}
+		return &Slot{board: board, Runner: runner, Group: waiting.group, team: waiting.team}, nil
+	}
 	select {
-	case runner := <-waiting.chosen:
-		return &Slot{board: board, Runner: runner, Group: waiting.group}, nil
+	case runner, given := <-waiting.chosen:
+		return served(runner, given)
 	case <-expired.C:
 	case <-ctx.Done():
 	}
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	select {
-	case runner := <-waiting.chosen:
-		return &Slot{board: board, Runner: runner, Group: waiting.group}, nil
+	case runner, given := <-waiting.chosen:
+		return served(runner, given)
 	default:
 	}
 	board.waiting[urgency] = slices.DeleteFunc(board.waiting[urgency], func(one *waiter) bool { return one == waiting })
@@ -340,26 +390,41 @@
 	board.recheck.Reset(rampRecheck)
 }
 
-// serveWaiting gives free slots to those who wait, the most urgent first.
+// serveWaiting gives free slots to those who wait: the most urgent first, of these
+// the team that has least out, of these who came first.
 func (board *Board) serveWaiting() {
 	state := board.state()
 	now, full := time.Now(), map[string]bool{}
-	for urgency, queue := range board.waiting {
-		board.waiting[urgency] = slices.DeleteFunc(queue, func(waiting *waiter) bool {
-			if full[waiting.group] {
-				return false
+	for urgency := range board.waiting {
+		clear(full) // the less urgent have less room, the more urgent had none to leave
+		for {
+			next := board.next(urgency, full)
+			if next < 0 {
+				break
 			}
-			runner, free := board.free(state, waiting.group, now)
-			full[waiting.group] = !free
-			if free {
-				board.use(runner.Address).out++
-				waiting.chosen <- runner
+			waiting := board.waiting[urgency][next]
+			runner, free := board.free(state, waiting.group, urgency, now)
+			if !free {
+				full[waiting.group] = true
+				continue
 			}
-			return free
-		})
+			board.take(runner, waiting.team)
+			waiting.chosen <- runner
+			board.waiting[urgency] = slices.Delete(slices.Clone(board.waiting[urgency]), next, next+1)
+		}
 	}
 }
 
+func (board *Board) next(urgency int, full map[string]bool) int {
+	best := -1
+	for position, waiting := range board.waiting[urgency] {
+		if !full[waiting.group] && (best < 0 || board.outs[waiting.team] < board.outs[board.waiting[urgency][best].team]) {
+			best = position
+		}
+	}
+	return best
+}
+
 // Release gives the slot back and tells how it was used.
 //
 //	slot.Release(scheduling.Answered)
@@ -370,6 +435,9 @@
 		defer board.mutex.Unlock()
 		use := board.use(slot.Runner.Address)
 		use.out--
+		if board.outs[slot.team]--; board.outs[slot.team] == 0 {
+			delete(board.outs, slot.team)
+		}
 		switch ending {
 		case Answered:
 			if !use.cooled.IsZero() && use.ramped.IsZero() {
--- a/system/scheduling/board_test.go
+++ b/system/scheduling/board_test.go
@@ -44,7 +44,7 @@
 			state = stateOf(weights, 1000000)
 			picked := []string{}
 			for range 300 {
-				slot, err := board.Acquire(context.Background(), talk)
+				slot, err := board.Acquire(context.Background(), talk, "depot")
 				if err != nil {
 					return err.Error()
 				}
@@ -74,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		state := stateOf(map[string]float64{"a": 1}, 1)
 		board := NewBoard("front", "east", func() State { return state }, func(string, bool) {})
-		held, err := board.Acquire(t.Context(), talk)
+		held, err := board.Acquire(t.Context(), talk, "depot")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -82,7 +82,7 @@
 		ask := func(urgency string) {
 			kind := talk
 			kind.Urgency = urgency
-			slot, err := board.Acquire(t.Context(), kind)
+			slot, err := board.Acquire(t.Context(), kind, "depot")
 			if err != nil {
 				order <- string(mishap.Of(err).Kind) + " " + mishap.Of(err).RetryAfter.String()
 				return
@@ -104,7 +104,7 @@
 				t.Fatalf("served %s, want %s", got, want)
 			}
 		}
-		held, _ = board.Acquire(t.Context(), talk)
+		held, _ = board.Acquire(t.Context(), talk, "depot")
 		began := time.Now()
 		go ask("normal")
 		if got := <-order; got != "not_run 1s" || time.Since(began) != 2*time.Second {
@@ -112,7 +112,7 @@
 		}
 		held.Release(Answered)
 		state.View.Domains = []feed.Domain{{Name: "east", State: feed.Emptied}}
-		if _, err := board.Acquire(t.Context(), talk); !mishap.Is(err, mishap.NotRun) {
+		if _, err := board.Acquire(t.Context(), talk, "depot"); !mishap.Is(err, mishap.NotRun) {
 			t.Fatalf("an emptied domain got work: %v", err)
 		}
 	})
