--- a/proof/cmd/load/main.go
+++ b/proof/cmd/demand/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/alexflint/go-arg"
 
+	"yardrock.example/proof/demand"
 	"yardrock.example/proof/fleet"
-	"yardrock.example/proof/load"
 )
 
 type options struct {
@@ -39,7 +39,7 @@
 		return err
 	}
 	defer running.Stop()
-	report := load.Run(ctx, running.Target(), load.Mixes[chosen.Deployment], chosen.Duration, chosen.Seed, nil)
+	report := demand.Run(ctx, running.Target(), demand.Mixes[chosen.Deployment], chosen.Duration, chosen.Seed, nil)
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(report); err != nil {
--- a/proof/cmd/faults/main.go
+++ b/proof/cmd/faults/main.go
@@ -1,5 +1,5 @@
 // Command faults starts a deployment as real processes and harms it by a seeded
-// script, while the load program checks every rule; it ends with a total outage.
+// script, while the demand program checks every rule; it ends with a total outage.
 package main
 
 import (
@@ -17,8 +17,8 @@
 
 	"github.com/alexflint/go-arg"
 
+	"yardrock.example/proof/demand"
 	"yardrock.example/proof/fleet"
-	"yardrock.example/proof/load"
 )
 
 type options struct {
@@ -66,8 +66,8 @@
 	if _, found := fleet.Deployments[chosen.Deployment]; !found {
 		return fmt.Errorf("%w: no deployment is named %q; use one of %s", errMisused, chosen.Deployment, strings.Join(slices.Sorted(maps.Keys(fleet.Deployments)), ", "))
 	}
-	if _, found := load.Mixes[chosen.Mix]; !found {
-		return fmt.Errorf("%w: no mix is named %q; use one of %s", errMisused, chosen.Mix, strings.Join(slices.Sorted(maps.Keys(load.Mixes)), ", "))
+	if _, found := demand.Mixes[chosen.Mix]; !found {
+		return fmt.Errorf("%w: no mix is named %q; use one of %s", errMisused, chosen.Mix, strings.Join(slices.Sorted(maps.Keys(demand.Mixes)), ", "))
 	}
 	names := []string{}
 	for _, one := range fleet.Harms {
@@ -95,12 +95,12 @@
 		return err
 	}
 	defer running.Stop()
-	reports := make(chan *load.Report, 1)
+	reports := make(chan *demand.Report, 1)
 	driving, stop := context.WithCancel(ctx)
 	defer stop()
 	until := make(chan struct{})
 	go func() {
-		reports <- load.Run(driving, running.Target(), load.Mixes[chosen.Mix], chosen.Duration, chosen.Seed, until)
+		reports <- demand.Run(driving, running.Target(), demand.Mixes[chosen.Mix], chosen.Duration, chosen.Seed, until)
 	}()
 	harmed := harm(ctx, running, script, random, chosen)
 	if chosen.Each {
@@ -110,14 +110,14 @@
 	running.JudgeCharter(ctx)
 	told := map[string]any{"report": report, "script": harmed}
 	if chosen.Outage {
-		before, failed := load.Tally(ctx, running.Target(), "tight")
+		before, failed := demand.Tally(ctx, running.Target(), "tight")
 		missing, took, err := running.Outage(ctx, rand.New(rand.NewPCG(chosen.Seed, 9)))
 		told["outage"] = map[string]any{"missing": missing, "took": took.String()}
 		running.Verdicts.Judge("outage", err == nil, "%v", err)
-		again := load.Revisit(ctx, running.Target(), report.Kept, chosen.Seed)
+		again := demand.Revisit(ctx, running.Target(), report.Kept, chosen.Seed)
 		report.Broken = append(report.Broken, again.Broken...)
 		running.Verdicts.Judge("turns stay known", len(again.Broken) == 0 && again.Histories > 0, "%d histories, %v", again.Histories, again.Broken)
-		after, failedLater := load.Tally(ctx, running.Target(), "tight")
+		after, failedLater := demand.Tally(ctx, running.Target(), "tight")
 		running.Verdicts.Judge("allowance", errors.Join(failed, failedLater) == nil && after >= before, "the tally was %d before the outage, is %d (%v, %v)", before, after, failed, failedLater)
 		told["revisited"] = again.Histories
 		running.JudgeCharter(ctx)
--- a/proof/cmd/measure/main.go
+++ b/proof/cmd/measure/main.go
@@ -18,7 +18,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"yardrock.example/proof/simulator"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 )
 
 const (
@@ -70,7 +70,7 @@
 	var direct, through []time.Duration
 	for turn := range turns {
 		question := fmt.Sprintf("question %d", turn)
-		took, _, err := first(cluster, cluster.Runners[turn%2].Host+":8000", "/turn", runnerclient.TurnQuery{Words: question})
+		took, _, err := first(cluster, cluster.Runners[turn%2].Host+":8000", "/turn", runnerorigin.TurnQuery{Words: question})
 		if err != nil {
 			return err
 		}
@@ -114,7 +114,7 @@
 	query.Header.Set("Authorization", "Bearer "+simulator.TeamToken)
 	query.Header.Set("Content-Type", "application/json")
 	began := time.Now()
-	answer, err := cluster.Client().Do(query)
+	answer, err := cluster.Origin().Do(query)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/proof/load/load.go
+++ b/proof/demand/demand.go
@@ -1,6 +1,6 @@
-// Package load drives a deployment with its callers' mix and checks every answer
+// Package demand drives a deployment with its callers' mix and checks every answer
 // against the rules of the brief.
-package load
+package demand
 
 import (
 	"bufio"
@@ -19,7 +19,7 @@
 	"yardrock.example/proof/standin"
 	"yardrock.example/system/conversation"
 	"yardrock.example/system/httpface"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 )
 
 // Mix is what callers send each second, on average.
@@ -42,18 +42,18 @@
 	"logistics": {Conversations: 26, Turns: []int{3, 3, 3, 3, 3, 7}, Lookups: 15, Once: 12, OnceKinds: []string{"receipt", "invoice"}, ToolShare: 0.3, HelperShare: 0.1, ResumeShare: 0.1, Tight: 1},
 }
 
-// Target is the system under load.
+// Target is the system under demand.
 type Target struct {
 	Fronts  []string
 	Runners []string
 	Token   string
-	Client  *http.Client
+	Origin  *http.Client
 	// Allowance and Turn are the words of the small program's terms.
 	Allowance int
 	Turn      int
 }
 
-// Report is what was seen. Broken rules make the load program fail.
+// Report is what was seen. Broken rules make the demand program fail.
 type Report struct {
 	Conversations int            `json:"conversations"`
 	Turns         int            `json:"turns"`
@@ -77,7 +77,7 @@
 type Kept struct {
 	Conversation string
 	Last         uint64
-	Said         []runnerclient.Message
+	Said         []runnerorigin.Message
 }
 
 // Quantiles are of a measured time.
@@ -88,7 +88,7 @@
 	Counts int    `json:"counts"`
 }
 
-type load struct {
+type demand struct {
 	target   Target
 	mix      Mix
 	mutex    sync.Mutex
@@ -103,14 +103,14 @@
 	mostBroken     = 20
 )
 
-func (load *load) count(change func(report *Report)) {
-	load.mutex.Lock()
-	change(&load.report)
-	load.mutex.Unlock()
+func (demand *demand) count(change func(report *Report)) {
+	demand.mutex.Lock()
+	change(&demand.report)
+	demand.mutex.Unlock()
 }
 
-func (load *load) broken(rule, format string, arguments ...any) {
-	load.count(func(report *Report) {
+func (demand *demand) broken(rule, format string, arguments ...any) {
+	demand.count(func(report *Report) {
 		if len(report.Broken) < mostBroken {
 			report.Broken = append(report.Broken, rule+": "+fmt.Sprintf(format, arguments...))
 		}
@@ -120,9 +120,9 @@
 // Run drives the mix for a time or until it is told to end, lets what is under way
 // end, and checks.
 //
-//	report := load.Run(ctx, target, load.Mixes["agency"], time.Minute, 7, nil)
+//	report := demand.Run(ctx, target, demand.Mixes["agency"], time.Minute, 7, nil)
 func Run(ctx context.Context, target Target, mix Mix, duration time.Duration, seed uint64, until <-chan struct{}) *Report {
-	load := newLoad(target, mix)
+	demand := newDemand(target, mix)
 	var callers sync.WaitGroup
 	arrive := func(number uint64, rate float64, call func(random *rand.Rand, number int)) {
 		if rate == 0 {
@@ -146,24 +146,24 @@
 			}
 		})
 	}
-	arrive(1, mix.Conversations, func(random *rand.Rand, number int) { load.converse(ctx, random, fmt.Sprintf("%d-%d", seed, number)) })
-	arrive(2, mix.Lookups, func(random *rand.Rand, number int) { load.lookup(ctx, random, number) })
-	arrive(3, mix.Once, func(random *rand.Rand, number int) { load.once(ctx, random, fmt.Sprintf("%d-%d", seed, number)) })
-	arrive(4, mix.Tight, func(random *rand.Rand, number int) { load.tight(ctx, random, number) })
+	arrive(1, mix.Conversations, func(random *rand.Rand, number int) { demand.converse(ctx, random, fmt.Sprintf("%d-%d", seed, number)) })
+	arrive(2, mix.Lookups, func(random *rand.Rand, number int) { demand.lookup(ctx, random, number) })
+	arrive(3, mix.Once, func(random *rand.Rand, number int) { demand.once(ctx, random, fmt.Sprintf("%d-%d", seed, number)) })
+	arrive(4, mix.Tight, func(random *rand.Rand, number int) { demand.tight(ctx, random, number) })
 	callers.Wait()
-	load.checkExecutions(ctx)
-	if load.report.Spoken > target.Allowance+target.Turn {
-		load.broken("allowance", "%d words were spoken of %d and one turn of %d", load.report.Spoken, target.Allowance, target.Turn)
+	demand.checkExecutions(ctx)
+	if demand.report.Spoken > target.Allowance+target.Turn {
+		demand.broken("allowance", "%d words were spoken of %d and one turn of %d", demand.report.Spoken, target.Allowance, target.Turn)
 	}
-	load.report.FirstPiece = quantiles(load.delays)
-	return &load.report
+	demand.report.FirstPiece = quantiles(demand.delays)
+	return &demand.report
 }
 
-func newLoad(target Target, mix Mix) *load {
-	if target.Client == nil {
-		target.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+func newDemand(target Target, mix Mix) *demand {
+	if target.Origin == nil {
+		target.Origin = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	}
-	return &load{target: target, mix: mix, outcomes: map[string]string{}, report: Report{Refusals: map[string]int{}, Abandoned: map[string]int{}, Broken: []string{}}}
+	return &demand{target: target, mix: mix, outcomes: map[string]string{}, report: Report{Refusals: map[string]int{}, Abandoned: map[string]int{}, Broken: []string{}}}
 }
 
 func quantiles(delays []time.Duration) Quantiles {
@@ -177,11 +177,11 @@
 	return Quantiles{Half: at(0.5), Most: at(0.99), Worst: at(1), Counts: len(delays)}
 }
 
-func (load *load) front(random *rand.Rand) string {
-	return load.target.Fronts[random.IntN(len(load.target.Fronts))]
+func (demand *demand) front(random *rand.Rand) string {
+	return demand.target.Fronts[random.IntN(len(demand.target.Fronts))]
 }
 
-func (load *load) send(ctx context.Context, method, front, path string, body any) (*http.Response, *httpface.Failure, error) {
+func (demand *demand) send(ctx context.Context, method, front, path string, body any) (*http.Response, *httpface.Mishap, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, nil, err
@@ -190,9 +190,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	query.Header.Set("Authorization", "Bearer "+load.target.Token)
+	query.Header.Set("Authorization", "Bearer "+demand.target.Token)
 	query.Header.Set("Content-Type", "application/json")
-	answer, err := load.target.Client.Do(query)
+	answer, err := demand.target.Origin.Do(query)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -200,19 +200,19 @@
 		return answer, nil, nil
 	}
 	defer answer.Body.Close()
-	failure := &httpface.Failure{}
-	if err := json.NewDecoder(answer.Body).Decode(failure); err != nil || failure.Kind == "" || failure.Message == "" || failure.Remedy == "" {
-		load.broken("failure body", "%s %s: status %d without kind, message and remedy", method, path, answer.StatusCode)
-		return nil, &httpface.Failure{Kind: "formless"}, nil
+	mishap := &httpface.Mishap{}
+	if err := json.NewDecoder(answer.Body).Decode(mishap); err != nil || mishap.Kind == "" || mishap.Message == "" || mishap.Remedy == "" {
+		demand.broken("mishap body", "%s %s: status %d without kind, message and remedy", method, path, answer.StatusCode)
+		return nil, &httpface.Mishap{Kind: "formless"}, nil
 	}
-	return nil, failure, nil
+	return nil, mishap, nil
 }
 
 // pause waits as long as a refusal said, or a little after a lost connection.
-func pause(ctx context.Context, failure *httpface.Failure) {
+func pause(ctx context.Context, mishap *httpface.Mishap) {
 	wait := 300 * time.Millisecond
-	if failure != nil && failure.RetryAfter > 0 {
-		wait = time.Duration(failure.RetryAfter) * time.Millisecond
+	if mishap != nil && mishap.RetryAfter > 0 {
+		wait = time.Duration(mishap.RetryAfter) * time.Millisecond
 	}
 	select {
 	case <-time.After(wait):
@@ -242,7 +242,7 @@
 
 // listen reads one connection's lines on top of what was heard. A break leaves
 // the rest to be resumed; a gap or repeat is a broken rule.
-func (load *load) listen(body io.Reader, heard *heard, stopAfter int) {
+func (demand *demand) listen(body io.Reader, heard *heard, stopAfter int) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4096), 1<<20)
 	pieces := 0
@@ -253,7 +253,7 @@
 		}
 		if told.Conversation != "" {
 			if heard.conversation != "" && heard.turn != told.Turn {
-				load.broken("streams", "turn %d of %s was resumed as turn %d", heard.turn, heard.conversation, told.Turn)
+				demand.broken("streams", "turn %d of %s was resumed as turn %d", heard.turn, heard.conversation, told.Turn)
 			}
 			heard.conversation, heard.turn = told.Conversation, told.Turn
 			if heard.last == 0 {
@@ -262,10 +262,10 @@
 		}
 		if told.Event == "piece" {
 			if told.Seq <= heard.last {
-				load.broken("streams", "%s repeats seq %d after %d", heard.conversation, told.Seq, heard.last)
+				demand.broken("streams", "%s repeats seq %d after %d", heard.conversation, told.Seq, heard.last)
 			}
 			if told.Seq != heard.last+1 {
-				load.broken("streams", "%s skips from seq %d to %d", heard.conversation, heard.last, told.Seq)
+				demand.broken("streams", "%s skips from seq %d to %d", heard.conversation, heard.last, told.Seq)
 			}
 			heard.last = told.Seq
 			if heard.first.IsZero() {
@@ -285,25 +285,25 @@
 
 // ask sends a turn until it is complete or will not become so. It returns nil if
 // it had to be given up.
-func (load *load) ask(ctx context.Context, random *rand.Rand, path string, body map[string]any, want string) *heard {
-	load.count(func(report *Report) { report.Turns++ })
+func (demand *demand) ask(ctx context.Context, random *rand.Rand, path string, body map[string]any, want string) *heard {
+	demand.count(func(report *Report) { report.Turns++ })
 	var last string
-	resume := random.Float64() < load.mix.ResumeShare
+	resume := random.Float64() < demand.mix.ResumeShare
 	for try := range tries {
 		asked, cancel := context.WithTimeout(ctx, answerPatience)
 		began := time.Now()
-		answer, failure, err := load.send(asked, http.MethodPost, load.front(random), path, body)
-		if failure != nil {
-			last = failure.Kind
-			load.refused(failure, path, body)
+		answer, mishap, err := demand.send(asked, http.MethodPost, demand.front(random), path, body)
+		if mishap != nil {
+			last = mishap.Kind
+			demand.refused(mishap, path, body)
 			cancel()
-			if failure.Kind != "not_run" && failure.Kind != "unavailable" && failure.Kind != "unknown" && !(failure.Kind == "conflict" && try > 0) {
+			if mishap.Kind != "not_run" && mishap.Kind != "unavailable" && mishap.Kind != "unknown" && !(mishap.Kind == "conflict" && try > 0) {
 				break
 			}
-			if failure.Kind == "not_run" && body["request_key"] != nil {
-				body["request_key"] = fmt.Sprintf("%v+", body["request_key"])
+			if mishap.Kind == "not_run" && body["query_key"] != nil {
+				body["query_key"] = fmt.Sprintf("%v+", body["query_key"])
 			}
-			pause(ctx, failure)
+			pause(ctx, mishap)
 			continue
 		}
 		if err != nil {
@@ -317,34 +317,34 @@
 		if resume && try == 0 {
 			stopAfter = 2
 		}
-		load.listen(answer.Body, got, stopAfter)
+		demand.listen(answer.Body, got, stopAfter)
 		answer.Body.Close()
 		cancel()
 		if try == 0 && !got.first.IsZero() {
-			load.mutex.Lock()
-			load.delays = append(load.delays, got.first.Sub(began))
-			load.mutex.Unlock()
+			demand.mutex.Lock()
+			demand.delays = append(demand.delays, got.first.Sub(began))
+			demand.mutex.Unlock()
 		}
 		for again := 0; got.end == "" || got.end == "failed"; again++ {
 			if got.conversation == "" || again == 3 {
 				break
 			}
-			load.resume(ctx, random, got)
+			demand.resume(ctx, random, got)
 		}
 		switch got.end {
 		case "complete":
-			load.count(func(report *Report) { report.Complete++ })
+			demand.count(func(report *Report) { report.Complete++ })
 			if got.words.String() != want {
-				load.broken("answers", "%s turn %d: heard %q, want %q", got.conversation, got.turn, got.words.String(), want)
+				demand.broken("answers", "%s turn %d: heard %q, want %q", got.conversation, got.turn, got.words.String(), want)
 			}
 			return got
 		case "cut", "not_run", "unknown":
 			last = "ended " + got.end
-			load.count(func(report *Report) { report.Refusals[last]++ })
+			demand.count(func(report *Report) { report.Refusals[last]++ })
 			if !strings.HasPrefix(want, got.words.String()) {
-				load.broken("answers", "%s turn %d: a cut answer %q is no beginning of %q", got.conversation, got.turn, got.words.String(), want)
+				demand.broken("answers", "%s turn %d: a cut answer %q is no beginning of %q", got.conversation, got.turn, got.words.String(), want)
 			}
-			if path == "/v1/conversations" && body["request_key"] == nil {
+			if path == "/v1/conversations" && body["query_key"] == nil {
 				break
 			}
 		default:
@@ -352,70 +352,70 @@
 		}
 		pause(ctx, nil)
 	}
-	load.count(func(report *Report) { report.Abandoned[last]++ })
+	demand.count(func(report *Report) { report.Abandoned[last]++ })
 	return nil
 }
 
 // resume tails the turn at another front from the last seq that was heard.
-func (load *load) resume(ctx context.Context, random *rand.Rand, got *heard) {
-	load.count(func(report *Report) { report.Resumed++ })
+func (demand *demand) resume(ctx context.Context, random *rand.Rand, got *heard) {
+	demand.count(func(report *Report) { report.Resumed++ })
 	asked, cancel := context.WithTimeout(ctx, answerPatience)
 	defer cancel()
 	got.end = ""
-	answer, failure, err := load.send(asked, http.MethodGet, load.front(random), fmt.Sprintf("/v1/conversations/%s/tail?cursor=%d&turn=%d", got.conversation, got.last, got.turn), nil)
-	if err != nil || failure != nil {
-		if failure != nil && (failure.Kind == "not_found" || failure.Kind == "invalid") {
-			load.broken("turns stay known", "resuming %s at %d: %s", got.conversation, got.last, failure.Message)
+	answer, mishap, err := demand.send(asked, http.MethodGet, demand.front(random), fmt.Sprintf("/v1/conversations/%s/tail?cursor=%d&turn=%d", got.conversation, got.last, got.turn), nil)
+	if err != nil || mishap != nil {
+		if mishap != nil && (mishap.Kind == "not_found" || mishap.Kind == "invalid") {
+			demand.broken("turns stay known", "resuming %s at %d: %s", got.conversation, got.last, mishap.Message)
 		}
-		pause(ctx, failure)
+		pause(ctx, mishap)
 		return
 	}
-	load.listen(answer.Body, got, 0)
+	demand.listen(answer.Body, got, 0)
 	answer.Body.Close()
 }
 
-func (load *load) refused(failure *httpface.Failure, path string, body map[string]any) {
-	load.count(func(report *Report) { report.Refusals[failure.Kind]++ })
-	if failure.Kind == "not_found" {
-		load.broken("turns stay known", "%s following %v: %s", path, body["follows"], failure.Message)
+func (demand *demand) refused(mishap *httpface.Mishap, path string, body map[string]any) {
+	demand.count(func(report *Report) { report.Refusals[mishap.Kind]++ })
+	if mishap.Kind == "not_found" {
+		demand.broken("turns stay known", "%s following %v: %s", path, body["follows"], mishap.Message)
 	}
 }
 
-func (load *load) converse(ctx context.Context, random *rand.Rand, name string) {
-	load.count(func(report *Report) { report.Conversations++ })
+func (demand *demand) converse(ctx context.Context, random *rand.Rand, name string) {
+	demand.count(func(report *Report) { report.Conversations++ })
 	program := []string{"dialogue", "permits"}[random.IntN(2)]
-	said := []runnerclient.Message{}
+	said := []runnerorigin.Message{}
 	path, follows, conversationName := "/v1/conversations", uint64(0), ""
-	for turn := range load.mix.Turns[random.IntN(len(load.mix.Turns))] {
+	for turn := range demand.mix.Turns[random.IntN(len(demand.mix.Turns))] {
 		question := fmt.Sprintf("%s asks %d of %d things", name, turn, random.IntN(1000))
-		body := map[string]any{"kind": "talk", "words": question, "request_key": fmt.Sprintf("%s-%d", name, turn)}
+		body := map[string]any{"kind": "talk", "words": question, "query_key": fmt.Sprintf("%s-%d", name, turn)}
 		if follows == 0 {
 			body["program"] = program
 		} else {
 			body["follows"] = follows
 		}
-		got := load.ask(ctx, random, path, body, strings.Join(standin.Answer(said, question), ""))
+		got := demand.ask(ctx, random, path, body, strings.Join(standin.Answer(said, question), ""))
 		if got == nil {
 			return
 		}
-		said = append(said, runnerclient.Message{Role: "caller", Words: question}, runnerclient.Message{Role: "model", Words: got.words.String()})
+		said = append(said, runnerorigin.Message{Role: "caller", Words: question}, runnerorigin.Message{Role: "model", Words: got.words.String()})
 		conversationName, follows = got.conversation, got.turn
 		path = "/v1/conversations/" + conversationName + "/turns"
-		if random.Float64() < load.mix.ToolShare {
+		if random.Float64() < demand.mix.ToolShare {
 			var goOn bool
-			if said, goOn = load.tool(ctx, random, program, conversationName, follows, fmt.Sprintf("%s-tool-%d", name, turn), said); !goOn {
+			if said, goOn = demand.tool(ctx, random, program, conversationName, follows, fmt.Sprintf("%s-tool-%d", name, turn), said); !goOn {
 				return
 			}
 		}
-		if random.Float64() < load.mix.HelperShare {
-			load.count(func(report *Report) { report.Helpers++ })
+		if random.Float64() < demand.mix.HelperShare {
+			demand.count(func(report *Report) { report.Helpers++ })
 			task := fmt.Sprintf("%s helps with %d", name, turn)
-			load.ask(ctx, random, "/v1/conversations/"+conversationName+"/helpers", map[string]any{"program": program, "kind": "talk", "words": task, "follows": follows, "request_key": fmt.Sprintf("%s-helper-%d", name, turn)},
+			demand.ask(ctx, random, "/v1/conversations/"+conversationName+"/helpers", map[string]any{"program": program, "kind": "talk", "words": task, "follows": follows, "query_key": fmt.Sprintf("%s-helper-%d", name, turn)},
 				strings.Join(standin.Answer(nil, task), ""))
 		}
 	}
-	load.checkHistory(ctx, random, conversationName, said)
-	load.count(func(report *Report) {
+	demand.checkHistory(ctx, random, conversationName, said)
+	demand.count(func(report *Report) {
 		report.Kept = append(report.Kept, Kept{Conversation: conversationName, Last: follows, Said: said})
 	})
 }
@@ -423,34 +423,34 @@
 // tool calls a tool between turns; its call and result become part of what was
 // said once it is told complete. An unknown one ends the conversation, as what
 // the model will see is not known to this caller.
-func (load *load) tool(ctx context.Context, random *rand.Rand, program, name string, follows uint64, key string, said []runnerclient.Message) ([]runnerclient.Message, bool) {
-	load.count(func(report *Report) { report.Tools++ })
+func (demand *demand) tool(ctx context.Context, random *rand.Rand, program, name string, follows uint64, key string, said []runnerorigin.Message) ([]runnerorigin.Message, bool) {
+	demand.count(func(report *Report) { report.Tools++ })
 	question := "stock of " + key
-	told, answer := load.run(ctx, random, "/v1/conversations/"+name+"/tools", program, "receipt", key, map[string]any{"kind": "receipt", "words": question, "follows": follows, "request_key": key})
+	told, answer := demand.run(ctx, random, "/v1/conversations/"+name+"/tools", program, "receipt", key, map[string]any{"kind": "receipt", "words": question, "follows": follows, "query_key": key})
 	if told != "complete" {
 		return said, told == "not_run"
 	}
-	return append(said, runnerclient.Message{Role: "tool_call", Name: "receipt", Words: question}, runnerclient.Message{Role: "tool_result", Name: "receipt", Words: answer}), true
+	return append(said, runnerorigin.Message{Role: "tool_call", Name: "receipt", Words: question}, runnerorigin.Message{Role: "tool_result", Name: "receipt", Words: answer}), true
 }
 
 // run sends work that may not be repeated until its outcome is told, and notes
 // what was told for the check at the end.
-func (load *load) run(ctx context.Context, random *rand.Rand, path, program, kind, key string, body map[string]any) (string, string) {
+func (demand *demand) run(ctx context.Context, random *rand.Rand, path, program, kind, key string, body map[string]any) (string, string) {
 	told, text := "unanswered", ""
 	for range tries {
 		asked, cancel := context.WithTimeout(ctx, answerPatience)
-		answer, failure, err := load.send(asked, http.MethodPost, load.front(random), path, body)
+		answer, mishap, err := demand.send(asked, http.MethodPost, demand.front(random), path, body)
 		if err != nil {
 			cancel()
 			pause(ctx, nil)
 			continue
 		}
-		if failure != nil {
+		if mishap != nil {
 			cancel()
-			load.refused(failure, path, body)
-			told = failure.Kind
-			if failure.Kind == "unknown" && failure.RetryAfter > 0 {
-				pause(ctx, failure)
+			demand.refused(mishap, path, body)
+			told = mishap.Kind
+			if mishap.Kind == "unknown" && mishap.RetryAfter > 0 {
+				pause(ctx, mishap)
 				continue
 			}
 			break
@@ -467,69 +467,69 @@
 			continue
 		}
 		told, text = done.Outcome, string(done.Answer)
-		want := standin.PlainAnswer(runnerclient.PlainQuery{Kind: kind, RequestKey: key, Words: body["words"].(string)})
+		want := standin.PlainAnswer(runnerorigin.PlainQuery{Kind: kind, QueryKey: key, Words: body["words"].(string)})
 		got := map[string]string{}
 		if json.Unmarshal(done.Answer, &got) != nil || got["proof"] != want["proof"] {
-			load.broken("answers", "%s under %s got %s", kind, key, text)
+			demand.broken("answers", "%s under %s got %s", kind, key, text)
 		}
 		break
 	}
-	load.mutex.Lock()
-	load.outcomes[program+"/"+kind+"/"+key] = told
-	load.mutex.Unlock()
+	demand.mutex.Lock()
+	demand.outcomes[program+"/"+kind+"/"+key] = told
+	demand.mutex.Unlock()
 	return told, text
 }
 
-func (load *load) once(ctx context.Context, random *rand.Rand, name string) {
-	load.count(func(report *Report) { report.Once++ })
-	kind := load.mix.OnceKinds[random.IntN(len(load.mix.OnceKinds))]
+func (demand *demand) once(ctx context.Context, random *rand.Rand, name string) {
+	demand.count(func(report *Report) { report.Once++ })
+	kind := demand.mix.OnceKinds[random.IntN(len(demand.mix.OnceKinds))]
 	key := "once-" + name
-	path := []string{"/v1/requests", "/v1/notices"}[random.IntN(2)]
-	load.run(ctx, random, path, "counter", kind, key, map[string]any{"program": "counter", "kind": kind, "words": "work " + name, "request_key": key})
+	path := []string{"/v1/queries", "/v1/notices"}[random.IntN(2)]
+	demand.run(ctx, random, path, "counter", kind, key, map[string]any{"program": "counter", "kind": kind, "words": "work " + name, "query_key": key})
 }
 
-func (load *load) lookup(ctx context.Context, random *rand.Rand, number int) {
-	load.count(func(report *Report) { report.Lookups++ })
+func (demand *demand) lookup(ctx context.Context, random *rand.Rand, number int) {
+	demand.count(func(report *Report) { report.Lookups++ })
 	question := fmt.Sprintf("where is %d", number)
 	asked, cancel := context.WithTimeout(ctx, answerPatience)
 	defer cancel()
-	answer, failure, err := load.send(asked, http.MethodPost, load.front(random), "/v1/lookups", map[string]any{"program": "counter", "kind": "lookup", "words": question})
-	if failure != nil {
-		load.refused(failure, "/v1/lookups", map[string]any{})
+	answer, mishap, err := demand.send(asked, http.MethodPost, demand.front(random), "/v1/lookups", map[string]any{"program": "counter", "kind": "lookup", "words": question})
+	if mishap != nil {
+		demand.refused(mishap, "/v1/lookups", map[string]any{})
 	}
-	if err != nil || failure != nil {
+	if err != nil || mishap != nil {
 		return
 	}
 	defer answer.Body.Close()
 	var done struct {
 		Answer map[string]string `json:"answer"`
 	}
-	if json.NewDecoder(answer.Body).Decode(&done) == nil && done.Answer["proof"] != standin.PlainAnswer(runnerclient.PlainQuery{Kind: "lookup", Words: question})["proof"] {
-		load.broken("answers", "the lookup %q got %v", question, done.Answer)
+	if json.NewDecoder(answer.Body).Decode(&done) == nil && done.Answer["proof"] != standin.PlainAnswer(runnerorigin.PlainQuery{Kind: "lookup", Words: question})["proof"] {
+		demand.broken("answers", "the lookup %q got %v", question, done.Answer)
 	}
 }
 
 // tight starts a turn of the program with the small allowance. What it is heard
 // to speak must stay within the allowance and one turn.
-func (load *load) tight(ctx context.Context, random *rand.Rand, number int) {
+func (demand *demand) tight(ctx context.Context, random *rand.Rand, number int) {
 	asked, cancel := context.WithTimeout(ctx, answerPatience)
 	defer cancel()
-	answer, failure, err := load.send(asked, http.MethodPost, load.front(random), "/v1/conversations", map[string]any{"program": "tight", "kind": "talk", "words": fmt.Sprintf("tight %d", number)})
-	if failure != nil {
-		load.refused(failure, "/v1/conversations", map[string]any{})
+	answer, mishap, err := demand.send(asked, http.MethodPost, demand.front(random), "/v1/conversations", map[string]any{"program": "tight", "kind": "talk", "words": fmt.Sprintf("tight %d", number)})
+	if mishap != nil {
+		demand.refused(mishap, "/v1/conversations", map[string]any{})
 	}
-	if err != nil || failure != nil {
+	if err != nil || mishap != nil {
 		return
 	}
 	defer answer.Body.Close()
 	got := &heard{}
-	load.listen(answer.Body, got, 0)
-	load.count(func(report *Report) { report.Spoken += int(conversation.CountWords(got.words.String())) })
+	demand.listen(answer.Body, got, 0)
+	demand.count(func(report *Report) { report.Spoken += int(conversation.CountWords(got.words.String())) })
 }
 
 // checkHistory reads the whole conversation at some front and compares it with
 // what was said.
-func (load *load) checkHistory(ctx context.Context, random *rand.Rand, name string, said []runnerclient.Message) {
+func (demand *demand) checkHistory(ctx context.Context, random *rand.Rand, name string, said []runnerorigin.Message) {
 	var told struct {
 		Head   uint64 `json:"head"`
 		Events []struct {
@@ -542,8 +542,8 @@
 	}
 	for try := 0; ; try++ {
 		asked, cancel := context.WithTimeout(ctx, answerPatience)
-		answer, failure, err := load.send(asked, http.MethodGet, load.front(random), "/v1/conversations/"+name, nil)
-		if err == nil && failure == nil {
+		answer, mishap, err := demand.send(asked, http.MethodGet, demand.front(random), "/v1/conversations/"+name, nil)
+		if err == nil && mishap == nil {
 			err = json.NewDecoder(answer.Body).Decode(&told)
 			answer.Body.Close()
 			cancel()
@@ -553,23 +553,23 @@
 			continue
 		}
 		cancel()
-		if failure != nil {
-			load.refused(failure, "/v1/conversations/"+name, map[string]any{})
-			if failure.Kind == "not_found" {
+		if mishap != nil {
+			demand.refused(mishap, "/v1/conversations/"+name, map[string]any{})
+			if mishap.Kind == "not_found" {
 				return
 			}
 		}
 		if try == tries {
-			load.count(func(report *Report) { report.Abandoned["history"]++ })
+			demand.count(func(report *Report) { report.Abandoned["history"]++ })
 			return
 		}
-		pause(ctx, failure)
+		pause(ctx, mishap)
 	}
-	load.count(func(report *Report) { report.Histories++ })
+	demand.count(func(report *Report) { report.Histories++ })
 	pieces, complete := map[uint64]string{}, map[uint64]bool{}
 	for position, event := range told.Events {
 		if event.Seq != uint64(position)+1 {
-			load.broken("streams", "history of %s has seq %d at place %d", name, event.Seq, position+1)
+			demand.broken("streams", "history of %s has seq %d at place %d", name, event.Seq, position+1)
 		}
 		if event.Kind == "piece" {
 			pieces[event.Turn] += event.Words
@@ -587,30 +587,30 @@
 			found = found || (complete[turn] && text == message.Words)
 		}
 		if !found {
-			load.broken("turns stay known", "history of %s lacks the answer %q", name, message.Words)
+			demand.broken("turns stay known", "history of %s lacks the answer %q", name, message.Words)
 		}
 	}
 }
 
 // checkExecutions compares what runners carried out with what callers were told.
-func (load *load) checkExecutions(ctx context.Context) {
+func (demand *demand) checkExecutions(ctx context.Context) {
 	counts := map[string]int{}
-	for _, address := range load.target.Runners {
+	for _, address := range demand.target.Runners {
 		query, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/standin/record", nil)
 		if err != nil {
-			load.broken("check", "%v", err)
+			demand.broken("check", "%v", err)
 			return
 		}
-		answer, err := load.target.Client.Do(query)
+		answer, err := demand.target.Origin.Do(query)
 		if err != nil {
-			load.broken("check", "the record of runner %s cannot be read: %v", address, err)
+			demand.broken("check", "the record of runner %s cannot be read: %v", address, err)
 			continue
 		}
 		var record standin.Record
 		err = json.NewDecoder(answer.Body).Decode(&record)
 		answer.Body.Close()
 		if err != nil {
-			load.broken("check", "the record of runner %s cannot be read: %v", address, err)
+			demand.broken("check", "the record of runner %s cannot be read: %v", address, err)
 		}
 		for key, count := range record.Executions {
 			counts[key] += count
@@ -618,37 +618,37 @@
 	}
 	for key, count := range counts {
 		if count > 1 {
-			load.broken("once", "%s ran %d times", key, count)
+			demand.broken("once", "%s ran %d times", key, count)
 		}
 	}
-	for key, told := range load.outcomes {
-		load.report.Refusals["once told "+told]++
+	for key, told := range demand.outcomes {
+		demand.report.Refusals["once told "+told]++
 		if told == "complete" && counts[key] != 1 {
-			load.broken("once", "%s was told complete and ran %d times", key, counts[key])
+			demand.broken("once", "%s was told complete and ran %d times", key, counts[key])
 		}
 		if told == "not_run" && counts[key] != 0 {
-			load.broken("not run", "%s was told not run and ran", key)
+			demand.broken("not run", "%s was told not run and ran", key)
 		}
 	}
 }
 
 // Tally asks what a program has spent.
 //
-//	spent, err := load.Tally(ctx, target, "tight")
+//	spent, err := demand.Tally(ctx, target, "tight")
 func Tally(ctx context.Context, target Target, program string) (int, error) {
-	load := newLoad(target, Mix{})
+	demand := newDemand(target, Mix{})
 	for try := 0; ; try++ {
-		answer, failure, err := load.send(ctx, http.MethodGet, target.Fronts[try%len(target.Fronts)], "/v1/tallies/"+program, nil)
-		if err == nil && failure == nil {
+		answer, mishap, err := demand.send(ctx, http.MethodGet, target.Fronts[try%len(target.Fronts)], "/v1/tallies/"+program, nil)
+		if err == nil && mishap == nil {
 			var told struct{ Spent, Reserved int }
 			err = json.NewDecoder(answer.Body).Decode(&told)
 			answer.Body.Close()
 			return told.Spent, err
 		}
 		if try == tries {
-			return 0, fmt.Errorf("no tally: %v %v", failure, err)
+			return 0, fmt.Errorf("no tally: %v %v", mishap, err)
 		}
-		pause(ctx, failure)
+		pause(ctx, mishap)
 	}
 }
 
@@ -657,31 +657,31 @@
 // Revisit follows up conversations of an earlier run, and reads them back: their
 // turns must be known and heard as they were said.
 //
-//	again := load.Revisit(ctx, target, report.Kept, 7)
+//	again := demand.Revisit(ctx, target, report.Kept, 7)
 func Revisit(ctx context.Context, target Target, kept []Kept, seed uint64) *Report {
-	load := newLoad(target, Mix{})
+	demand := newDemand(target, Mix{})
 	random := rand.New(rand.NewPCG(seed, 77))
 	for _, position := range random.Perm(len(kept))[:min(len(kept), revisits)] {
 		one := kept[position]
 		question := "and after " + one.Conversation
-		load.ask(ctx, random, "/v1/conversations/"+one.Conversation+"/turns", map[string]any{"kind": "talk", "words": question, "follows": one.Last, "request_key": "revisit"},
+		demand.ask(ctx, random, "/v1/conversations/"+one.Conversation+"/turns", map[string]any{"kind": "talk", "words": question, "follows": one.Last, "query_key": "revisit"},
 			strings.Join(standin.Answer(one.Said, question), ""))
-		load.checkHistory(ctx, random, one.Conversation, one.Said)
+		demand.checkHistory(ctx, random, one.Conversation, one.Said)
 	}
-	return &load.report
+	return &demand.report
 }
 
 // AwaitTurn waits until one front has served a whole turn.
 //
-//	err := load.AwaitTurn(ctx, target, front)
+//	err := demand.AwaitTurn(ctx, target, front)
 func AwaitTurn(ctx context.Context, target Target, front string) error {
-	load := newLoad(target, Mix{})
+	demand := newDemand(target, Mix{})
 	for {
 		asked, cancel := context.WithTimeout(ctx, 10*time.Second)
-		answer, failure, err := load.send(asked, http.MethodPost, front, "/v1/conversations", map[string]any{"program": "dialogue", "kind": "talk", "words": "are you there"})
-		if err == nil && failure == nil {
+		answer, mishap, err := demand.send(asked, http.MethodPost, front, "/v1/conversations", map[string]any{"program": "dialogue", "kind": "talk", "words": "are you there"})
+		if err == nil && mishap == nil {
 			got := &heard{}
-			load.listen(answer.Body, got, 0)
+			demand.listen(answer.Body, got, 0)
 			answer.Body.Close()
 			if got.end == "complete" {
 				cancel()
@@ -691,7 +691,7 @@
 		cancel()
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("no turn was served: %v %v", failure, err)
+			return fmt.Errorf("no turn was served: %v %v", mishap, err)
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
@@ -705,37 +705,37 @@
 
 // Crowd sends lookups at a rate on top of all else, with urgent work among them.
 //
-//	seen := load.Crowd(ctx, target, 4*time.Second, 500)
+//	seen := demand.Crowd(ctx, target, 4*time.Second, 500)
 func Crowd(ctx context.Context, target Target, lasts time.Duration, perSecond int) Crowded {
-	load := newLoad(target, Mix{})
+	demand := newDemand(target, Mix{})
 	var mutex sync.Mutex
 	var asked sync.WaitGroup
 	seen := Crowded{}
 	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 3))
 	for number := range int(lasts.Seconds() * float64(perSecond)) {
-		front := load.front(random)
+		front := demand.front(random)
 		urgent := number%20 == 0
 		asked.Go(func() {
 			path, body := "/v1/lookups", map[string]any{"program": "dialogue", "kind": "lookup", "words": "where is everybody"}
 			if urgent {
-				path, body = "/v1/requests", map[string]any{"program": "counter", "kind": "activation", "words": "now", "request_key": fmt.Sprintf("crowd-%d-%d", time.Now().UnixNano(), number)}
+				path, body = "/v1/queries", map[string]any{"program": "counter", "kind": "activation", "words": "now", "query_key": fmt.Sprintf("crowd-%d-%d", time.Now().UnixNano(), number)}
 			}
 			limited, cancel := context.WithTimeout(ctx, answerPatience)
 			defer cancel()
-			answer, failure, err := load.send(limited, http.MethodPost, front, path, body)
-			if err == nil && failure == nil {
+			answer, mishap, err := demand.send(limited, http.MethodPost, front, path, body)
+			if err == nil && mishap == nil {
 				answer.Body.Close()
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
 			seen.Sent++
-			served := err == nil && failure == nil
+			served := err == nil && mishap == nil
 			if served {
 				seen.Served++
 			}
-			if failure != nil {
+			if mishap != nil {
 				seen.Refused++
-				if failure.RetryAfter == 0 && failure.Kind == "not_run" {
+				if mishap.RetryAfter == 0 && mishap.Kind == "not_run" {
 					seen.Wrong++
 				}
 			}
--- a/proof/load/load_test.go
+++ b/proof/demand/demand_test.go
@@ -1,4 +1,4 @@
-package load
+package demand
 
 import (
 	"context"
@@ -13,14 +13,14 @@
 	"time"
 
 	"yardrock.example/proof/standin"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 )
 
 // pretender answers like a front and a runner, and breaks one rule on demand.
 type pretender struct {
 	breach string
 	mutex  sync.Mutex
-	said   map[string][]runnerclient.Message
+	said   map[string][]runnerorigin.Message
 	events map[string][]string
 	ran    map[string]int
 	starts int
@@ -29,7 +29,7 @@
 func (pretender *pretender) turn(writer http.ResponseWriter, name, question string) {
 	history := pretender.said[name]
 	answer := standin.Answer(history, question)
-	pretender.said[name] = append(history, runnerclient.Message{Role: "caller", Words: question}, runnerclient.Message{Role: "model", Words: strings.Join(answer, "")})
+	pretender.said[name] = append(history, runnerorigin.Message{Role: "caller", Words: question}, runnerorigin.Message{Role: "model", Words: strings.Join(answer, "")})
 	turn := len(pretender.events[name]) + 1
 	add := func(format string, arguments ...any) {
 		pretender.events[name] = append(pretender.events[name], fmt.Sprintf(format, arguments...))
@@ -69,7 +69,7 @@
 		Program string `json:"program"`
 		Kind    string `json:"kind"`
 		Words   string `json:"words"`
-		Key     string `json:"request_key"`
+		Key     string `json:"query_key"`
 	}
 	json.NewDecoder(query.Body).Decode(&body)
 	parts := strings.Split(strings.TrimPrefix(query.URL.Path, "/v1/"), "/")
@@ -106,18 +106,18 @@
 			refuse(writer, http.StatusServiceUnavailable, "not_run")
 			return
 		}
-		answer, _ := json.Marshal(standin.PlainAnswer(runnerclient.PlainQuery{Kind: body.Kind, RequestKey: body.Key, Words: body.Words}))
+		answer, _ := json.Marshal(standin.PlainAnswer(runnerorigin.PlainQuery{Kind: body.Kind, QueryKey: body.Key, Words: body.Words}))
 		fmt.Fprintf(writer, `{"outcome":"complete","answer":%s}`, answer)
 	}
 }
 
-// drive runs the load against a pretender over in-memory pipes.
+// drive runs the demand against a pretender over in-memory pipes.
 func drive(t *testing.T, breach string) *Report {
 	t.Helper()
 	var report *Report
 	synctest.Test(t, func(t *testing.T) {
 		accepted := make(chan net.Conn)
-		server := &http.Server{Handler: &pretender{breach: breach, said: map[string][]runnerclient.Message{}, events: map[string][]string{}, ran: map[string]int{}}}
+		server := &http.Server{Handler: &pretender{breach: breach, said: map[string][]runnerorigin.Message{}, events: map[string][]string{}, ran: map[string]int{}}}
 		listener := &pipes{accepted: accepted, closed: make(chan struct{})}
 		go server.Serve(listener)
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
@@ -129,7 +129,7 @@
 		if breach == "overspends" {
 			mix.Tight = 10
 		}
-		report = Run(t.Context(), Target{Fronts: []string{"front"}, Runners: []string{"runner"}, Client: client, Allowance: 100, Turn: 30}, mix, 5*time.Second, 3, nil)
+		report = Run(t.Context(), Target{Fronts: []string{"front"}, Runners: []string{"runner"}, Origin: client, Allowance: 100, Turn: 30}, mix, 5*time.Second, 3, nil)
 		server.Close()
 		<-time.After(time.Minute)
 	})
@@ -154,7 +154,7 @@
 func (pipes *pipes) Close() error   { pipes.once.Do(func() { close(pipes.closed) }); return nil }
 func (pipes *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "pipes"} }
 
-func TestTheLoadProgramSeesEveryBreachAndNothingElse(t *testing.T) {
+func TestTheDemandProgramSeesEveryBreachAndNothingElse(t *testing.T) {
 	honest := drive(t, "")
 	if len(honest.Broken) > 0 || honest.Histories == 0 || honest.Once == 0 || honest.Lookups == 0 {
 		t.Fatalf("an honest system: %+v", honest)
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -21,7 +21,7 @@
 	"syscall"
 	"time"
 
-	"yardrock.example/proof/load"
+	"yardrock.example/proof/demand"
 	"yardrock.example/proof/standin"
 	"yardrock.example/system/charter"
 )
@@ -147,7 +147,7 @@
 // without any, the processes are stopped and the folder goes.
 //
 //	return running.Judge(report)
-func (running *Fleet) Judge(report *load.Report) error {
+func (running *Fleet) Judge(report *demand.Report) error {
 	if len(report.Broken) > 0 {
 		return fmt.Errorf("%d rules were broken (logs are in %s)", len(report.Broken), running.Folder)
 	}
@@ -452,11 +452,11 @@
 	return found
 }
 
-// Target is the fleet as the load program sees it.
+// Target is the fleet as the demand program sees it.
 //
-//	report := load.Run(ctx, running.Target(), mix, duration, seed)
-func (running *Fleet) Target() load.Target {
-	target := load.Target{Fronts: running.Fronts(), Token: TeamToken, Allowance: tightAllowance, Turn: tightTurn + 2}
+//	report := demand.Run(ctx, running.Target(), mix, duration, seed)
+func (running *Fleet) Target() demand.Target {
+	target := demand.Target{Fronts: running.Fronts(), Token: TeamToken, Allowance: tightAllowance, Turn: tightTurn + 2}
 	for _, runner := range running.Runners {
 		target.Runners = append(target.Runners, runner.Address)
 	}
--- a/proof/fleet/harm.go
+++ b/proof/fleet/harm.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"yardrock.example/proof/load"
+	"yardrock.example/proof/demand"
 	"yardrock.example/system/files"
 )
 
@@ -227,7 +227,7 @@
 		if process.Role != "front" {
 			continue
 		}
-		if err := load.AwaitTurn(ctx, running.Target(), process.Outside); err != nil {
+		if err := demand.AwaitTurn(ctx, running.Target(), process.Outside); err != nil {
 			return chosen.name, time.Since(began), fmt.Errorf("%s: %w", process.Name, err)
 		}
 	}
@@ -278,7 +278,7 @@
 	{"two operators at once", operators, twoOperators},
 	{"many new routes", operators, manyRoutes},
 	{"crowd", runners, func(ctx context.Context, running *Fleet, random *rand.Rand) error {
-		seen := load.Crowd(ctx, running.Target(), 4*time.Second, 250)
+		seen := demand.Crowd(ctx, running.Target(), 4*time.Second, 250)
 		running.Verdicts.Judge("crowd", seen.Wrong == 0, "%d of %d refusals were not as not run with when to come back", seen.Wrong, seen.Refused)
 		return nil
 	}},
--- a/proof/simulator/badinput_test.go
+++ b/proof/simulator/badinput_test.go
@@ -38,9 +38,9 @@
 			{"plain work as a turn", "POST", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "lookup", "words": "x"}, 400, "invalid"},
 			{"a turn as a lookup", "POST", "/v1/lookups", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "x"}, 400, "invalid"},
 			{"unrepeatable work as a lookup", "POST", "/v1/lookups", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "x"}, 400, "invalid"},
-			{"a request without a key", "POST", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "x"}, 400, "invalid"},
-			{"a request with an empty key", "POST", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "x", "request_key": ""}, 400, "invalid"},
-			{"a used key with another body", "POST", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "another", "request_key": "used"}, 409, "conflict"},
+			{"a request without a key", "POST", "/v1/queries", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "x"}, 400, "invalid"},
+			{"a request with an empty key", "POST", "/v1/queries", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "x", "query_key": ""}, 400, "invalid"},
+			{"a used key with another body", "POST", "/v1/queries", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "words": "another", "query_key": "used"}, 409, "conflict"},
 			{"following an unknown conversation", "POST", "/v1/conversations/c-none/turns", TeamToken, map[string]any{"kind": "talk", "words": "x", "follows": 1}, 404, "not_found"},
 			{"following a turn that is not there", "POST", here + "/turns", TeamToken, map[string]any{"kind": "talk", "words": "x", "follows": 99}, 404, "not_found"},
 			{"following a piece", "POST", here + "/turns", TeamToken, map[string]any{"kind": "talk", "words": "x", "follows": 2}, 404, "not_found"},
@@ -51,8 +51,8 @@
 			{"a cursor beyond the end", "GET", here + "/tail?cursor=9999", TeamToken, nil, 400, "invalid"},
 			{"a page beyond the end", "GET", here + "?after=9999", TeamToken, nil, 400, "invalid"},
 			{"a page of no size", "GET", here + "?limit=0", TeamToken, nil, 400, "invalid"},
-			{"a tool of an unknown conversation", "POST", "/v1/conversations/c-none/tools", TeamToken, map[string]any{"kind": "receipt", "words": "x", "follows": 1, "request_key": "k"}, 404, "not_found"},
-			{"a helper of an unknown turn", "POST", here + "/helpers", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "x", "follows": 99, "request_key": "k"}, 404, "not_found"},
+			{"a tool of an unknown conversation", "POST", "/v1/conversations/c-none/tools", TeamToken, map[string]any{"kind": "receipt", "words": "x", "follows": 1, "query_key": "k"}, 404, "not_found"},
+			{"a helper of an unknown turn", "POST", here + "/helpers", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "x", "follows": 99, "query_key": "k"}, 404, "not_found"},
 			{"another team's tally", "GET", "/v1/tallies/foreign", TeamToken, nil, 404, "not_found"},
 		} {
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
@@ -62,7 +62,7 @@
 				t.Errorf("%s: %v", one.name, err)
 				continue
 			}
-			if answer.Status != one.status || answer.Failure.Kind != one.kind || answer.Failure.Message == "" || answer.Failure.Remedy == "" {
+			if answer.Status != one.status || answer.Mishap.Kind != one.kind || answer.Mishap.Message == "" || answer.Mishap.Remedy == "" {
 				t.Errorf("%s: %d %s", one.name, answer.Status, answer.Body)
 			}
 		}
@@ -87,7 +87,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 			answer, err := cluster.Ask(ctx, one.method, cluster.Controls[1].Host+":7200", one.path, one.token, one.body)
 			cancel()
-			if err != nil || answer.Failure.Kind != one.kind || answer.Failure.Remedy == "" {
+			if err != nil || answer.Mishap.Kind != one.kind || answer.Mishap.Remedy == "" {
 				t.Errorf("%s: %v %+v", one.name, err, answer)
 			}
 		}
@@ -113,7 +113,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if answer.Failure.Kind != "unknown" || answer.Header.Get("Retry-After") == "" {
+			if answer.Mishap.Kind != "unknown" || answer.Header.Get("Retry-After") == "" {
 				t.Fatalf("%d %s", answer.Status, answer.Body)
 			}
 			checkOnce(t, cluster, key, []*Answer{answer})
--- a/proof/simulator/bounds_test.go
+++ b/proof/simulator/bounds_test.go
@@ -113,7 +113,7 @@
 				t.Fatal(err)
 			}
 		}
-		if answer.Failure.Kind != "conflict" {
+		if answer.Mishap.Kind != "conflict" {
 			t.Fatalf("the last domain was emptied without force: %d %s", answer.Status, answer.Body)
 		}
 		for _, name := range []string{"east", "middle"} {
@@ -413,7 +413,7 @@
 				case answer.Status == http.StatusOK:
 					into.served++
 					into.slowest = max(into.slowest, took)
-				case answer.Failure.Kind != "not_run" || answer.Header.Get("Retry-After") == "":
+				case answer.Mishap.Kind != "not_run" || answer.Header.Get("Retry-After") == "":
 					t.Errorf("refused as %s", answer)
 				case took > 2700*time.Millisecond:
 					t.Errorf("refused only after %s", took)
--- a/proof/simulator/changes_test.go
+++ b/proof/simulator/changes_test.go
@@ -13,7 +13,7 @@
 
 	"yardrock.example/proof/standin"
 	"yardrock.example/system/feed"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 )
 
 // dialogues starts conversations that a test follows up later.
@@ -38,7 +38,7 @@
 		var after *Said
 		err := cluster.Await(15*time.Second, "follow-up", func() (err error) {
 			after, err = cluster.Turn(cluster.Fronts[position%len(cluster.Fronts)], map[string]any{"conversation": before.Conversation, "follows": before.Turn, "kind": "talk", "words": question})
-			if failureKind(err) == "not_found" {
+			if mishapKind(err) == "not_found" {
 				t.Fatalf("turn %d is told unknown: %v", position, err)
 			}
 			return err
@@ -46,7 +46,7 @@
 		if err != nil {
 			t.Fatalf("turn %d: %v", position, err)
 		}
-		want := words(standin.Answer([]runnerclient.Message{{Role: "caller", Words: fmt.Sprintf("before %d", position)}, {Role: "model", Words: before.Words}}, question))
+		want := words(standin.Answer([]runnerorigin.Message{{Role: "caller", Words: fmt.Sprintf("before %d", position)}, {Role: "model", Words: before.Words}}, question))
 		if after.Words != want {
 			t.Fatalf("turn %d: heard %q, want %q", position, after.Words, want)
 		}
@@ -65,7 +65,7 @@
 		return told, err
 	}
 	if answer.Status != http.StatusOK {
-		return told, &answer.Failure
+		return told, &answer.Mishap
 	}
 	return told, json.Unmarshal(answer.Body, &told)
 }
@@ -95,7 +95,7 @@
 				return err
 			}
 			if answer.Status != http.StatusOK {
-				return &answer.Failure
+				return &answer.Mishap
 			}
 			if !strings.Contains(string(answer.Body), "allowance: 61") {
 				t.Fatalf("an older charter was read back: %s", answer.Body)
@@ -220,10 +220,10 @@
 			}
 			return answer
 		}
-		if answer := retire(cluster.Stores[0].Store.Name()); answer.Failure.Kind != "conflict" {
+		if answer := retire(cluster.Stores[0].Store.Name()); answer.Mishap.Kind != "conflict" {
 			t.Fatalf("the third last store was retired: %s", answer.Body)
 		}
-		if answer := retire("store-unknown"); answer.Failure.Kind != "not_found" {
+		if answer := retire("store-unknown"); answer.Mishap.Kind != "not_found" {
 			t.Fatalf("an unknown store was retired: %s", answer.Body)
 		}
 		stop := cluster.callers(100 * time.Millisecond)
@@ -236,14 +236,14 @@
 		err := cluster.Await(20*time.Second, "enrolled store", func() error {
 			answer, err := cluster.Administer(http.MethodPut, "/v1/stores/"+fresh.Store.Name(), map[string]any{})
 			if err == nil && answer.Status != http.StatusOK {
-				return &answer.Failure
+				return &answer.Mishap
 			}
 			return err
 		})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if answer, err := cluster.Administer(http.MethodPut, "/v1/stores/"+fresh.Store.Name(), map[string]any{}); err != nil || answer.Failure.Kind != "conflict" {
+		if answer, err := cluster.Administer(http.MethodPut, "/v1/stores/"+fresh.Store.Name(), map[string]any{}); err != nil || answer.Mishap.Kind != "conflict" {
 			t.Fatalf("a store was enrolled twice: %v %+v", err, answer)
 		}
 		old := cluster.Stores[0]
--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -324,10 +324,10 @@
 	return strings.NewReplacer("DEPOT", charter.Hash(TeamToken), "OTHER", charter.Hash(OtherToken)).Replace(rules)
 }
 
-// Client is an HTTP client on the cluster's network, one connection a query.
+// Origin is an HTTP client on the cluster's network, one connection a query.
 //
-//	answer, err := cluster.Client().Do(query)
-func (cluster *Cluster) Client() *http.Client {
+//	answer, err := cluster.Origin().Do(query)
+func (cluster *Cluster) Origin() *http.Client {
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, target string) (net.Conn, error) {
 		return cluster.caller.Dial(ctx, target)
 	}}}
@@ -335,10 +335,10 @@
 
 // Answer is what a query got.
 type Answer struct {
-	Status  int
-	Header  http.Header
-	Body    []byte
-	Failure httpface.Failure
+	Status int
+	Header http.Header
+	Body   []byte
+	Mishap httpface.Mishap
 }
 
 // String shows an answer in a test's message.
@@ -371,7 +371,7 @@
 	if token != "" {
 		query.Header.Set("Authorization", "Bearer "+token)
 	}
-	got, err := cluster.Client().Do(query)
+	got, err := cluster.Origin().Do(query)
 	if err != nil {
 		return nil, err
 	}
@@ -381,7 +381,7 @@
 		return answer, err
 	}
 	if got.StatusCode != http.StatusOK {
-		json.Unmarshal(answer.Body, &answer.Failure)
+		json.Unmarshal(answer.Body, &answer.Mishap)
 	}
 	return answer, nil
 }
@@ -500,7 +500,7 @@
 	Words        string
 	End          string
 	Reason       string
-	Failure      string
+	Mishap       string
 }
 
 // ReadStream reads an answer to its end mark. Seqs must follow one another.
@@ -522,7 +522,7 @@
 			said.Seqs = append(said.Seqs, told.Seq)
 		}
 		if told.End != "" {
-			said.End, said.Reason, said.Failure = told.End, told.Reason, told.Kind
+			said.End, said.Reason, said.Mishap = told.End, told.Reason, told.Kind
 			return said, nil
 		}
 	}
@@ -545,11 +545,11 @@
 		return nil, err
 	}
 	if answer.Status != http.StatusOK {
-		return nil, &answer.Failure
+		return nil, &answer.Mishap
 	}
 	said, err := ReadStream(bytes.NewReader(answer.Body))
 	if err == nil && said.End != "complete" {
-		err = fmt.Errorf("the answer ended as %s (%s %s)", said.End, said.Reason, said.Failure)
+		err = fmt.Errorf("the answer ended as %s (%s %s)", said.End, said.Reason, said.Mishap)
 	}
 	return said, err
 }
--- a/proof/simulator/deadfront_test.go
+++ b/proof/simulator/deadfront_test.go
@@ -24,7 +24,7 @@
 	return answers
 }
 
-// named gives the conversation that a request key names.
+// named gives the conversation that a query key names.
 func named(program, key string) string {
 	sum := sha256.Sum256([]byte(strings.Join([]string{"depot", program, "", key}, "\x00")))
 	return "c-" + hex.EncodeToString(sum[:16])
@@ -52,7 +52,7 @@
 	return spoken
 }
 
-// resumed tails the first turn of the conversation that a request key named.
+// resumed tails the first turn of the conversation that a query key named.
 func (cluster *Cluster) resumed(front *Machine, key string) <-chan *Answer {
 	answers := make(chan *Answer, 1)
 	go func() {
@@ -65,11 +65,11 @@
 }
 
 func receipt(key, words string) map[string]any {
-	return map[string]any{"program": "dialogue", "kind": "receipt", "request_key": key, "words": words}
+	return map[string]any{"program": "dialogue", "kind": "receipt", "query_key": key, "words": words}
 }
 
 func talk(key, words string) map[string]any {
-	return map[string]any{"program": "dialogue", "kind": "talk", "request_key": key, "words": words}
+	return map[string]any{"program": "dialogue", "kind": "talk", "query_key": key, "words": words}
 }
 
 // TestWorkOfADeadFrontIsClosedAtOnce kills and freezes a front amid its runs. Who
@@ -92,12 +92,12 @@
 			}
 			return nil
 		}
-		cluster.asked(dead, "/v1/requests", receipt("dead-once", "pay !slow"))
+		cluster.asked(dead, "/v1/queries", receipt("dead-once", "pay !slow"))
 		cluster.asked(dead, "/v1/conversations", talk("dead-turn", "go on !endless"))
 		<-time.After(200 * time.Millisecond)
 		dead.Kill()
-		once := within("work of a killed front", 1500*time.Millisecond, cluster.asked(other, "/v1/requests", receipt("dead-once", "pay !slow")))
-		if once.Failure.Kind != "unknown" || once.Failure.RetryAfter != 0 {
+		once := within("work of a killed front", 1500*time.Millisecond, cluster.asked(other, "/v1/queries", receipt("dead-once", "pay !slow")))
+		if once.Mishap.Kind != "unknown" || once.Mishap.RetryAfter != 0 {
 			t.Fatalf("work of a killed front: %s", once)
 		}
 		turn := within("turn of a killed front", 1500*time.Millisecond, cluster.resumed(other, "dead-turn"))
@@ -110,13 +110,13 @@
 		if err := cluster.AwaitServing(12 * time.Second); err != nil {
 			t.Fatal(err)
 		}
-		cluster.asked(dead, "/v1/requests", receipt("frozen-once", "pay !slow"))
+		cluster.asked(dead, "/v1/queries", receipt("frozen-once", "pay !slow"))
 		cluster.asked(dead, "/v1/conversations", talk("frozen-turn", "go on !endless"))
 		<-time.After(200 * time.Millisecond)
 		cluster.Network.Freeze(dead.Host)
 		<-time.After(4 * time.Second) // its session is over
-		once = within("work of a frozen front", 2*time.Second, cluster.asked(other, "/v1/requests", receipt("frozen-once", "pay !slow")))
-		if once.Failure.Kind != "unknown" || once.Failure.RetryAfter == 0 {
+		once = within("work of a frozen front", 2*time.Second, cluster.asked(other, "/v1/queries", receipt("frozen-once", "pay !slow")))
+		if once.Mishap.Kind != "unknown" || once.Mishap.RetryAfter == 0 {
 			t.Fatalf("work of a frozen front: %s", once)
 		}
 		turn = within("turn of a frozen front", 2*time.Second, cluster.resumed(other, "frozen-turn"))
@@ -125,7 +125,7 @@
 		}
 		cluster.Network.Thaw(dead.Host)
 		<-time.After(2 * time.Second)
-		once = within("work of a woken front", 2*time.Second, cluster.asked(other, "/v1/requests", receipt("frozen-once", "pay !slow")))
+		once = within("work of a woken front", 2*time.Second, cluster.asked(other, "/v1/queries", receipt("frozen-once", "pay !slow")))
 		if once.Status != http.StatusOK {
 			t.Fatalf("work of a woken front: %s", once)
 		}
@@ -163,7 +163,7 @@
 		}
 		for round := range 6 {
 			front := cluster.Fronts[round%2]
-			ask := map[string]any{"program": "tight", "kind": "talk", "words": "say much !endless", "request_key": fmt.Sprintf("lost-%d", round)}
+			ask := map[string]any{"program": "tight", "kind": "talk", "words": "say much !endless", "query_key": fmt.Sprintf("lost-%d", round)}
 			switch round {
 			case 3, 4: // the reservation arrives, its answer does not
 				for _, store := range cluster.Stores {
@@ -226,8 +226,8 @@
 			}
 			away := cluster.Stores[round]
 			away.Kill()
-			live := cluster.asked(cluster.Fronts[0], "/v1/requests", receipt(fmt.Sprintf("clock-%d", round), "pay !slow"))
-			again := cluster.asked(cluster.Fronts[1], "/v1/requests", receipt(fmt.Sprintf("clock-%d", round), "pay !slow"))
+			live := cluster.asked(cluster.Fronts[0], "/v1/queries", receipt(fmt.Sprintf("clock-%d", round), "pay !slow"))
+			again := cluster.asked(cluster.Fronts[1], "/v1/queries", receipt(fmt.Sprintf("clock-%d", round), "pay !slow"))
 			for _, answers := range []<-chan *Answer{live, again} {
 				if answer := <-answers; answer == nil || answer.Status != http.StatusOK {
 					t.Fatalf("a live run was closed early: %s", answer)
--- a/proof/simulator/faults_test.go
+++ b/proof/simulator/faults_test.go
@@ -11,7 +11,7 @@
 
 	"yardrock.example/proof/standin"
 	"yardrock.example/system/placement"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 )
 
 // executions counts how often work was carried out, over all runners.
@@ -26,7 +26,7 @@
 func (cluster *Cluster) once(machine *Machine, key, words string) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
-	return cluster.Ask(ctx, http.MethodPost, machine.Host+":7100", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "request_key": key, "words": words})
+	return cluster.Ask(ctx, http.MethodPost, machine.Host+":7100", "/v1/queries", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "query_key": key, "words": words})
 }
 
 // leaderOf finds the store that leads a line's group.
@@ -51,7 +51,7 @@
 		if answer.Status == http.StatusOK && count != 1 {
 			t.Fatalf("%s was told as done and ran %d times", key, count)
 		}
-		if answer.Failure.Kind == "not_run" && count != 0 {
+		if answer.Mishap.Kind == "not_run" && count != 0 {
 			t.Fatalf("%s was told as not run and ran", key)
 		}
 	}
@@ -65,7 +65,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if answer.Failure.Kind != "unknown" {
+			if answer.Mishap.Kind != "unknown" {
 				t.Fatalf("round %d: %d %s", round, answer.Status, answer.Body)
 			}
 			answers = append(answers, answer)
@@ -77,7 +77,7 @@
 	})
 }
 
-func TestOneRequestKeyOnAllFrontsRunsOnce(t *testing.T) {
+func TestOneQueryKeyOnAllFrontsRunsOnce(t *testing.T) {
 	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
 		for round := range 10 {
 			key := fmt.Sprintf("race-%d", round)
@@ -102,7 +102,7 @@
 			checkOnce(t, cluster, key, answers)
 		}
 		answer, err := cluster.once(cluster.Fronts[0], "race-0", "book seat 5")
-		if err != nil || answer.Failure.Kind != "conflict" {
+		if err != nil || answer.Mishap.Kind != "conflict" {
 			t.Fatalf("another body under a used key: %v %+v", err, answer)
 		}
 	})
@@ -130,7 +130,7 @@
 			seen := []*Answer{}
 			if answer := <-answers; answer != nil {
 				seen = append(seen, answer)
-				told[answer.Failure.Kind]++
+				told[answer.Mishap.Kind]++
 			}
 			if err := victim.Start(); err != nil {
 				t.Fatal(err)
@@ -156,15 +156,15 @@
 		said := make(chan *Said, 1)
 		failed := make(chan error, 1)
 		go func() {
-			answer, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "tell me", "request_key": "resume"})
+			answer, err := cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "tell me", "query_key": "resume"})
 			said <- answer
 			failed <- err
 		}()
 		<-time.After(60 * time.Millisecond)
-		// The name of the line is what the request key makes it; ask the other front.
+		// The name of the line is what the query key makes it; ask the other front.
 		again := make(chan *Said, 1)
 		go func() {
-			answer, _ := cluster.Turn(cluster.Fronts[1], map[string]any{"program": "dialogue", "kind": "talk", "words": "tell me", "request_key": "resume"})
+			answer, _ := cluster.Turn(cluster.Fronts[1], map[string]any{"program": "dialogue", "kind": "talk", "words": "tell me", "query_key": "resume"})
 			again <- answer
 		}()
 		<-time.After(20 * time.Millisecond)
@@ -193,12 +193,12 @@
 	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
 		for word, want := range map[string]string{"!stop": "cut", "!early": "cut", "!nonsense": "cut", "!type": "cut", "!endless": "cut", "!refuse": "not_run"} {
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-			answer, err := cluster.Ask(ctx, http.MethodPost, cluster.Fronts[0].Host+":7100", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "go " + word, "request_key": word})
+			answer, err := cluster.Ask(ctx, http.MethodPost, cluster.Fronts[0].Host+":7100", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "go " + word, "query_key": word})
 			cancel()
 			if err != nil {
 				t.Fatalf("%s: %v", word, err)
 			}
-			got := answer.Failure.Kind
+			got := answer.Mishap.Kind
 			if answer.Status == http.StatusOK {
 				said, err := ReadStream(newReader(answer.Body))
 				if err != nil {
@@ -223,7 +223,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := words(standin.Answer([]runnerclient.Message{{Role: "caller", Words: "start"}, {Role: "model", Words: first.Words}}, "go on"))
+		want := words(standin.Answer([]runnerorigin.Message{{Role: "caller", Words: "start"}, {Role: "model", Words: first.Words}}, "go on"))
 		if second.Words != want {
 			t.Fatalf("heard %q, want %q", second.Words, want)
 		}
@@ -249,7 +249,7 @@
 			for _, err := range results {
 				if err == nil {
 					won++
-				} else if kind := failureKind(err); kind != "conflict" {
+				} else if kind := mishapKind(err); kind != "conflict" {
 					t.Fatalf("round %d: %v", round, err)
 				}
 			}
@@ -274,7 +274,7 @@
 					if said != nil {
 						spoken += len(wordsOf(said.Words))
 					}
-					if failureKind(err) == "allowance_exhausted" {
+					if mishapKind(err) == "allowance_exhausted" {
 						exhausted++
 					}
 				})
@@ -355,7 +355,7 @@
 			if err != nil {
 				t.Fatalf("turn %d: %v", position, err)
 			}
-			want := words(standin.Answer([]runnerclient.Message{{Role: "caller", Words: fmt.Sprintf("before %d", position)}, {Role: "model", Words: before.Words}}, question))
+			want := words(standin.Answer([]runnerorigin.Message{{Role: "caller", Words: fmt.Sprintf("before %d", position)}, {Role: "model", Words: before.Words}}, question))
 			if after.Words != want {
 				t.Fatalf("turn %d: heard %q, want %q", position, after.Words, want)
 			}
@@ -370,7 +370,7 @@
 // that nobody feeds any more, and beyond the end of one that is over.
 func TestATurnWhoseFrontDiedEndsForThoseWhoResumeIt(t *testing.T) {
 	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
-		go cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "go on !endless", "request_key": "orphan"})
+		go cluster.Turn(cluster.Fronts[0], map[string]any{"program": "dialogue", "kind": "talk", "words": "go on !endless", "query_key": "orphan"})
 		<-time.After(200 * time.Millisecond)
 		cluster.Fronts[0].Kill()
 		resume := func(name, query string) *Said {
@@ -400,18 +400,18 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
-		if answer, err := cluster.Ask(ctx, http.MethodGet, cluster.Fronts[1].Host+":7100", "/v1/conversations/"+name+"/tail?turn=2", TeamToken, nil); err != nil || answer.Failure.Kind != "not_found" {
+		if answer, err := cluster.Ask(ctx, http.MethodGet, cluster.Fronts[1].Host+":7100", "/v1/conversations/"+name+"/tail?turn=2", TeamToken, nil); err != nil || answer.Mishap.Kind != "not_found" {
 			t.Fatalf("a piece was tailed as a turn: %v %+v", err, answer)
 		}
 	})
 }
 
-// conversation finds the line that a request key names, by asking for it again.
+// conversation finds the line that a query key names, by asking for it again.
 func (cluster *Cluster) conversation(t *testing.T, key string) string {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	answer, err := cluster.Ask(ctx, http.MethodPost, cluster.Fronts[1].Host+":7100", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "go on !endless", "request_key": key})
+	answer, err := cluster.Ask(ctx, http.MethodPost, cluster.Fronts[1].Host+":7100", "/v1/conversations", TeamToken, map[string]any{"program": "dialogue", "kind": "talk", "words": "go on !endless", "query_key": key})
 	if err != nil || answer.Status != http.StatusOK {
 		t.Fatalf("%v %+v", err, answer)
 	}
--- a/proof/simulator/heldup_test.go
+++ b/proof/simulator/heldup_test.go
@@ -18,7 +18,7 @@
 
 var works = []work{
 	{"lookup", "/v1/lookups", "10.0.4.1", map[string]any{"program": "dialogue", "kind": "lookup", "words": "which"}},
-	{"once", "/v1/requests", "10.0.4.1", map[string]any{"program": "dialogue", "kind": "receipt", "words": "pay"}},
+	{"once", "/v1/queries", "10.0.4.1", map[string]any{"program": "dialogue", "kind": "receipt", "words": "pay"}},
 	{"turn", "/v1/conversations", "10.0.3.1", map[string]any{"program": "dialogue", "kind": "talk", "words": "hello"}},
 }
 
@@ -63,7 +63,7 @@
 				go func() {
 					ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 					defer cancel()
-					one.body["request_key"] = change.name + one.name
+					one.body["query_key"] = change.name + one.name
 					answer, _ := cluster.Ask(ctx, http.MethodPost, front.Host+":7100", one.path, TeamToken, one.body)
 					answers <- answer
 				}()
@@ -77,7 +77,7 @@
 				woken := time.Now()
 				cluster.Network.Thaw(front.Host)
 				answer := <-answers
-				if answer == nil || answer.Failure.Kind != "not_run" {
+				if answer == nil || answer.Mishap.Kind != "not_run" {
 					t.Errorf("%s, %s: %s", change.name, one.name, answer)
 				}
 				for _, machine := range cluster.Runners {
--- a/proof/simulator/linearizable_test.go
+++ b/proof/simulator/linearizable_test.go
@@ -16,7 +16,7 @@
 	"yardrock.example/system/line"
 	"yardrock.example/system/link"
 	"yardrock.example/system/mishap"
-	"yardrock.example/system/storeclient"
+	"yardrock.example/system/storeorigin"
 	"yardrock.example/system/wire"
 	"yardrock.example/system/wire/schema"
 )
@@ -104,7 +104,7 @@
 			for following.View().Groups == 0 {
 				<-time.After(50 * time.Millisecond)
 			}
-			client := storeclient.New(caller, following.View)
+			client := storeorigin.New(caller, following.View)
 			seen := map[string]uint64{}
 			for position := 0; ctx.Err() == nil; position++ {
 				input := lineInput{line: fmt.Sprintf("depot/line-%d", random.IntN(2)), read: random.IntN(3) == 0, word: fmt.Sprintf("%d-%d", number, position), expects: random.IntN(2) == 0}
@@ -167,7 +167,7 @@
 	return history, unknown, refused
 }
 
-func operate(client *storeclient.Client, input lineInput, seen map[string]uint64) lineOutput {
+func operate(client *storeorigin.Origin, input lineInput, seen map[string]uint64) lineOutput {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	if input.read {
@@ -253,7 +253,7 @@
 		defer reader.Close()
 		defer writer.Close()
 		view := cluster.Controls[0].Control.View()
-		client := storeclient.New(writer, func() *feed.View { return view })
+		client := storeorigin.New(writer, func() *feed.View { return view })
 		reads, served := 0, 0
 		for round := range 4 {
 			old := cluster.Stores[random.IntN(3)]
--- a/proof/simulator/losses_test.go
+++ b/proof/simulator/losses_test.go
@@ -29,7 +29,7 @@
 			return err
 		}
 		if answer.Status != http.StatusOK {
-			return &answer.Failure
+			return &answer.Mishap
 		}
 		if !strings.Contains(string(answer.Body), text) {
 			t.Fatalf("an older charter was read back, without %s: %s", text, answer)
@@ -99,8 +99,8 @@
 		}
 		if err := cluster.Await(20*time.Second, "enrolled store", func() error {
 			answer, err := cluster.Administer(http.MethodPut, "/v1/stores/"+fresh.Store.Name(), map[string]any{})
-			if err == nil && answer.Status != http.StatusOK && answer.Failure.Kind != "conflict" {
-				err = &answer.Failure
+			if err == nil && answer.Status != http.StatusOK && answer.Mishap.Kind != "conflict" {
+				err = &answer.Mishap
 			}
 			return err
 		}); err != nil {
--- a/proof/simulator/network.go
+++ b/proof/simulator/network.go
@@ -338,15 +338,15 @@
 			if left <= 0 {
 				return 0, os.ErrDeadlineExceeded
 			}
-			timer := time.NewTimer(left)
-			defer timer.Stop()
-			expired = timer.C
+			tick := time.NewTimer(left)
+			defer tick.Stop()
+			expired = tick.C
 		}
 		var arrival <-chan time.Time
 		if wait > 0 {
-			timer := time.NewTimer(wait)
-			defer timer.Stop()
-			arrival = timer.C
+			tick := time.NewTimer(wait)
+			defer tick.Stop()
+			arrival = tick.C
 		}
 		select {
 		case <-arrival:
--- a/proof/simulator/notrun_test.go
+++ b/proof/simulator/notrun_test.go
@@ -29,7 +29,7 @@
 				<-time.After(later)
 				ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 				defer cancel()
-				answer, err := cluster.Ask(ctx, http.MethodPost, front.Host+":7100", "/v1/requests", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "request_key": key, "words": "pay"})
+				answer, err := cluster.Ask(ctx, http.MethodPost, front.Host+":7100", "/v1/queries", TeamToken, map[string]any{"program": "dialogue", "kind": "receipt", "query_key": key, "words": "pay"})
 				mutex.Lock()
 				defer mutex.Unlock()
 				switch {
@@ -38,9 +38,9 @@
 				case answer.Status == http.StatusOK:
 					told[key]["done"]++
 				default:
-					told[key][answer.Failure.Kind]++
-					why[key] = append(why[key], answer.Failure.Message)
-					if answer.Failure.Kind == "not_run" && answer.Header.Get("Retry-After") == "" {
+					told[key][answer.Mishap.Kind]++
+					why[key] = append(why[key], answer.Mishap.Message)
+					if answer.Mishap.Kind == "not_run" && answer.Header.Get("Retry-After") == "" {
 						t.Errorf("%s was refused without saying when to come back", key)
 					}
 				}
--- a/proof/standin/runner.go
+++ b/proof/standin/runner.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 )
 
 // Pace is how fast a stand-in runner works.
@@ -28,7 +28,7 @@
 
 // Record is what a runner saw, for the checks.
 type Record struct {
-	// Executions counts how often each program/kind/request key was carried out.
+	// Executions counts how often each program/kind/query key was carried out.
 	Executions map[string]int `json:"executions"`
 	// Arrivals are the Unix nanoseconds at which queries arrived, the last thousands.
 	Arrivals []int64 `json:"arrivals"`
@@ -155,8 +155,8 @@
 // all of it, so that any difference shows.
 //
 //	pieces := standin.Answer(history, "hello")
-func Answer(history []runnerclient.Message, words string) []string {
-	said, _ := json.Marshal(append(append([]runnerclient.Message{}, history...), runnerclient.Message{Role: "caller", Words: words}))
+func Answer(history []runnerorigin.Message, words string) []string {
+	said, _ := json.Marshal(append(append([]runnerorigin.Message{}, history...), runnerorigin.Message{Role: "caller", Words: words}))
 	sum := sha256.Sum256(said)
 	pieces := []string{"seen " + hex.EncodeToString(sum[:8])}
 	for position := range 4 + int(sum[0]%12) {
@@ -168,13 +168,13 @@
 // PlainAnswer is what an application runner answers.
 //
 //	answer := standin.PlainAnswer(query)
-func PlainAnswer(query runnerclient.PlainQuery) map[string]string {
-	sum := sha256.Sum256([]byte(query.Kind + "\x00" + query.RequestKey + "\x00" + query.Words))
+func PlainAnswer(query runnerorigin.PlainQuery) map[string]string {
+	sum := sha256.Sum256([]byte(query.Kind + "\x00" + query.QueryKey + "\x00" + query.Words))
 	return map[string]string{"done": query.Kind, "proof": hex.EncodeToString(sum[:8])}
 }
 
 func (runner *Runner) turn(writer http.ResponseWriter, query *http.Request) {
-	var asked runnerclient.TurnQuery
+	var asked runnerorigin.TurnQuery
 	if err := json.NewDecoder(query.Body).Decode(&asked); err != nil {
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
@@ -183,7 +183,7 @@
 	runner.record.Turns++
 	runner.mutex.Unlock()
 	if strings.Contains(asked.Words, "!refuse") {
-		writer.Header().Set(runnerclient.NotRunHeader, "true")
+		writer.Header().Set(runnerorigin.NotRunHeader, "true")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -229,19 +229,19 @@
 }
 
 func (runner *Runner) plain(writer http.ResponseWriter, query *http.Request) {
-	var asked runnerclient.PlainQuery
+	var asked runnerorigin.PlainQuery
 	if err := json.NewDecoder(query.Body).Decode(&asked); err != nil {
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
 	if strings.Contains(asked.Words, "!refuse") {
-		writer.Header().Set(runnerclient.NotRunHeader, "true")
+		writer.Header().Set(runnerorigin.NotRunHeader, "true")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if asked.RequestKey != "" {
+	if asked.QueryKey != "" {
 		runner.mutex.Lock()
-		key := asked.Program + "/" + asked.Kind + "/" + asked.RequestKey
+		key := asked.Program + "/" + asked.Kind + "/" + asked.QueryKey
 		runner.record.Executions[key]++
 		if runner.file != nil {
 			fmt.Fprintln(runner.file, key)
--- a/system/api/design/design.go
+++ b/system/api/design/design.go
@@ -19,7 +19,7 @@
 var newWords = Type("NewWords", func() {
 	Attribute("kind", String, "Kind of work, as the charter names it", func() { MaxLength(63) })
 	Attribute("words", String, "The new words only")
-	Attribute("request_key", String, "Names this query, so that it may be sent again", func() { MaxLength(128) })
+	Attribute("query_key", String, "Names this query, so that it may be sent again", func() { MaxLength(128) })
 	Required("kind", "words")
 })
 
@@ -94,7 +94,7 @@
 			Extend(newWords)
 			Attribute("conversation", String)
 			Attribute("follows", UInt64, "The turn that asked for the tool")
-			Required("conversation", "follows", "request_key")
+			Required("conversation", "follows", "query_key")
 		})
 		Result(outcome)
 		HTTP(func() {
@@ -111,7 +111,7 @@
 			Attribute("conversation", String)
 			Attribute("follows", UInt64, "The turn that starts the helper")
 			Attribute("program", String, func() { MaxLength(63) })
-			Required("conversation", "follows", "program", "request_key")
+			Required("conversation", "follows", "program", "query_key")
 		})
 		HTTP(func() {
 			POST("/v1/conversations/{conversation}/helpers")
@@ -183,11 +183,11 @@
 			tokenOnly()
 			Extend(newWords)
 			Attribute("program", String, func() { MaxLength(63) })
-			Required("program", "request_key")
+			Required("program", "query_key")
 		})
 		Result(outcome)
 		HTTP(func() {
-			POST("/v1/requests")
+			POST("/v1/queries")
 			POST("/v1/notices")
 			bearer()
 		})
--- a/system/api/gen/http/cli/yardrock/cli.go
+++ b/system/api/gen/http/cli/yardrock/cli.go
@@ -33,7 +33,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "work start --body '{\n      \"kind\": \"r6t\",\n      \"program\": \"dw9\",\n      \"request_key\": \"0o4\",\n      \"words\": \"Distinctio doloremque officiis accusamus.\"\n   }' --authorization \"Repellat architecto ullam molestiae sapiente rerum.\"" + "\n" +
+	return os.Args[0] + " " + "work start --body '{\n      \"kind\": \"r6t\",\n      \"program\": \"dw9\",\n      \"query_key\": \"0o4\",\n      \"words\": \"Distinctio doloremque officiis accusamus.\"\n   }' --authorization \"Repellat architecto ullam molestiae sapiente rerum.\"" + "\n" +
 		os.Args[0] + " " + "administration put-charter --body '{\n      \"expected\": 6652001681759623198,\n      \"source\": \"Aut minus non ut mollitia nihil.\"\n   }' --authorization \"Necessitatibus porro modi eum voluptatum.\"" + "\n" +
 		os.Args[0] + " " + "health alive" + "\n" +
 		""
@@ -394,7 +394,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work start --body '{\n      \"kind\": \"r6t\",\n      \"program\": \"dw9\",\n      \"request_key\": \"0o4\",\n      \"words\": \"Distinctio doloremque officiis accusamus.\"\n   }' --authorization \"Repellat architecto ullam molestiae sapiente rerum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work start --body '{\n      \"kind\": \"r6t\",\n      \"program\": \"dw9\",\n      \"query_key\": \"0o4\",\n      \"words\": \"Distinctio doloremque officiis accusamus.\"\n   }' --authorization \"Repellat architecto ullam molestiae sapiente rerum.\"")
 }
 
 func workTurnUsage() {
@@ -416,7 +416,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work turn --body '{\n      \"follows\": 12100241508780482045,\n      \"kind\": \"lw8\",\n      \"request_key\": \"hjj\",\n      \"words\": \"Porro vel id maiores tempore.\"\n   }' --conversation \"Dolorem voluptatem culpa quidem ut est.\" --authorization \"Incidunt et ad tempore minus numquam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work turn --body '{\n      \"follows\": 12100241508780482045,\n      \"kind\": \"lw8\",\n      \"query_key\": \"hjj\",\n      \"words\": \"Porro vel id maiores tempore.\"\n   }' --conversation \"Dolorem voluptatem culpa quidem ut est.\" --authorization \"Incidunt et ad tempore minus numquam.\"")
 }
 
 func workToolUsage() {
@@ -438,7 +438,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work tool --body '{\n      \"follows\": 14007329579679670500,\n      \"kind\": \"6hh\",\n      \"request_key\": \"mtd\",\n      \"words\": \"Quia ullam sed.\"\n   }' --conversation \"Placeat recusandae.\" --authorization \"Possimus animi necessitatibus vero voluptas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work tool --body '{\n      \"follows\": 14007329579679670500,\n      \"kind\": \"6hh\",\n      \"query_key\": \"mtd\",\n      \"words\": \"Quia ullam sed.\"\n   }' --conversation \"Placeat recusandae.\" --authorization \"Possimus animi necessitatibus vero voluptas.\"")
 }
 
 func workHelperUsage() {
@@ -460,7 +460,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work helper --body '{\n      \"follows\": 12780547503137089201,\n      \"kind\": \"gkm\",\n      \"program\": \"u3f\",\n      \"request_key\": \"b9o\",\n      \"words\": \"Amet hic asperiores ab.\"\n   }' --conversation \"Dicta vero.\" --authorization \"Ratione corporis quidem vel sit aperiam ea.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work helper --body '{\n      \"follows\": 12780547503137089201,\n      \"kind\": \"gkm\",\n      \"program\": \"u3f\",\n      \"query_key\": \"b9o\",\n      \"words\": \"Amet hic asperiores ab.\"\n   }' --conversation \"Dicta vero.\" --authorization \"Ratione corporis quidem vel sit aperiam ea.\"")
 }
 
 func workHistoryUsage() {
@@ -528,7 +528,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work lookup --body '{\n      \"kind\": \"0n5\",\n      \"program\": \"y0f\",\n      \"request_key\": \"8yc\",\n      \"words\": \"Voluptatibus sequi quis.\"\n   }' --authorization \"Quod illo qui eos expedita.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work lookup --body '{\n      \"kind\": \"0n5\",\n      \"program\": \"y0f\",\n      \"query_key\": \"8yc\",\n      \"words\": \"Voluptatibus sequi quis.\"\n   }' --authorization \"Quod illo qui eos expedita.\"")
 }
 
 func workOnceUsage() {
@@ -548,7 +548,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work once --body '{\n      \"kind\": \"ejd\",\n      \"program\": \"ai9\",\n      \"request_key\": \"ngj\",\n      \"words\": \"Excepturi voluptates reiciendis reprehenderit quod aut atque.\"\n   }' --authorization \"Explicabo nemo.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "work once --body '{\n      \"kind\": \"ejd\",\n      \"program\": \"ai9\",\n      \"query_key\": \"ngj\",\n      \"words\": \"Excepturi voluptates reiciendis reprehenderit quod aut atque.\"\n   }' --authorization \"Explicabo nemo.\"")
 }
 
 func workTallyUsage() {
--- a/system/api/gen/http/work/client/cli.go
+++ b/system/api/gen/http/work/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(workStartBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"r6t\",\n      \"program\": \"dw9\",\n      \"request_key\": \"0o4\",\n      \"words\": \"Distinctio doloremque officiis accusamus.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"r6t\",\n      \"program\": \"dw9\",\n      \"query_key\": \"0o4\",\n      \"words\": \"Distinctio doloremque officiis accusamus.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Program) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.program", body.Program, utf8.RuneCountInString(body.Program), 63, false))
@@ -33,9 +33,9 @@
 		if utf8.RuneCountInString(body.Kind) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", body.Kind, utf8.RuneCountInString(body.Kind), 63, false))
 		}
-		if body.RequestKey != nil {
-			if utf8.RuneCountInString(*body.RequestKey) > 128 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+		if body.QueryKey != nil {
+			if utf8.RuneCountInString(*body.QueryKey) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 			}
 		}
 		if err != nil {
@@ -49,10 +49,10 @@
 		}
 	}
 	v := &work.StartPayload{
-		Program:    body.Program,
-		Kind:       body.Kind,
-		Words:      body.Words,
-		RequestKey: body.RequestKey,
+		Program:  body.Program,
+		Kind:     body.Kind,
+		Words:    body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Authorization = authorization
 
@@ -67,14 +67,14 @@
 	{
 		err = json.Unmarshal([]byte(workTurnBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 12100241508780482045,\n      \"kind\": \"lw8\",\n      \"request_key\": \"hjj\",\n      \"words\": \"Porro vel id maiores tempore.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 12100241508780482045,\n      \"kind\": \"lw8\",\n      \"query_key\": \"hjj\",\n      \"words\": \"Porro vel id maiores tempore.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Kind) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", body.Kind, utf8.RuneCountInString(body.Kind), 63, false))
 		}
-		if body.RequestKey != nil {
-			if utf8.RuneCountInString(*body.RequestKey) > 128 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+		if body.QueryKey != nil {
+			if utf8.RuneCountInString(*body.QueryKey) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 			}
 		}
 		if err != nil {
@@ -92,10 +92,10 @@
 		}
 	}
 	v := &work.TurnPayload{
-		Follows:    body.Follows,
-		Kind:       body.Kind,
-		Words:      body.Words,
-		RequestKey: body.RequestKey,
+		Follows:  body.Follows,
+		Kind:     body.Kind,
+		Words:    body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Conversation = conversation
 	v.Authorization = authorization
@@ -111,13 +111,13 @@
 	{
 		err = json.Unmarshal([]byte(workToolBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 14007329579679670500,\n      \"kind\": \"6hh\",\n      \"request_key\": \"mtd\",\n      \"words\": \"Quia ullam sed.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 14007329579679670500,\n      \"kind\": \"6hh\",\n      \"query_key\": \"mtd\",\n      \"words\": \"Quia ullam sed.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Kind) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", body.Kind, utf8.RuneCountInString(body.Kind), 63, false))
 		}
-		if utf8.RuneCountInString(body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", body.RequestKey, utf8.RuneCountInString(body.RequestKey), 128, false))
+		if utf8.RuneCountInString(body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", body.QueryKey, utf8.RuneCountInString(body.QueryKey), 128, false))
 		}
 		if err != nil {
 			return nil, err
@@ -134,10 +134,10 @@
 		}
 	}
 	v := &work.ToolPayload{
-		Follows:    body.Follows,
-		Kind:       body.Kind,
-		Words:      body.Words,
-		RequestKey: body.RequestKey,
+		Follows:  body.Follows,
+		Kind:     body.Kind,
+		Words:    body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Conversation = conversation
 	v.Authorization = authorization
@@ -153,7 +153,7 @@
 	{
 		err = json.Unmarshal([]byte(workHelperBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 12780547503137089201,\n      \"kind\": \"gkm\",\n      \"program\": \"u3f\",\n      \"request_key\": \"b9o\",\n      \"words\": \"Amet hic asperiores ab.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"follows\": 12780547503137089201,\n      \"kind\": \"gkm\",\n      \"program\": \"u3f\",\n      \"query_key\": \"b9o\",\n      \"words\": \"Amet hic asperiores ab.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Program) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.program", body.Program, utf8.RuneCountInString(body.Program), 63, false))
@@ -161,8 +161,8 @@
 		if utf8.RuneCountInString(body.Kind) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", body.Kind, utf8.RuneCountInString(body.Kind), 63, false))
 		}
-		if utf8.RuneCountInString(body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", body.RequestKey, utf8.RuneCountInString(body.RequestKey), 128, false))
+		if utf8.RuneCountInString(body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", body.QueryKey, utf8.RuneCountInString(body.QueryKey), 128, false))
 		}
 		if err != nil {
 			return nil, err
@@ -179,11 +179,11 @@
 		}
 	}
 	v := &work.HelperPayload{
-		Follows:    body.Follows,
-		Program:    body.Program,
-		Kind:       body.Kind,
-		Words:      body.Words,
-		RequestKey: body.RequestKey,
+		Follows:  body.Follows,
+		Program:  body.Program,
+		Kind:     body.Kind,
+		Words:    body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Conversation = conversation
 	v.Authorization = authorization
@@ -291,7 +291,7 @@
 	{
 		err = json.Unmarshal([]byte(workLookupBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"0n5\",\n      \"program\": \"y0f\",\n      \"request_key\": \"8yc\",\n      \"words\": \"Voluptatibus sequi quis.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"0n5\",\n      \"program\": \"y0f\",\n      \"query_key\": \"8yc\",\n      \"words\": \"Voluptatibus sequi quis.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Program) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.program", body.Program, utf8.RuneCountInString(body.Program), 63, false))
@@ -299,9 +299,9 @@
 		if utf8.RuneCountInString(body.Kind) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", body.Kind, utf8.RuneCountInString(body.Kind), 63, false))
 		}
-		if body.RequestKey != nil {
-			if utf8.RuneCountInString(*body.RequestKey) > 128 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+		if body.QueryKey != nil {
+			if utf8.RuneCountInString(*body.QueryKey) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 			}
 		}
 		if err != nil {
@@ -315,10 +315,10 @@
 		}
 	}
 	v := &work.LookupPayload{
-		Program:    body.Program,
-		Kind:       body.Kind,
-		Words:      body.Words,
-		RequestKey: body.RequestKey,
+		Program:  body.Program,
+		Kind:     body.Kind,
+		Words:    body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Authorization = authorization
 
@@ -333,7 +333,7 @@
 	{
 		err = json.Unmarshal([]byte(workOnceBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"ejd\",\n      \"program\": \"ai9\",\n      \"request_key\": \"ngj\",\n      \"words\": \"Excepturi voluptates reiciendis reprehenderit quod aut atque.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"kind\": \"ejd\",\n      \"program\": \"ai9\",\n      \"query_key\": \"ngj\",\n      \"words\": \"Excepturi voluptates reiciendis reprehenderit quod aut atque.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Program) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.program", body.Program, utf8.RuneCountInString(body.Program), 63, false))
@@ -341,8 +341,8 @@
 		if utf8.RuneCountInString(body.Kind) > 63 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", body.Kind, utf8.RuneCountInString(body.Kind), 63, false))
 		}
-		if utf8.RuneCountInString(body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", body.RequestKey, utf8.RuneCountInString(body.RequestKey), 128, false))
+		if utf8.RuneCountInString(body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", body.QueryKey, utf8.RuneCountInString(body.QueryKey), 128, false))
 		}
 		if err != nil {
 			return nil, err
@@ -355,10 +355,10 @@
 		}
 	}
 	v := &work.OncePayload{
-		Program:    body.Program,
-		Kind:       body.Kind,
-		Words:      body.Words,
-		RequestKey: body.RequestKey,
+		Program:  body.Program,
+		Kind:     body.Kind,
+		Words:    body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Authorization = authorization
 
--- a/system/api/gen/http/work/client/paths.go
+++ b/system/api/gen/http/work/client/paths.go
@@ -48,7 +48,7 @@
 
 // OnceWorkPath returns the URL path to the work service once HTTP endpoint.
 func OnceWorkPath() string {
-	return "/v1/requests"
+	return "/v1/queries"
 }
 
 // OnceWorkPath2 returns the URL path to the work service once HTTP endpoint.
--- a/system/api/gen/http/work/client/types.go
+++ b/system/api/gen/http/work/client/types.go
@@ -21,7 +21,7 @@
 	// The new words only
 	Words string `form:"words" json:"words" xml:"words"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // TurnRequestBody is the type of the "work" service "turn" endpoint HTTP
@@ -34,7 +34,7 @@
 	// The new words only
 	Words string `form:"words" json:"words" xml:"words"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // ToolRequestBody is the type of the "work" service "tool" endpoint HTTP
@@ -47,7 +47,7 @@
 	// The new words only
 	Words string `form:"words" json:"words" xml:"words"`
 	// Names this query, so that it may be sent again
-	RequestKey string `form:"request_key" json:"request_key" xml:"request_key"`
+	QueryKey string `form:"query_key" json:"query_key" xml:"query_key"`
 }
 
 // HelperRequestBody is the type of the "work" service "helper" endpoint HTTP
@@ -61,7 +61,7 @@
 	// The new words only
 	Words string `form:"words" json:"words" xml:"words"`
 	// Names this query, so that it may be sent again
-	RequestKey string `form:"request_key" json:"request_key" xml:"request_key"`
+	QueryKey string `form:"query_key" json:"query_key" xml:"query_key"`
 }
 
 // LookupRequestBody is the type of the "work" service "lookup" endpoint HTTP
@@ -73,7 +73,7 @@
 	// The new words only
 	Words string `form:"words" json:"words" xml:"words"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // OnceRequestBody is the type of the "work" service "once" endpoint HTTP
@@ -85,7 +85,7 @@
 	// The new words only
 	Words string `form:"words" json:"words" xml:"words"`
 	// Names this query, so that it may be sent again
-	RequestKey string `form:"request_key" json:"request_key" xml:"request_key"`
+	QueryKey string `form:"query_key" json:"query_key" xml:"query_key"`
 }
 
 // ToolResponseBody is the type of the "work" service "tool" endpoint HTTP
@@ -163,10 +163,10 @@
 // "start" endpoint of the "work" service.
 func NewStartRequestBody(p *work.StartPayload) *StartRequestBody {
 	body := &StartRequestBody{
-		Program:    p.Program,
-		Kind:       p.Kind,
-		Words:      p.Words,
-		RequestKey: p.RequestKey,
+		Program:  p.Program,
+		Kind:     p.Kind,
+		Words:    p.Words,
+		QueryKey: p.QueryKey,
 	}
 	return body
 }
@@ -175,10 +175,10 @@
 // "turn" endpoint of the "work" service.
 func NewTurnRequestBody(p *work.TurnPayload) *TurnRequestBody {
 	body := &TurnRequestBody{
-		Follows:    p.Follows,
-		Kind:       p.Kind,
-		Words:      p.Words,
-		RequestKey: p.RequestKey,
+		Follows:  p.Follows,
+		Kind:     p.Kind,
+		Words:    p.Words,
+		QueryKey: p.QueryKey,
 	}
 	return body
 }
@@ -187,10 +187,10 @@
 // "tool" endpoint of the "work" service.
 func NewToolRequestBody(p *work.ToolPayload) *ToolRequestBody {
 	body := &ToolRequestBody{
-		Follows:    p.Follows,
-		Kind:       p.Kind,
-		Words:      p.Words,
-		RequestKey: p.RequestKey,
+		Follows:  p.Follows,
+		Kind:     p.Kind,
+		Words:    p.Words,
+		QueryKey: p.QueryKey,
 	}
 	return body
 }
@@ -199,11 +199,11 @@
 // "helper" endpoint of the "work" service.
 func NewHelperRequestBody(p *work.HelperPayload) *HelperRequestBody {
 	body := &HelperRequestBody{
-		Follows:    p.Follows,
-		Program:    p.Program,
-		Kind:       p.Kind,
-		Words:      p.Words,
-		RequestKey: p.RequestKey,
+		Follows:  p.Follows,
+		Program:  p.Program,
+		Kind:     p.Kind,
+		Words:    p.Words,
+		QueryKey: p.QueryKey,
 	}
 	return body
 }
@@ -212,10 +212,10 @@
 // "lookup" endpoint of the "work" service.
 func NewLookupRequestBody(p *work.LookupPayload) *LookupRequestBody {
 	body := &LookupRequestBody{
-		Program:    p.Program,
-		Kind:       p.Kind,
-		Words:      p.Words,
-		RequestKey: p.RequestKey,
+		Program:  p.Program,
+		Kind:     p.Kind,
+		Words:    p.Words,
+		QueryKey: p.QueryKey,
 	}
 	return body
 }
@@ -224,10 +224,10 @@
 // "once" endpoint of the "work" service.
 func NewOnceRequestBody(p *work.OncePayload) *OnceRequestBody {
 	body := &OnceRequestBody{
-		Program:    p.Program,
-		Kind:       p.Kind,
-		Words:      p.Words,
-		RequestKey: p.RequestKey,
+		Program:  p.Program,
+		Kind:     p.Kind,
+		Words:    p.Words,
+		QueryKey: p.QueryKey,
 	}
 	return body
 }
--- a/system/api/gen/http/work/server/server.go
+++ b/system/api/gen/http/work/server/server.go
@@ -66,7 +66,7 @@
 			{"History", "GET", "/v1/conversations/{conversation}"},
 			{"Tail", "GET", "/v1/conversations/{conversation}/tail"},
 			{"Lookup", "POST", "/v1/lookups"},
-			{"Once", "POST", "/v1/requests"},
+			{"Once", "POST", "/v1/queries"},
 			{"Once", "POST", "/v1/notices"},
 			{"Tally", "GET", "/v1/tallies/{program}"},
 		},
@@ -639,7 +639,7 @@
 			h.ServeHTTP(w, r)
 		}
 	}
-	mux.Handle("POST", "/v1/requests", f)
+	mux.Handle("POST", "/v1/queries", f)
 	mux.Handle("POST", "/v1/notices", f)
 }
 
--- a/system/api/gen/http/work/server/types.go
+++ b/system/api/gen/http/work/server/types.go
@@ -23,7 +23,7 @@
 	// The new words only
 	Words *string `form:"words,omitempty" json:"words,omitempty" xml:"words,omitempty"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // TurnRequestBody is the type of the "work" service "turn" endpoint HTTP
@@ -36,7 +36,7 @@
 	// The new words only
 	Words *string `form:"words,omitempty" json:"words,omitempty" xml:"words,omitempty"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // ToolRequestBody is the type of the "work" service "tool" endpoint HTTP
@@ -49,7 +49,7 @@
 	// The new words only
 	Words *string `form:"words,omitempty" json:"words,omitempty" xml:"words,omitempty"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // HelperRequestBody is the type of the "work" service "helper" endpoint HTTP
@@ -63,7 +63,7 @@
 	// The new words only
 	Words *string `form:"words,omitempty" json:"words,omitempty" xml:"words,omitempty"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // LookupRequestBody is the type of the "work" service "lookup" endpoint HTTP
@@ -75,7 +75,7 @@
 	// The new words only
 	Words *string `form:"words,omitempty" json:"words,omitempty" xml:"words,omitempty"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // OnceRequestBody is the type of the "work" service "once" endpoint HTTP
@@ -87,7 +87,7 @@
 	// The new words only
 	Words *string `form:"words,omitempty" json:"words,omitempty" xml:"words,omitempty"`
 	// Names this query, so that it may be sent again
-	RequestKey *string `form:"request_key,omitempty" json:"request_key,omitempty" xml:"request_key,omitempty"`
+	QueryKey *string `form:"query_key,omitempty" json:"query_key,omitempty" xml:"query_key,omitempty"`
 }
 
 // ToolResponseBody is the type of the "work" service "tool" endpoint HTTP
@@ -235,10 +235,10 @@
 // NewStartPayload builds a work service start endpoint payload.
 func NewStartPayload(body *StartRequestBody, authorization *string) *work.StartPayload {
 	v := &work.StartPayload{
-		Program:    *body.Program,
-		Kind:       *body.Kind,
-		Words:      *body.Words,
-		RequestKey: body.RequestKey,
+		Program:  *body.Program,
+		Kind:     *body.Kind,
+		Words:    *body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Authorization = authorization
 
@@ -248,10 +248,10 @@
 // NewTurnPayload builds a work service turn endpoint payload.
 func NewTurnPayload(body *TurnRequestBody, conversation string, authorization *string) *work.TurnPayload {
 	v := &work.TurnPayload{
-		Follows:    *body.Follows,
-		Kind:       *body.Kind,
-		Words:      *body.Words,
-		RequestKey: body.RequestKey,
+		Follows:  *body.Follows,
+		Kind:     *body.Kind,
+		Words:    *body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Conversation = conversation
 	v.Authorization = authorization
@@ -262,10 +262,10 @@
 // NewToolPayload builds a work service tool endpoint payload.
 func NewToolPayload(body *ToolRequestBody, conversation string, authorization *string) *work.ToolPayload {
 	v := &work.ToolPayload{
-		Follows:    *body.Follows,
-		Kind:       *body.Kind,
-		Words:      *body.Words,
-		RequestKey: *body.RequestKey,
+		Follows:  *body.Follows,
+		Kind:     *body.Kind,
+		Words:    *body.Words,
+		QueryKey: *body.QueryKey,
 	}
 	v.Conversation = conversation
 	v.Authorization = authorization
@@ -276,11 +276,11 @@
 // NewHelperPayload builds a work service helper endpoint payload.
 func NewHelperPayload(body *HelperRequestBody, conversation string, authorization *string) *work.HelperPayload {
 	v := &work.HelperPayload{
-		Follows:    *body.Follows,
-		Program:    *body.Program,
-		Kind:       *body.Kind,
-		Words:      *body.Words,
-		RequestKey: *body.RequestKey,
+		Follows:  *body.Follows,
+		Program:  *body.Program,
+		Kind:     *body.Kind,
+		Words:    *body.Words,
+		QueryKey: *body.QueryKey,
 	}
 	v.Conversation = conversation
 	v.Authorization = authorization
@@ -313,10 +313,10 @@
 // NewLookupPayload builds a work service lookup endpoint payload.
 func NewLookupPayload(body *LookupRequestBody, authorization *string) *work.LookupPayload {
 	v := &work.LookupPayload{
-		Program:    *body.Program,
-		Kind:       *body.Kind,
-		Words:      *body.Words,
-		RequestKey: body.RequestKey,
+		Program:  *body.Program,
+		Kind:     *body.Kind,
+		Words:    *body.Words,
+		QueryKey: body.QueryKey,
 	}
 	v.Authorization = authorization
 
@@ -326,10 +326,10 @@
 // NewOncePayload builds a work service once endpoint payload.
 func NewOncePayload(body *OnceRequestBody, authorization *string) *work.OncePayload {
 	v := &work.OncePayload{
-		Program:    *body.Program,
-		Kind:       *body.Kind,
-		Words:      *body.Words,
-		RequestKey: *body.RequestKey,
+		Program:  *body.Program,
+		Kind:     *body.Kind,
+		Words:    *body.Words,
+		QueryKey: *body.QueryKey,
 	}
 	v.Authorization = authorization
 
@@ -366,9 +366,9 @@
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", *body.Kind, utf8.RuneCountInString(*body.Kind), 63, false))
 		}
 	}
-	if body.RequestKey != nil {
-		if utf8.RuneCountInString(*body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+	if body.QueryKey != nil {
+		if utf8.RuneCountInString(*body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 		}
 	}
 	return
@@ -390,9 +390,9 @@
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", *body.Kind, utf8.RuneCountInString(*body.Kind), 63, false))
 		}
 	}
-	if body.RequestKey != nil {
-		if utf8.RuneCountInString(*body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+	if body.QueryKey != nil {
+		if utf8.RuneCountInString(*body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 		}
 	}
 	return
@@ -403,8 +403,8 @@
 	if body.Follows == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("follows", "body"))
 	}
-	if body.RequestKey == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("request_key", "body"))
+	if body.QueryKey == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("query_key", "body"))
 	}
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
@@ -417,9 +417,9 @@
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", *body.Kind, utf8.RuneCountInString(*body.Kind), 63, false))
 		}
 	}
-	if body.RequestKey != nil {
-		if utf8.RuneCountInString(*body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+	if body.QueryKey != nil {
+		if utf8.RuneCountInString(*body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 		}
 	}
 	return
@@ -433,8 +433,8 @@
 	if body.Program == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("program", "body"))
 	}
-	if body.RequestKey == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("request_key", "body"))
+	if body.QueryKey == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("query_key", "body"))
 	}
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
@@ -452,9 +452,9 @@
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", *body.Kind, utf8.RuneCountInString(*body.Kind), 63, false))
 		}
 	}
-	if body.RequestKey != nil {
-		if utf8.RuneCountInString(*body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+	if body.QueryKey != nil {
+		if utf8.RuneCountInString(*body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 		}
 	}
 	return
@@ -481,9 +481,9 @@
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", *body.Kind, utf8.RuneCountInString(*body.Kind), 63, false))
 		}
 	}
-	if body.RequestKey != nil {
-		if utf8.RuneCountInString(*body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+	if body.QueryKey != nil {
+		if utf8.RuneCountInString(*body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 		}
 	}
 	return
@@ -494,8 +494,8 @@
 	if body.Program == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("program", "body"))
 	}
-	if body.RequestKey == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("request_key", "body"))
+	if body.QueryKey == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("query_key", "body"))
 	}
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
@@ -513,9 +513,9 @@
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.kind", *body.Kind, utf8.RuneCountInString(*body.Kind), 63, false))
 		}
 	}
-	if body.RequestKey != nil {
-		if utf8.RuneCountInString(*body.RequestKey) > 128 {
-			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request_key", *body.RequestKey, utf8.RuneCountInString(*body.RequestKey), 128, false))
+	if body.QueryKey != nil {
+		if utf8.RuneCountInString(*body.QueryKey) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query_key", *body.QueryKey, utf8.RuneCountInString(*body.QueryKey), 128, false))
 		}
 	}
 	return
--- a/system/api/gen/work/service.go
+++ b/system/api/gen/work/service.go
@@ -79,7 +79,7 @@
 	// The new words only
 	Words string
 	// Names this query, so that it may be sent again
-	RequestKey string
+	QueryKey string
 }
 
 // HistoryPayload is the payload type of the work service history method.
@@ -101,7 +101,7 @@
 	// The new words only
 	Words string
 	// Names this query, so that it may be sent again
-	RequestKey *string
+	QueryKey *string
 }
 
 // OncePayload is the payload type of the work service once method.
@@ -114,7 +114,7 @@
 	// The new words only
 	Words string
 	// Names this query, so that it may be sent again
-	RequestKey string
+	QueryKey string
 }
 
 // Outcome is the result type of the work service tool method.
@@ -151,7 +151,7 @@
 	// The new words only
 	Words string
 	// Names this query, so that it may be sent again
-	RequestKey *string
+	QueryKey *string
 }
 
 // TailPayload is the payload type of the work service tail method.
@@ -191,7 +191,7 @@
 	// The new words only
 	Words string
 	// Names this query, so that it may be sent again
-	RequestKey string
+	QueryKey string
 }
 
 // Transcript is the result type of the work service history method.
@@ -215,5 +215,5 @@
 	// The new words only
 	Words string
 	// Names this query, so that it may be sent again
-	RequestKey *string
+	QueryKey *string
 }
--- a/system/cmd/yardrock-shell/main.go
+++ b/system/cmd/yardrock-shell/main.go
@@ -100,9 +100,9 @@
 		query.Header.Set("Content-Type", "application/json")
 		got, err := http.DefaultClient.Do(query)
 		if err != nil {
-			last = &httpface.Failure{Kind: string(mishap.Unavailable), Message: err.Error(), Remedy: "check the address, or name more control nodes"}
+			last = &httpface.Mishap{Kind: string(mishap.Unavailable), Message: err.Error(), Remedy: "check the address, or name more control nodes"}
 			if !strings.Contains(err.Error(), "connect") && !strings.HasPrefix(text, "show") {
-				return nil, &httpface.Failure{Kind: string(mishap.Unclear), Message: err.Error(), Remedy: "show changes, then decide whether to send the command again"}
+				return nil, &httpface.Mishap{Kind: string(mishap.Unclear), Message: err.Error(), Remedy: "show changes, then decide whether to send the command again"}
 			}
 			continue
 		}
@@ -111,7 +111,7 @@
 			told := &answer{}
 			return told, json.NewDecoder(got.Body).Decode(told)
 		}
-		failure := &httpface.Failure{}
+		failure := &httpface.Mishap{}
 		if err := json.NewDecoder(got.Body).Decode(failure); err != nil {
 			return nil, fmt.Errorf("%s answered %s", control, got.Status)
 		}
@@ -126,7 +126,7 @@
 func (shell *shell) run(text string) int {
 	told, err := shell.ask(text)
 	if err != nil {
-		var failure *httpface.Failure
+		var failure *httpface.Mishap
 		if !errors.As(err, &failure) {
 			fmt.Fprintln(os.Stderr, err)
 			return exitUnreachable
--- a/system/controlplane/administration.go
+++ b/system/controlplane/administration.go
@@ -41,7 +41,7 @@
 func Serve(node *Node, rootHash string) (*httpface.Server, error) {
 	listener, err := node.network.Listen(node.settings.Administration)
 	if err != nil {
-		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+node.settings.Administration+": "+err.Error(), "choose an address of this machine that is free")
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+node.settings.Administration+": "+err.Error(), "use an address of this machine that is free")
 	}
 	return httpface.Serve(listener, Administration{node: node, root: rootHash}.handler(), func() int64 { return largestCharter }), nil
 }
--- a/system/controlplane/machine.go
+++ b/system/controlplane/machine.go
@@ -104,7 +104,7 @@
 	return changeOutcome{number: change.Number}
 }
 
-// since gives the changes after a number, or false if a snapshot is needed.
+// since gives the changes after a number, or false if a view is needed.
 func (state *feedState) since(number uint64) ([]feed.Change, bool) {
 	if number == state.view.Number {
 		return nil, true
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -95,7 +95,7 @@
 	listener, err := network.Listen(settings.Address)
 	if err != nil {
 		node.host.Close()
-		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "choose an address of this machine that is free")
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "use an address of this machine that is free")
 	}
 	node.server = link.Serve(listener, node.Answer)
 	for _, task := range []struct {
@@ -113,15 +113,15 @@
 
 func (node *Node) repeat(interval time.Duration, task func()) {
 	defer node.tasks.Done()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	tick := time.NewTimer(0)
+	defer tick.Stop()
 	for {
 		select {
 		case <-node.context.Done():
 			return
-		case <-timer.C:
+		case <-tick.C:
 			task()
-			timer.Reset(interval)
+			tick.Reset(interval)
 		}
 	}
 }
--- a/system/conversation/conversation.go
+++ b/system/conversation/conversation.go
@@ -8,7 +8,7 @@
 	"unicode"
 
 	"yardrock.example/system/line"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 )
 
 // Turn is one run of a line: a turn, a tool call, or work that runs once.
@@ -95,7 +95,7 @@
 // follows, with the tools that those called, in the order of the line.
 //
 //	history := view.Said(7)
-func (view *View) Said(name uint64) []runnerclient.Message {
+func (view *View) Said(name uint64) []runnerorigin.Message {
 	chain := map[uint64]bool{}
 	for at := name; at != 0; {
 		turn, found := view.Turn(at)
@@ -105,13 +105,13 @@
 		chain[at] = true
 		at = turn.Begun.Follows
 	}
-	said := []runnerclient.Message{}
+	said := []runnerorigin.Message{}
 	for _, turn := range view.order {
 		switch {
 		case turn.Begun.Kind == line.TurnBegun && chain[turn.Begun.Seq]:
-			said = append(said, runnerclient.Message{Role: "caller", Words: turn.Begun.Words}, runnerclient.Message{Role: "model", Words: turn.Words()})
+			said = append(said, runnerorigin.Message{Role: "caller", Words: turn.Begun.Words}, runnerorigin.Message{Role: "model", Words: turn.Words()})
 		case turn.Begun.Kind == line.ToolCalled && chain[turn.Begun.Follows] && turn.Complete():
-			said = append(said, runnerclient.Message{Role: "tool_call", Name: turn.Begun.Name, Words: turn.Begun.Words}, runnerclient.Message{Role: "tool_result", Name: turn.Begun.Name, Words: turn.Ended.Words})
+			said = append(said, runnerorigin.Message{Role: "tool_call", Name: turn.Begun.Name, Words: turn.Begun.Words}, runnerorigin.Message{Role: "tool_result", Name: turn.Begun.Name, Words: turn.Ended.Words})
 		}
 	}
 	return said
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -135,16 +135,16 @@
 
 func (follower *Follower) run() {
 	defer close(follower.done)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	tick := time.NewTimer(0)
+	defer tick.Stop()
 	for {
 		select {
 		case <-follower.context.Done():
 			return
-		case <-timer.C:
+		case <-tick.C:
 		}
 		follower.round()
-		timer.Reset(interval)
+		tick.Reset(interval)
 	}
 }
 
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -18,9 +18,9 @@
 	"yardrock.example/system/link"
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/placement"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 	"yardrock.example/system/scheduling"
-	"yardrock.example/system/storeclient"
+	"yardrock.example/system/storeorigin"
 	"yardrock.example/system/wire"
 	"yardrock.example/system/wire/schema"
 )
@@ -45,8 +45,8 @@
 	name     string
 	caller   *link.Caller
 	follow   *follower.Follower
-	stores   *storeclient.Client
-	runners  *runnerclient.Client
+	stores   *storeorigin.Origin
+	runners  *runnerorigin.Origin
 	board    *scheduling.Board
 	linked   *link.Server
 	public   *httpface.Server
@@ -65,19 +65,19 @@
 //	node, err := front.Start(settings, link.TCP{})
 //	defer node.Close()
 func Start(settings Settings, network link.Network) (*Node, error) {
-	node := &Node{settings: settings, name: "front-" + uuid.NewString(), caller: link.NewCaller(network), runners: runnerclient.New(network), runs: newRuns()}
+	node := &Node{settings: settings, name: "front-" + uuid.NewString(), caller: link.NewCaller(network), runners: runnerorigin.New(network), runs: newRuns()}
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.rules.Store(&inForce{view: &feed.View{}, charter: &charter.Charter{}})
-	node.stores = storeclient.New(node.caller, func() *feed.View { return node.rules.Load().view })
+	node.stores = storeorigin.New(node.caller, func() *feed.View { return node.rules.Load().view })
 	node.board = scheduling.NewBoard(node.name, settings.Domain, node.boardState, node.tellOfRunner)
 	linkListener, err := network.Listen(settings.Address)
 	if err != nil {
-		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "choose an address of this machine that is free")
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "use an address of this machine that is free")
 	}
 	publicListener, err := network.Listen(settings.Public)
 	if err != nil {
 		linkListener.Close()
-		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Public+": "+err.Error(), "choose an address of this machine that is free")
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Public+": "+err.Error(), "use an address of this machine that is free")
 	}
 	member := feed.Member{Name: node.name, Role: feed.RoleFront, Address: settings.Address, Domain: settings.Domain}
 	node.follow = follower.Start(node.caller, member, settings.Seeds, nil, node.take)
--- a/system/front/plain.go
+++ b/system/front/plain.go
@@ -10,11 +10,11 @@
 	"yardrock.example/system/api/gen/work"
 	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 )
 
-func (query *query) plain() runnerclient.PlainQuery {
-	return runnerclient.PlainQuery{Program: query.program, Kind: query.kind, RequestKey: query.requestKey, Words: query.words}
+func (query *query) plain() runnerorigin.PlainQuery {
+	return runnerorigin.PlainQuery{Program: query.program, Kind: query.kind, QueryKey: query.queryKey, Words: query.words}
 }
 
 // ask sends plain work to a runner, and to another only while provably nothing
@@ -63,7 +63,7 @@
 	case finished := <-done:
 		return finished.told, finished.err
 	case <-ctx.Done():
-		return nil, mishap.New(mishap.Unknown, "the caller left before the outcome", "ask again with the same request key")
+		return nil, mishap.New(mishap.Unknown, "the caller left before the outcome", "ask again with the same query key")
 	}
 }
 
@@ -81,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(node.context, settlePatience)
 	defer cancel()
 	if _, err := node.closeRun(ctx, query, 2, ended.Outcome, ended.Words, ended.Name); err != nil {
-		return nil, mishap.Later(mishap.Unknown, "the outcome could not be recorded: "+err.Error(), "ask again with the same request key", time.Second)
+		return nil, mishap.Later(mishap.Unknown, "the outcome could not be recorded: "+err.Error(), "ask again with the same query key", time.Second)
 	}
 	return node.told(query, ended, false)
 }
@@ -95,6 +95,6 @@
 	case line.OutcomeNotRun:
 		return nil, query.notRun("the work did not run: " + ended.Name)
 	default:
-		return nil, mishap.New(mishap.Unknown, "whether the work ran is not known: "+ended.Name, "find out at its receiver; it is never sent again under this request key")
+		return nil, mishap.New(mishap.Unknown, "whether the work ran is not known: "+ended.Name, "find out at its receiver; it is never sent again under this query key")
 	}
 }
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -16,18 +16,18 @@
 	"yardrock.example/system/conversation"
 	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 	"yardrock.example/system/scheduling"
 	"yardrock.example/system/wire"
 )
 
 // query is one caller's query on its way through the filters.
 type query struct {
-	token      string
-	program    string
-	kind       string
-	words      string
-	requestKey string
+	token    string
+	program  string
+	kind     string
+	words    string
+	queryKey string
 	// conversation names the line; follows is the turn that is followed, 0 starts.
 	conversation string
 	follows      uint64
@@ -162,7 +162,7 @@
 
 func servesLookups(node *Node, ctx context.Context, query *query) (any, error) {
 	if !query.work.Repeatable {
-		return nil, mishap.New(mishap.Invalid, "work of kind "+query.kind+" may not be repeated", "send it as a request, with a request key")
+		return nil, mishap.New(mishap.Invalid, "work of kind "+query.kind+" may not be repeated", "send it as a request, with a query key")
 	}
 	return servesPlain(node, ctx, query)
 }
@@ -172,19 +172,19 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-func (query *query) digest() string { return fingerprint(query.kind, query.words, query.requestKey) }
+func (query *query) digest() string { return fingerprint(query.kind, query.words, query.queryKey) }
 
 // line is the conversation's name with its team, so that no team can name
 // another's.
 func (query *query) line() string { return query.team + "/" + query.conversation }
 
-// nameLine names a new conversation by its request key, if it has one, so that a
+// nameLine names a new conversation by its query key, if it has one, so that a
 // repeat on any front finds the same line.
 func nameLine(_ *Node, _ context.Context, query *query) (any, error) {
 	switch {
 	case query.conversation != "":
-	case query.requestKey != "":
-		query.conversation = "c-" + fingerprint(query.team, query.program, query.parent, query.requestKey)
+	case query.queryKey != "":
+		query.conversation = "c-" + fingerprint(query.team, query.program, query.parent, query.queryKey)
 	default:
 		query.conversation = "c-" + uuid.NewString()
 		query.unheard = true
@@ -193,10 +193,10 @@
 }
 
 func nameOnceLine(_ *Node, _ context.Context, query *query) (any, error) {
-	if query.requestKey == "" {
-		return nil, mishap.New(mishap.Invalid, "request_key is empty", "give each piece of work a key of its own")
+	if query.queryKey == "" {
+		return nil, mishap.New(mishap.Invalid, "query_key is empty", "give each piece of work a key of its own")
 	}
-	query.conversation = "q-" + fingerprint(query.team, query.program, query.requestKey)
+	query.conversation = "q-" + fingerprint(query.team, query.program, query.queryKey)
 	return nil, nil
 }
 
@@ -289,7 +289,7 @@
 		}
 		same := begun.Digest == query.digest()
 		if begun.Kind == line.Fenced {
-			if same && query.requestKey != "" {
+			if same && query.queryKey != "" {
 				return nil, query.fencedOff()
 			}
 			continue
@@ -302,7 +302,7 @@
 			return again(node, ctx, query)
 		}
 		switch {
-		case turn.Ended != nil && turn.Ended.Outcome == line.OutcomeNotRun && same && query.requestKey != "":
+		case turn.Ended != nil && turn.Ended.Outcome == line.OutcomeNotRun && same && query.queryKey != "":
 			return nil, query.notRun("this turn did not run: " + turn.Ended.Name)
 		case turn.Ended != nil && !turn.Complete():
 			continue
@@ -314,14 +314,14 @@
 }
 
 // notRun tells what the record proves: nothing ran, and nothing will, under this
-// request key.
+// query key.
 func (query *query) notRun(message string) error {
 	query.proven = true
-	return mishap.Later(mishap.NotRun, message, "send it under a new request key", time.Second)
+	return mishap.Later(mishap.NotRun, message, "send it under a new query key", time.Second)
 }
 
 func (query *query) fencedOff() error {
-	return query.notRun("an earlier query under this request key was refused, and the key fenced off")
+	return query.notRun("an earlier query under this query key was refused, and the key fenced off")
 }
 
 // again rereads the line and decides anew.
@@ -458,7 +458,7 @@
 // lastLook is what the first byte waits for: the dial may have been slow, or this
 // process frozen, since the runner was chosen. It works on a copy, as the library
 // may ask it after the query was given up.
-func (node *Node) lastLook(query *query) runnerclient.Look {
+func (node *Node) lastLook(query *query) runnerorigin.Look {
 	chosen := *query
 	return func() error {
 		now := chosen
--- a/system/front/record.go
+++ b/system/front/record.go
@@ -58,7 +58,7 @@
 		event, err = node.readEvent(ctx, query.line(), event.Turn)
 	}
 	if err != nil {
-		return nil, mishap.Later(mishap.Unknown, "whether the work began cannot be read now", "ask again with the same request key", time.Second)
+		return nil, mishap.Later(mishap.Unknown, "whether the work began cannot be read now", "ask again with the same query key", time.Second)
 	}
 	if event.Kind != line.Fenced && event.Dispatch == dispatch {
 		query.begun = event
@@ -84,7 +84,7 @@
 func (node *Node) fence(query *query, event line.Event, cause error, patience time.Duration) (*line.Event, error) {
 	ctx, cancel := context.WithTimeout(node.context, patience)
 	defer cancel()
-	unknown := mishap.Later(mishap.Unknown, "whether the work began is not known; this node sent nothing ("+mishap.Of(cause).Message+")", "ask again with the same request key", time.Second)
+	unknown := mishap.Later(mishap.Unknown, "whether the work began is not known; this node sent nothing ("+mishap.Of(cause).Message+")", "ask again with the same query key", time.Second)
 	outcomes, err := node.stores.Command(ctx, query.line(),
 		line.Command{Kind: line.CreateSession, Team: query.team, Program: query.program, WorkKind: query.kind, KeepFor: time.Duration(query.terms.Keep)},
 		line.Command{Kind: line.AppendEvent, Producer: query.producer, ProducerSeq: 1, Events: []line.Event{{Kind: line.Fenced, Digest: query.digest()}}})
@@ -102,15 +102,15 @@
 	return nil, node.closeNotRun(query, cause)
 }
 
-// fenced tells a refusal that the record proves. Without a request key the same
+// fenced tells a refusal that the record proves. Without a query key the same
 // turn may be asked again as it is.
 func (query *query) fenced(cause error) error {
 	query.proven = true
 	failed := mishap.Of(cause)
 	told := &mishap.Mishap{Kind: mishap.NotRun, Message: failed.Message, Remedy: "ask again", RetryAfter: max(failed.RetryAfter, time.Second)}
-	if query.requestKey != "" {
-		told.Message += "; the request key is fenced off"
-		told.Remedy = "send it under a new request key"
+	if query.queryKey != "" {
+		told.Message += "; the query key is fenced off"
+		told.Remedy = "send it under a new query key"
 	}
 	return told
 }
@@ -120,11 +120,11 @@
 // fence in its place keeps that from running after "not run" was told. Where no
 // fence can be set at once, the answer is that it is not known, and when to ask again.
 func (node *Node) prove(query *query, err error) error {
-	repeatable := query.requestKey == "" && query.follows == 0
+	repeatable := query.queryKey == "" && query.follows == 0
 	if !query.recorded || query.proven || repeatable || !mishap.Is(err, mishap.NotRun) {
 		return err
 	}
-	unknown := mishap.Later(mishap.Unknown, "this node sent nothing, but cannot tell what became of an earlier query for the same work ("+mishap.Of(err).Message+")", "ask again with the same request key", max(mishap.Of(err).RetryAfter, time.Second))
+	unknown := mishap.Later(mishap.Unknown, "this node sent nothing, but cannot tell what became of an earlier query for the same work ("+mishap.Of(err).Message+")", "ask again with the same query key", max(mishap.Of(err).RetryAfter, time.Second))
 	if query.producer == "" {
 		return unknown
 	}
@@ -159,7 +159,7 @@
 	ctx, cancel := context.WithTimeout(node.context, commitPatience)
 	defer cancel()
 	if _, err := node.closeRun(ctx, query, 2, line.OutcomeNotRun, "", string(mishap.Of(cause).Kind)); err != nil {
-		return mishap.Later(mishap.Unknown, "nothing was sent, but that could not be recorded", "ask again with the same request key", time.Second)
+		return mishap.Later(mishap.Unknown, "nothing was sent, but that could not be recorded", "ask again with the same query key", time.Second)
 	}
 	return query.fenced(cause)
 }
@@ -193,20 +193,20 @@
 	}
 }
 
-// checkOnce answers a repeated request key with what was recorded.
+// checkOnce answers a repeated query key with what was recorded.
 func checkOnce(node *Node, ctx context.Context, query *query) (any, error) {
-	query.producer = strings.Join([]string{query.program, "once", query.requestKey}, "/")
+	query.producer = strings.Join([]string{query.program, "once", query.queryKey}, "/")
 	return node.checkRecorded(ctx, query)
 }
 
 func checkTool(node *Node, ctx context.Context, query *query) (any, error) {
-	if query.requestKey == "" {
-		return nil, mishap.New(mishap.Invalid, "request_key is empty", "give each tool call a key of its own")
+	if query.queryKey == "" {
+		return nil, mishap.New(mishap.Invalid, "query_key is empty", "give each tool call a key of its own")
 	}
 	if err := checkFollowed(query); err != nil {
 		return nil, err
 	}
-	query.producer = strings.Join([]string{query.program, "tool", query.requestKey}, "/")
+	query.producer = strings.Join([]string{query.program, "tool", query.queryKey}, "/")
 	return node.checkRecorded(ctx, query)
 }
 
@@ -239,7 +239,7 @@
 // repeatedOnce waits for the recorded outcome of work that another query began.
 func (node *Node) repeatedOnce(ctx context.Context, query *query, begun line.Event) (any, error) {
 	if begun.Digest != query.digest() {
-		return nil, mishap.New(mishap.Conflict, "the request key was used with another body", "use a new request key for other work")
+		return nil, mishap.New(mishap.Conflict, "the query key was used with another body", "use a new query key for other work")
 	}
 	if begun.Kind == line.Fenced {
 		return nil, query.fencedOff()
@@ -250,7 +250,7 @@
 		reply, err := node.stores.Read(waiting, wire.ReadQuery{Line: query.line(), After: after, Wait: wait})
 		cancel()
 		if err != nil {
-			return nil, mishap.Later(mishap.Unknown, "the work began before; its outcome cannot be read now", "ask again with the same request key", time.Second)
+			return nil, mishap.Later(mishap.Unknown, "the work began before; its outcome cannot be read now", "ask again with the same query key", time.Second)
 		}
 		for _, event := range reply.Events {
 			after = event.Seq
@@ -262,11 +262,11 @@
 		switch {
 		case reply.Clock > begun.Deadline || gone == provenGone:
 			if err := node.closeOverdue(ctx, query.line(), begun, line.OutcomeUnknown); err != nil {
-				return nil, mishap.Later(mishap.Unknown, "the work began before; its outcome is not known", "ask again with the same request key", time.Second)
+				return nil, mishap.Later(mishap.Unknown, "the work began before; its outcome is not known", "ask again with the same query key", time.Second)
 			}
 		case gone == unheardOf:
 			// It may only be frozen, and still record what came of the work.
-			return nil, mishap.Later(mishap.Unknown, "the work began at a node that is not heard of; its outcome is not recorded yet", "ask again with the same request key", 2*time.Second)
+			return nil, mishap.Later(mishap.Unknown, "the work began at a node that is not heard of; its outcome is not recorded yet", "ask again with the same query key", 2*time.Second)
 		}
 	}
 }
--- a/system/front/run.go
+++ b/system/front/run.go
@@ -14,7 +14,7 @@
 	"yardrock.example/system/conversation"
 	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
-	"yardrock.example/system/runnerclient"
+	"yardrock.example/system/runnerorigin"
 	"yardrock.example/system/scheduling"
 	"yardrock.example/system/wire"
 )
@@ -121,7 +121,7 @@
 	query, node := running.query, running.node
 	history := query.said.Said(query.follows)
 	for dial := 1; ; dial++ {
-		asked := runnerclient.TurnQuery{Conversation: query.conversation, Turn: query.begun.Seq, History: history, Words: query.words, Limit: query.limit()}
+		asked := runnerorigin.TurnQuery{Conversation: query.conversation, Turn: query.begun.Seq, History: history, Words: query.words, Limit: query.limit()}
 		began := time.Now()
 		err := node.runners.Stream(ctx, query.slot.Runner.Address, query.work.Path, asked, node.lastLook(query), func(words string) error {
 			if running.first == 0 {
--- a/system/front/service.go
+++ b/system/front/service.go
@@ -67,7 +67,7 @@
 
 // Start starts a conversation.
 func (service service) Start(ctx context.Context, payload *work.StartPayload) (io.ReadCloser, error) {
-	return service.stream(ctx, payload.Authorization, &query{program: payload.Program, kind: payload.Kind, words: payload.Words, requestKey: text(payload.RequestKey)}, turnChain)
+	return service.stream(ctx, payload.Authorization, &query{program: payload.Program, kind: payload.Kind, words: payload.Words, queryKey: text(payload.QueryKey)}, turnChain)
 }
 
 // Turn follows a turn.
@@ -75,27 +75,27 @@
 	if payload.Follows == 0 {
 		return nil, mishap.New(mishap.Invalid, "follows is 0", "name the turn to follow")
 	}
-	return service.stream(ctx, payload.Authorization, &query{conversation: payload.Conversation, follows: payload.Follows, kind: payload.Kind, words: payload.Words, requestKey: text(payload.RequestKey)}, followChain)
+	return service.stream(ctx, payload.Authorization, &query{conversation: payload.Conversation, follows: payload.Follows, kind: payload.Kind, words: payload.Words, queryKey: text(payload.QueryKey)}, followChain)
 }
 
 // Tool calls a tool between turns.
 func (service service) Tool(ctx context.Context, payload *work.ToolPayload) (*work.Outcome, error) {
-	return service.outcome(ctx, payload.Authorization, &query{conversation: payload.Conversation, follows: payload.Follows, kind: payload.Kind, words: payload.Words, requestKey: payload.RequestKey}, toolChain)
+	return service.outcome(ctx, payload.Authorization, &query{conversation: payload.Conversation, follows: payload.Follows, kind: payload.Kind, words: payload.Words, queryKey: payload.QueryKey}, toolChain)
 }
 
 // Helper starts a conversation that its parent names.
 func (service service) Helper(ctx context.Context, payload *work.HelperPayload) (io.ReadCloser, error) {
-	return service.stream(ctx, payload.Authorization, &query{parent: payload.Conversation, follows: payload.Follows, program: payload.Program, kind: payload.Kind, words: payload.Words, requestKey: payload.RequestKey}, helperChain)
+	return service.stream(ctx, payload.Authorization, &query{parent: payload.Conversation, follows: payload.Follows, program: payload.Program, kind: payload.Kind, words: payload.Words, queryKey: payload.QueryKey}, helperChain)
 }
 
 // Lookup asks what may be asked again.
 func (service service) Lookup(ctx context.Context, payload *work.LookupPayload) (*work.Outcome, error) {
-	return service.outcome(ctx, payload.Authorization, &query{program: payload.Program, kind: payload.Kind, words: payload.Words, requestKey: text(payload.RequestKey)}, lookupChain)
+	return service.outcome(ctx, payload.Authorization, &query{program: payload.Program, kind: payload.Kind, words: payload.Words, queryKey: text(payload.QueryKey)}, lookupChain)
 }
 
 // Once runs what may not be repeated.
 func (service service) Once(ctx context.Context, payload *work.OncePayload) (*work.Outcome, error) {
-	return service.outcome(ctx, payload.Authorization, &query{program: payload.Program, kind: payload.Kind, words: payload.Words, requestKey: payload.RequestKey}, onceChain)
+	return service.outcome(ctx, payload.Authorization, &query{program: payload.Program, kind: payload.Kind, words: payload.Words, queryKey: payload.QueryKey}, onceChain)
 }
 
 // Tail streams events after a cursor.
@@ -190,8 +190,8 @@
 	if answer, err := readLine(node, ctx, &parent); answer != nil || err != nil {
 		return answer, err
 	}
-	if query.requestKey == "" {
-		return nil, mishap.New(mishap.Invalid, "request_key is empty", "give each helper a key of its own")
+	if query.queryKey == "" {
+		return nil, mishap.New(mishap.Invalid, "query_key is empty", "give each helper a key of its own")
 	}
 	return nil, checkFollowed(&parent)
 }
@@ -207,7 +207,7 @@
 	committing, cancel := context.WithTimeout(ctx, commitPatience)
 	defer cancel()
 	outcomes, err := node.stores.Command(committing, query.team+"/"+query.parent, line.Command{
-		Kind: line.AppendEvent, Producer: strings.Join([]string{query.program, "helper", query.requestKey}, "/"), ProducerSeq: 1,
+		Kind: line.AppendEvent, Producer: strings.Join([]string{query.program, "helper", query.queryKey}, "/"), ProducerSeq: 1,
 		Events: []line.Event{{Kind: line.HelperStarted, Follows: query.follows, Name: helper.conversation}},
 	})
 	if err != nil {
--- a/system/httpface/httpface.go
+++ b/system/httpface/httpface.go
@@ -29,8 +29,8 @@
 	mishap.Unknown: http.StatusBadGateway, mishap.RunnerMishap: http.StatusBadGateway, mishap.Unclear: http.StatusGatewayTimeout,
 }
 
-// Failure is the body of every answer that is no success.
-type Failure struct {
+// Mishap is the body of every answer that is no success.
+type Mishap struct {
 	Kind       string `json:"kind"`
 	Message    string `json:"message"`
 	Remedy     string `json:"remedy"`
@@ -41,7 +41,7 @@
 // StatusCode is the HTTP status of the failure.
 //
 //	status := failure.StatusCode()
-func (failure *Failure) StatusCode() int { return failure.status }
+func (failure *Mishap) StatusCode() int { return failure.status }
 
 type writerKey struct{}
 
@@ -64,7 +64,7 @@
 	if writer, found := ctx.Value(writerKey{}).(http.ResponseWriter); found && failed.RetryAfter > 0 {
 		writer.Header().Set("Retry-After", strconv.Itoa(int((failed.RetryAfter+time.Second-1)/time.Second)))
 	}
-	return &Failure{Kind: string(failed.Kind), Message: failed.Message, Remedy: failed.Remedy, RetryAfter: failed.RetryAfter.Milliseconds(), status: status}
+	return &Mishap{Kind: string(failed.Kind), Message: failed.Message, Remedy: failed.Remedy, RetryAfter: failed.RetryAfter.Milliseconds(), status: status}
 }
 
 // ContentType names the type of an answer whose body the method writes itself.
@@ -163,6 +163,6 @@
 // Error lets clients treat a failure body as an error.
 //
 //	return failure.Error()
-func (failure *Failure) Error() string {
+func (failure *Mishap) Error() string {
 	return failure.Message + " [" + failure.Kind + "; remedy: " + failure.Remedy + "]"
 }
--- a/system/line/types.go
+++ b/system/line/types.go
@@ -126,7 +126,7 @@
 	At          int64
 }
 
-// Session is one line as of a snapshot. It is never changed once published.
+// Session is one line as of a view. It is never changed once published.
 type Session struct {
 	Line        string
 	Team        string
--- a/system/link/link_test.go
+++ b/system/link/link_test.go
@@ -14,7 +14,7 @@
 	"yardrock.example/system/wire/schema"
 )
 
-func TestQueriesAndTypedFailuresCrossALink(t *testing.T) {
+func TestQueriesAndTypedMishapsCrossALink(t *testing.T) {
 	listener, err := TCP{}.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/system/runnerclient/runnerclient.go
+++ b/system/runnerorigin/runnerorigin.go
@@ -1,7 +1,7 @@
-// Package runnerclient speaks HTTP/1.1 with JSON to model and application
+// Package runnerorigin speaks HTTP/1.1 with JSON to model and application
 // runners, and tells apart what was never sent, what was refused as not run, and
 // what is unknown.
-package runnerclient
+package runnerorigin
 
 import (
 	"bufio"
@@ -46,22 +46,22 @@
 
 // PlainQuery is what an application runner gets.
 type PlainQuery struct {
-	Program    string `json:"program"`
-	Kind       string `json:"kind"`
-	RequestKey string `json:"request_key,omitempty"`
-	Words      string `json:"words"`
+	Program  string `json:"program"`
+	Kind     string `json:"kind"`
+	QueryKey string `json:"query_key,omitempty"`
+	Words    string `json:"words"`
 }
 
-// Client talks to runners. Each query has a connection of its own, so that what
+// Origin talks to runners. Each query has a connection of its own, so that what
 // was never written provably never ran.
-type Client struct {
+type Origin struct {
 	network link.Network
 }
 
-// New makes a client on a network.
+// New makes an origin on a network.
 //
-//	client := runnerclient.New(link.TCP{})
-func New(network link.Network) *Client { return &Client{network: network} }
+//	origin := runnerorigin.New(link.TCP{})
+func New(network link.Network) *Origin { return &Origin{network: network} }
 
 // Look is asked when a connection stands and its first byte is about to leave; an
 // error keeps it back.
@@ -111,7 +111,7 @@
 }
 
 // send posts a body. NeverSent on the error proves that no byte left.
-func (client *Client) send(ctx context.Context, address, path string, body any, look Look) (*http.Response, error) {
+func (origin *Origin) send(ctx context.Context, address, path string, body any, look Look) (*http.Response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, err
@@ -122,7 +122,7 @@
 		DialContext: func(ctx context.Context, _, target string) (net.Conn, error) {
 			dialing, cancel := context.WithTimeout(ctx, dialPatience)
 			defer cancel()
-			connection, err := client.network.Dial(dialing, target)
+			connection, err := origin.network.Dial(dialing, target)
 			if err != nil {
 				return nil, err
 			}
@@ -157,9 +157,9 @@
 
 // Ask posts to an application runner and gives its whole JSON answer.
 //
-//	answer, err := client.Ask(ctx, "10.0.0.9:8000", "/book", query, look)
-func (client *Client) Ask(ctx context.Context, address, path string, query PlainQuery, look Look) (json.RawMessage, error) {
-	answer, err := client.send(ctx, address, path, query, look)
+//	answer, err := origin.Ask(ctx, "10.0.0.9:8000", "/book", query, look)
+func (origin *Origin) Ask(ctx context.Context, address, path string, query PlainQuery, look Look) (json.RawMessage, error) {
+	answer, err := origin.send(ctx, address, path, query, look)
 	if err != nil {
 		return nil, err
 	}
@@ -188,9 +188,9 @@
 // Stream posts to a model runner and calls piece for each piece. It returns nil
 // only after the runner's own end mark.
 //
-//	err := client.Stream(ctx, address, "/turn", query, look, func(words string) error { ... })
-func (client *Client) Stream(ctx context.Context, address, path string, query TurnQuery, look Look, onPiece func(words string) error) error {
-	answer, err := client.send(ctx, address, path, query, look)
+//	err := origin.Stream(ctx, address, "/turn", query, look, func(words string) error { ... })
+func (origin *Origin) Stream(ctx context.Context, address, path string, query TurnQuery, look Look, onPiece func(words string) error) error {
+	answer, err := origin.send(ctx, address, path, query, look)
 	if err != nil {
 		return err
 	}
--- a/system/scheduling/board.go
+++ b/system/scheduling/board.go
@@ -1,4 +1,4 @@
-// Package scheduling chooses runners: weight tables share work among groups,
+// Package scheduling elects runners: weight tables share work among groups,
 // each runner bears so much and less while cold, and who must wait does so in a
 // bounded queue by urgency.
 package scheduling
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -50,11 +50,11 @@
 // archive flushes one group's pending events to the cold stores of a majority of
 // its replicas, and only then commits how far they may be evicted.
 func (node *Node) archive(group uint32, voters []string) {
-	snapshot := node.machine(group).View()
+	view := node.machine(group).View()
 	chunks, acks := []wire.ColdChunk{}, []line.Ack{}
 	budget, now := archiveBatch, node.clock(group)
-	expired := snapshot.AnyExpired(now)
-	for session := range snapshot.Hot() {
+	expired := view.AnyExpired(now)
+	for session := range view.Hot() {
 		if budget <= 0 {
 			break
 		}
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -118,8 +118,8 @@
 // differing lists the buckets of lines in which a copy is not as far as the record
 // says. Each is compared by one digest, so that copies which agree cost next to
 // nothing, however many lines they hold.
-func differing(snapshot *line.View, sums []uint64) []uint32 {
-	wanted, found := snapshot.Sums(), []uint32{}
+func differing(view *line.View, sums []uint64) []uint32 {
+	wanted, found := view.Sums(), []uint32{}
 	for bucket := range wanted {
 		if bucket >= len(sums) || sums[bucket] != wanted[bucket] {
 			found = append(found, uint32(bucket))
@@ -130,13 +130,13 @@
 
 // holes lists, for the archived part of each line in some buckets, what a copy's
 // ranges lack.
-func holes(snapshot *line.View, buckets []uint32, ranges []wire.RangeDigest) []wire.GetColdQuery {
+func holes(view *line.View, buckets []uint32, ranges []wire.RangeDigest) []wire.GetColdQuery {
 	byLine := map[string][]wire.RangeDigest{}
 	for _, one := range ranges {
 		byLine[one.Line] = append(byLine[one.Line], one)
 	}
 	found := []wire.GetColdQuery{}
-	for session := range snapshot.Sessions() {
+	for session := range view.Sessions() {
 		if !slices.Contains(buckets, uint32(line.BucketOf(session.Line))) {
 			continue
 		}
@@ -157,12 +157,12 @@
 }
 
 // chunksFor reads what fills holes from this node's own copy, or from siblings.
-func (node *Node) chunksFor(group uint32, snapshot *line.View, missing []wire.GetColdQuery) ([]wire.ColdChunk, bool) {
+func (node *Node) chunksFor(group uint32, view *line.View, missing []wire.GetColdQuery) ([]wire.ColdChunk, bool) {
 	ctx, cancel := context.WithTimeout(node.context, commandPatience)
 	defer cancel()
 	chunks, whole := []wire.ColdChunk{}, true
 	for _, hole := range missing {
-		session, found := snapshot.Session(hole.Line)
+		session, found := view.Session(hole.Line)
 		if !found {
 			continue
 		}
@@ -181,17 +181,17 @@
 
 // mendSelf fills this node's own holes from its siblings.
 func (node *Node) mendSelf(group uint32) {
-	snapshot := node.machine(group).View()
+	view := node.machine(group).View()
 	sums := node.cold.Sums(group)
-	buckets := differing(snapshot, sums[:])
+	buckets := differing(view, sums[:])
 	if len(buckets) == 0 {
 		return
 	}
-	missing := holes(snapshot, buckets, node.cold.Digests(group, buckets))
+	missing := holes(view, buckets, node.cold.Digests(group, buckets))
 	if len(missing) == 0 {
 		return
 	}
-	chunks, _ := node.chunksFor(group, snapshot, missing)
+	chunks, _ := node.chunksFor(group, view, missing)
 	if err := node.cold.Put(chunks); err != nil {
 		log.WithFields(log.Fields{"node": node.Name(), "group": group, "error": err.Error()}).Warn("repair_failed")
 		return
@@ -219,19 +219,19 @@
 	if err != nil {
 		return false
 	}
-	snapshot := node.machine(group).View()
-	buckets := differing(snapshot, told.Sums)
+	view := node.machine(group).View()
+	buckets := differing(view, told.Sums)
 	if len(buckets) == 0 {
 		return true
 	}
 	if told, err = ask(buckets); err != nil {
 		return false
 	}
-	missing := holes(snapshot, buckets, told.Ranges)
+	missing := holes(view, buckets, told.Ranges)
 	if len(missing) == 0 {
 		return true
 	}
-	chunks, whole := node.chunksFor(group, snapshot, missing)
+	chunks, whole := node.chunksFor(group, view, missing)
 	for len(chunks) > 0 {
 		batch := chunks[:min(len(chunks), chunksAtOnce)]
 		chunks = chunks[len(batch):]
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -22,7 +22,7 @@
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/placement"
 	"yardrock.example/system/replica"
-	"yardrock.example/system/storeclient"
+	"yardrock.example/system/storeorigin"
 	"yardrock.example/system/wire"
 	"yardrock.example/system/wire/schema"
 )
@@ -60,7 +60,7 @@
 	follow   *follower.Follower
 	machines sync.Map // group number to *lineMachine
 	clocks   sync.Map // group number to clockAnchor
-	lines    *storeclient.Client
+	lines    *storeorigin.Origin
 	held     atomic.Pointer[feed.View]
 
 	mutex   sync.Mutex
@@ -122,7 +122,7 @@
 	node := &Node{settings: settings, caller: link.NewCaller(network), cold: cold, waiters: map[string]chan struct{}{}}
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.held.Store(&feed.View{})
-	node.lines = storeclient.New(node.caller, node.held.Load)
+	node.lines = storeorigin.New(node.caller, node.held.Load)
 	courier := replica.NewCourier(node.caller, node.addressOf, func() string { return node.held.Load().Bound() })
 	node.host, err = replica.Open(settings.Replica, durable, records, node.newMachine, courier)
 	if err != nil {
@@ -139,7 +139,7 @@
 	listener, err := network.Listen(settings.Address)
 	if err != nil {
 		node.host.Close()
-		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "choose an address of this machine that is free")
+		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "use an address of this machine that is free")
 	}
 	member := feed.Member{Name: node.Name(), Role: feed.RoleStore, Address: settings.Address, Domain: settings.Domain}
 	node.follow = follower.Start(node.caller, member, settings.Seeds, held, node.take)
@@ -351,29 +351,29 @@
 	if read.Wait > 0 {
 		woken = node.waiter(read.Line)
 	}
-	snapshot, err := node.confirmed(ctx, group)
+	view, err := node.confirmed(ctx, group)
 	if err != nil {
 		return nil, err
 	}
 	if read.Tally {
-		tally := snapshot.Tally(read.Line)
+		tally := view.Tally(read.Line)
 		return &wire.Reply{Which: schema.Reply_Which_read, Read: &wire.ReadReply{Spent: tally.Spent, Reserved: tally.Reserved()}}, nil
 	}
-	session, found := snapshot.Session(read.Line)
+	session, found := view.Session(read.Line)
 	if read.Wait > 0 && found && session.Head <= read.After {
-		timer := time.NewTimer(min(read.Wait, CatchUp))
-		defer timer.Stop()
+		tick := time.NewTimer(min(read.Wait, CatchUp))
+		defer tick.Stop()
 		select {
 		case <-woken:
-		case <-timer.C:
+		case <-tick.C:
 			node.wake(read.Line)
 		case <-ctx.Done():
 		case <-node.context.Done():
 		}
-		if snapshot, err = node.confirmed(ctx, group); err != nil {
+		if view, err = node.confirmed(ctx, group); err != nil {
 			return nil, err
 		}
-		session, found = snapshot.Session(read.Line)
+		session, found = view.Session(read.Line)
 	}
 	if !found {
 		return nil, mishap.New(mishap.NotFound, "no line is named "+read.Line, "check the name; a line is forgotten when its keeping time is over")
--- a/system/storeclient/storeclient.go
+++ b/system/storeorigin/storeorigin.go
@@ -1,6 +1,6 @@
-// Package storeclient finds the leader of a line's group and asks it. Every
+// Package storeorigin finds the leader of a line's group and asks it. Every
 // command it sends may be sent again: the state machine dedupes it.
-package storeclient
+package storeorigin
 
 import (
 	"context"
@@ -28,49 +28,49 @@
 	until time.Time
 }
 
-// Client asks stores on behalf of a front.
-type Client struct {
+// Origin asks stores on behalf of a front.
+type Origin struct {
 	caller *link.Caller
 	view   func() *feed.View
 	mutex  sync.Mutex
 	hints  map[uint32]hint
 }
 
-// New makes a client; view gives the newest view held.
+// New makes an origin; view gives the newest view held.
 //
-//	client := storeclient.New(caller, following.View)
-func New(caller *link.Caller, view func() *feed.View) *Client {
-	return &Client{caller: caller, view: view, hints: map[uint32]hint{}}
+//	origin := storeorigin.New(caller, following.View)
+func New(caller *link.Caller, view func() *feed.View) *Origin {
+	return &Origin{caller: caller, view: view, hints: map[uint32]hint{}}
 }
 
-func (client *Client) hinted(group uint32) string {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	if known, found := client.hints[group]; found && time.Now().Before(known.until) {
+func (origin *Origin) hinted(group uint32) string {
+	origin.mutex.Lock()
+	defer origin.mutex.Unlock()
+	if known, found := origin.hints[group]; found && time.Now().Before(known.until) {
 		return known.name
 	}
 	return ""
 }
 
-func (client *Client) hint(group uint32, name string) {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
+func (origin *Origin) hint(group uint32, name string) {
+	origin.mutex.Lock()
+	defer origin.mutex.Unlock()
 	if name == "" {
-		delete(client.hints, group)
+		delete(origin.hints, group)
 		return
 	}
-	client.hints[group] = hint{name: name, until: time.Now().Add(hintLife)}
+	origin.hints[group] = hint{name: name, until: time.Now().Add(hintLife)}
 }
 
 // ask goes to the hinted leader, else through the replicas, until one answers as
 // leader or the context ends. It tells whether some query may have arrived.
-func (client *Client) ask(ctx context.Context, name string, patience time.Duration, make func(group uint32) *wire.Query) (*wire.Reply, bool, error) {
+func (origin *Origin) ask(ctx context.Context, name string, patience time.Duration, make func(group uint32) *wire.Query) (*wire.Reply, bool, error) {
 	arrived := false
 	pause := firstPause
 	for try := 0; ; try++ {
-		view := client.view()
+		view := origin.view()
 		group := placement.GroupOf(name, view.Groups)
-		target := client.hinted(group)
+		target := origin.hinted(group)
 		if target == "" {
 			replicas := placement.ReplicasOf(group, view.StorePlaces())
 			if len(replicas) > 0 {
@@ -82,27 +82,27 @@
 			query := make(group)
 			query.Fleet = view.Fleet
 			limited, cancel := context.WithTimeout(ctx, patience)
-			reply, err := client.caller.Call(limited, address, query)
+			reply, err := origin.caller.Call(limited, address, query)
 			expired := limited.Err() != nil
 			cancel()
 			if err == nil {
-				client.hint(group, target)
+				origin.hint(group, target)
 				return reply, true, nil
 			}
 			if expired {
-				client.caller.Drop(address)
+				origin.caller.Drop(address)
 			}
 			failed = mishap.Of(err)
 			switch failed.Kind {
 			case mishap.NotLeader:
-				client.hint(group, failed.Leader)
+				origin.hint(group, failed.Leader)
 			case mishap.Unclear:
 				arrived = true
 			case mishap.Unavailable:
 				arrived = arrived || !failed.NeverSent
-				client.hint(group, "")
+				origin.hint(group, "")
 			case mishap.NoQuorum, mishap.Gap:
-				client.hint(group, "")
+				origin.hint(group, "")
 			default:
 				return nil, true, err
 			}
@@ -125,12 +125,12 @@
 // Command commits commands on one line, in order. An error of kind Unclear means
 // that they may have been committed; any other proves that they were not.
 //
-//	outcomes, err := client.Command(ctx, "team/c-1", line.Command{Kind: line.CreateSession, ...})
-func (client *Client) Command(ctx context.Context, name string, commands ...line.Command) ([]line.Outcome, error) {
+//	outcomes, err := origin.Command(ctx, "team/c-1", line.Command{Kind: line.CreateSession, ...})
+func (origin *Origin) Command(ctx context.Context, name string, commands ...line.Command) ([]line.Outcome, error) {
 	for position := range commands {
 		commands[position].Line = name
 	}
-	reply, arrived, err := client.ask(ctx, name, callPatience, func(group uint32) *wire.Query {
+	reply, arrived, err := origin.ask(ctx, name, callPatience, func(group uint32) *wire.Query {
 		return &wire.Query{Which: schema.Query_Which_command, Command: &wire.CommandQuery{Group: group, Commands: commands}}
 	})
 	if err != nil && arrived {
@@ -147,9 +147,9 @@
 
 // Read is a quorum read of a line. NotFound is proven.
 //
-//	reply, err := client.Read(ctx, wire.ReadQuery{Line: "team/c-1"})
-func (client *Client) Read(ctx context.Context, query wire.ReadQuery) (*wire.ReadReply, error) {
-	reply, _, err := client.ask(ctx, query.Line, callPatience+query.Wait, func(uint32) *wire.Query {
+//	reply, err := origin.Read(ctx, wire.ReadQuery{Line: "team/c-1"})
+func (origin *Origin) Read(ctx context.Context, query wire.ReadQuery) (*wire.ReadReply, error) {
+	reply, _, err := origin.ask(ctx, query.Line, callPatience+query.Wait, func(uint32) *wire.Query {
 		return &wire.Query{Which: schema.Query_Which_read, Read: &query}
 	})
 	if err != nil {
