A store whose data folder belongs to another fleet ends at its start

Cause: it was refused for ever, with a warning line each time, and stayed up. A control plane without a store list may be its own one that lost its disks, and is waited for.

--- a/proof/simulator/changes_test.go
+++ b/proof/simulator/changes_test.go
@@ -13,6 +13,7 @@
 
 	"yardrock.example/proof/standin"
 	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
 	"yardrock.example/system/runnerorigin"
 )
 
@@ -434,3 +435,58 @@
 		}
 	})
 }
+
+// TestADataFolderOfAnotherFleetIsRefusedAtStart starts a store with another fleet's
+// seeds, and one whose own control plane has lost its disks, which must go on.
+func TestADataFolderOfAnotherFleetIsRefusedAtStart(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		other := &Cluster{Network: NewNetwork(2), Seed: 2, groups: 8, seeds: slices.Clone(cluster.seeds)}
+		for index := range 3 {
+			other.Controls = append(other.Controls, other.AddControl(index))
+			other.Stores = append(other.Stores, other.AddStore(index))
+		}
+		defer func() {
+			for _, machine := range slices.Concat(other.Controls, other.Stores) {
+				machine.Kill()
+			}
+		}()
+		for _, machine := range slices.Concat(other.Controls, other.Stores) {
+			if err := machine.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		<-time.After(15 * time.Second)
+		moved := cluster.Stores[0]
+		moved.Kill()
+		foreign := other.AddStore(7)
+		foreign.Disk, foreign.Cold = moved.Disk, moved.Cold
+		if err := foreign.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer foreign.Kill()
+		select {
+		case err := <-foreign.Store.Foreign():
+			if !mishap.Is(err, mishap.ForeignFleet) {
+				t.Fatal(err)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("a data folder of another fleet was taken")
+		}
+		// A store of this fleet must wait for its control plane to recover.
+		for _, control := range cluster.Controls {
+			control.Kill()
+			control.Wipe()
+		}
+		cluster.Stores[1].Kill()
+		for _, machine := range append(slices.Clone(cluster.Controls), cluster.Stores[1]) {
+			if err := machine.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		select {
+		case err := <-cluster.Stores[1].Store.Foreign():
+			t.Fatalf("a store of a fleet that recovers was refused: %v", err)
+		case <-time.After(20 * time.Second):
+		}
+	})
+}
--- a/system/cmd/yardrock-control-plane/main.go
+++ b/system/cmd/yardrock-control-plane/main.go
@@ -42,7 +42,7 @@
 		node.Close()
 		return err
 	}
-	daemon.Wait(signals, daemon.Running{
+	return daemon.Wait(signals, daemon.Running{
 		Reread: node.SetSeeds,
 		Drain: func(ctx context.Context) {
 			node.Drain()
@@ -56,5 +56,4 @@
 		again, err := settings.LoadControlPlane(os.Args[1:], io.Discard)
 		return again.Seeds, err
 	})
-	return nil
 }
--- a/system/cmd/yardrock-data-plane/main.go
+++ b/system/cmd/yardrock-data-plane/main.go
@@ -35,11 +35,10 @@
 	if err != nil {
 		return err
 	}
-	daemon.Wait(signals, running, func() ([]string, error) {
+	return daemon.Wait(signals, running, func() ([]string, error) {
 		again, err := settings.LoadDataPlane(os.Args[1:], io.Discard)
 		return again.Seeds, err
 	})
-	return nil
 }
 
 func startFront(loaded *settings.DataPlane) (daemon.Running, error) {
@@ -63,7 +62,7 @@
 	if err != nil {
 		return daemon.Running{}, err
 	}
-	running := daemon.Running{Reread: node.SetSeeds, Drain: func(context.Context) { node.Drain() }, Close: node.Close}
+	running := daemon.Running{Reread: node.SetSeeds, Drain: func(context.Context) { node.Drain() }, Close: node.Close, Foreign: node.Foreign()}
 	if loaded.Health == "" {
 		return running, nil
 	}
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -206,6 +206,11 @@
 	}
 	if fleet := node.View().Fleet; !fleetless[query.Which] && query.Fleet != "" && fleet != "" && query.Fleet != fleet {
 		node.noteLost(query)
+		if node.View().Bound() == "" {
+			// This control plane may have lost its disks, and yet find that it is the one
+			// of the asking process's fleet.
+			return wire.Failed(noQuorum())
+		}
 		return wire.Failed(mishap.New(mishap.ForeignFleet, "the asking process belongs to fleet "+query.Fleet+", this one to "+fleet, "correct its seeds, or empty its data folder so that it joins this fleet"))
 	}
 	reply, err := answer(node, ctx, query)
--- a/system/daemon/daemon.go
+++ b/system/daemon/daemon.go
@@ -25,6 +25,8 @@
 	Reread func(seeds []string)
 	Drain  func(ctx context.Context)
 	Close  func()
+	// Foreign, if any, gives the reason why the process can't go on.
+	Foreign <-chan error
 }
 
 // Signals begins to take signals. It is called before anything else, since the
@@ -61,21 +63,21 @@
 }
 
 // Wait serves until SIGTERM or SIGINT, then drains. SIGHUP reads the settings
-// again; what is wrong with them is told and the old ones stay.
+// again; what is wrong with them is told and the old ones stay. An error is why the
+// process can't go on.
 //
-//	daemon.Wait(signals, running, func() ([]string, error) { ... })
-func Wait(signals <-chan os.Signal, running Running, seeds func() ([]string, error)) {
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			break
+//	err := daemon.Wait(signals, running, func() ([]string, error) { ... })
+func Wait(signals <-chan os.Signal, running Running, seeds func() ([]string, error)) error {
+	var failed error
+	for going := true; going; {
+		select {
+		case failed = <-running.Foreign:
+			going = false
+		case received := <-signals:
+			if going = received == syscall.SIGHUP; going {
+				reread(running, seeds)
+			}
 		}
-		read, err := seeds()
-		if err != nil {
-			log.WithField("error", err.Error()).Error("settings_refused")
-			continue
-		}
-		running.Reread(read)
-		log.WithField("seeds", fmt.Sprint(read)).Info("settings_reread")
 	}
 	log.Info("draining")
 	ctx, cancel := context.WithTimeout(context.Background(), drainPatience)
@@ -83,4 +85,15 @@
 	running.Drain(ctx)
 	running.Close()
 	log.Info("stopped")
+	return failed
+}
+
+func reread(running Running, seeds func() ([]string, error)) {
+	read, err := seeds()
+	if err != nil {
+		log.WithField("error", err.Error()).Error("settings_refused")
+		return
+	}
+	running.Reread(read)
+	log.WithField("seeds", fmt.Sprint(read)).Info("settings_reread")
 }
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -44,6 +44,7 @@
 	control    string
 	known      []string
 	turns      int
+	foreign    chan error // holds what makes this node's data folder useless here
 	context    context.Context
 	stop       context.CancelFunc
 	done       chan struct{}
@@ -54,7 +55,7 @@
 //
 //	following := follower.Start(caller, member, seeds, held, func(view *feed.View) { ... })
 func Start(caller *link.Caller, member feed.Member, seeds []string, held *feed.View, onView func(*feed.View)) *Follower {
-	follower := &Follower{caller: caller, member: member, onView: onView, began: time.Now(), done: make(chan struct{})}
+	follower := &Follower{caller: caller, member: member, onView: onView, began: time.Now(), foreign: make(chan error, 1), done: make(chan struct{})}
 	if held == nil {
 		held = &feed.View{}
 	}
@@ -183,6 +184,7 @@
 			log.WithFields(log.Fields{"node": follower.member.Name, "control": address, "error": err.Error()}).Warn("follow_failed")
 		}
 		follower.control = ""
+		follower.noteForeign(err)
 		return false
 	}
 	if reply.Follow == nil {
@@ -205,6 +207,24 @@
 	return true
 }
 
+// noteForeign tells, once, that the control plane belongs to another fleet, if this
+// node has not been with one of its own fleet since it started.
+func (follower *Follower) noteForeign(err error) {
+	if !mishap.Is(err, mishap.ForeignFleet) || follower.controlled.Load() > 0 {
+		return
+	}
+	select {
+	case follower.foreign <- err:
+	default:
+	}
+}
+
+// Foreign gives the reason why a node that has just started can't go on: its data
+// folder belongs to another fleet than its seeds.
+//
+//	err := <-following.Foreign()
+func (follower *Follower) Foreign() <-chan error { return follower.foreign }
+
 // pickControl keeps to one control node while it answers; else it takes the next
 // of those the view or the seeds name.
 func (follower *Follower) pickControl() string {
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -177,6 +177,12 @@
 //	node.SetSeeds(settings.Seeds)
 func (node *Node) SetSeeds(seeds []string) { node.follow.SetSeeds(seeds) }
 
+// Foreign gives the reason why a node that has just started can't go on: its data
+// folder belongs to another fleet than its seeds.
+//
+//	err := <-node.Foreign()
+func (node *Node) Foreign() <-chan error { return node.follow.Foreign() }
+
 // Ready tells whether every group that has a replica here knows a leader.
 //
 //	if node.Ready() { ... }
