Control nodes find each other after an outage though all seeds were exchanged

Found by the fault program: a total outage after the three seed machines had been exchanged left the control plane without a leader for good. Cause: what a control node has applied when it starts is its last checkpoint, whose control nodes were gone; the addresses of those of today stood only in entries not yet known as committed, and seeds were asked only while nothing was known. Ruled out: the seeds file (it named the new ones), voters (right in the log). Now the newest addresses are noted on disk, and noted ones and seeds are asked until a leader is heard.

--- a/proof/simulator/changes_test.go
+++ b/proof/simulator/changes_test.go
@@ -155,6 +155,34 @@
 				t.Fatal(err)
 			}
 		}
+		// A total outage comes right after. In every second run the settings of the
+		// machines still name the old seeds, which are gone.
+		if cluster.Seed%2 == 0 {
+			cluster.seeds = []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}
+		}
+		for _, machine := range cluster.Machines() {
+			machine.LosePower()
+		}
+		for _, machine := range slices.Concat(cluster.Controls, cluster.Stores) {
+			if err := machine.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := cluster.Await(12*time.Second, "control plane after the outage", func() error {
+			_, err := cluster.fleet()
+			return err
+		}); err != nil {
+			t.Fatal(err)
+		}
+		cluster.seeds = []string{"10.0.0.4:7000", "10.0.0.5:7000", "10.0.0.6:7000"}
+		for _, front := range cluster.Fronts {
+			if err := front.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
 		// Processes with the old seeds go on; one that starts needs the new ones.
 		cluster.Fronts[0].Kill()
 		if err := cluster.Fronts[0].Start(); err != nil {
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -30,6 +30,8 @@
 	steerInterval    = 500 * time.Millisecond
 	foundingInterval = 500 * time.Millisecond
 	callPatience     = 2 * time.Second
+	// controlsPin is the number under which the disk keeps where the control nodes are.
+	controlsPin = 1 << 31
 )
 
 // Settings place a control node.
@@ -64,6 +66,8 @@
 	mutex    sync.Mutex
 	sessions map[string]session
 	acked    map[string]uint64
+	// controls is where the control nodes were when this one last noted it on its disk.
+	controls []feed.Member
 	changed  chan struct{} // closed and replaced whenever acked grows
 
 	context context.Context
@@ -92,6 +96,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if data := node.host.Pinned(controlsPin); data != nil {
+		var noted feed.View
+		if err := wire.Decode(schema.View_TypeID, data, &noted); err != nil {
+			node.host.Close()
+			return nil, mishap.New(mishap.Damaged, "the noted control nodes cannot be read: "+err.Error(), "run the version of the program that wrote them")
+		}
+		node.controls = noted.Controls
+	}
 	listener, err := network.Listen(settings.Address)
 	if err != nil {
 		node.host.Close()
@@ -406,7 +418,9 @@
 			targets[member.Address] = true
 		}
 	}
-	if len(node.View().Controls) == 0 {
+	// Until it has heard from a leader, what this node has applied may be as old as its
+	// last checkpoint, with machines in it that are long gone.
+	if len(node.View().Controls) == 0 || !node.Ready() {
 		for _, address := range node.knownControls() {
 			targets[address] = true
 		}
@@ -423,18 +437,42 @@
 		})
 	}
 	told.Wait()
+	node.noteControls()
+}
+
+// noteControls keeps on disk where the control nodes are, so that they find each other
+// when all start again, whatever their seeds say.
+func (node *Node) noteControls() {
+	view := node.View()
+	if !node.Ready() || len(view.Controls) == 0 || slices.Equal(view.Controls, node.controls) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(node.context, callPatience)
+	defer cancel()
+	if err := node.host.Pin(ctx, controlsPin, wire.MustEncode(schema.View_TypeID, &feed.View{Controls: view.Controls})); err == nil {
+		node.controls = view.Controls
+	}
 }
 
+// knownControls lists where control nodes may be: as noted on disk, and as the seeds
+// tell.
 func (node *Node) knownControls() []string {
 	found := []string{}
+	for _, member := range node.controls {
+		found = append(found, member.Address)
+	}
 	for _, seed := range *node.seeds.Load() {
 		ctx, cancel := context.WithTimeout(node.context, gossipInterval)
 		reply, err := node.caller.Call(ctx, seed, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
 		cancel()
-		if err == nil && reply.Status != nil {
-			for _, member := range reply.Status.Controls {
-				found = append(found, member.Address)
-			}
+		if err != nil || reply.Status == nil {
+			continue
+		}
+		if reply.Status.Role == feed.RoleControl {
+			found = append(found, reply.Status.Address)
+		}
+		for _, member := range reply.Status.Controls {
+			found = append(found, member.Address)
 		}
 	}
 	return found
