--- /dev/null
+++ b/proof/simulator/operate_test.go
@@ -0,0 +1,66 @@
+package simulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"testing"
+
+	"yardrock.example/system/querylanguage"
+)
+
+// show runs one line of the query language and gives its columns and rows.
+func (cluster *Cluster) show(t *testing.T, text string) ([]string, [][]string) {
+	t.Helper()
+	answer, err := cluster.Administer(http.MethodPost, "/v1/query", map[string]any{"text": text})
+	if err != nil || answer.Status != http.StatusOK {
+		t.Fatalf("%s: %v %s", text, err, answer)
+	}
+	var told struct {
+		Columns []string
+		Rows    [][]string
+	}
+	if err := json.Unmarshal(answer.Body, &told); err != nil {
+		t.Fatal(err)
+	}
+	return told.Columns, told.Rows
+}
+
+// TestEveryTableTellsWhatIsInForce shows each table of the query language on a fleet
+// that works.
+func TestEveryTableTellsWhatIsInForce(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		cluster.dialogues(t, 3)
+		hung := cluster.asked(cluster.Fronts[0], "/v1/queries", receipt("shown", "pay !slow"))
+		for _, table := range querylanguage.Tables {
+			columns, rows := cluster.show(t, "show "+table)
+			if len(columns) == 0 || (len(rows) == 0 && table != "domains") {
+				t.Errorf("%s shows %v %v", table, columns, rows)
+			}
+			for _, row := range rows {
+				if len(row) != len(columns) {
+					t.Errorf("%s: row %v has not the columns %v", table, row, columns)
+				}
+			}
+		}
+		_, rows := cluster.show(t, "show demand where out > 0")
+		if len(rows) != 1 || rows[0][1] != cluster.Runners[slices.IndexFunc(cluster.Runners, func(machine *RunnerMachine) bool { return machine.Runner.Record().MostOut > 0 && machine.Host[5] == '4' })].Host+":8000" {
+			t.Errorf("demand shows %v", rows)
+		}
+		before, err := cluster.tally(cluster.Fronts[0], "dialogue")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, rows = cluster.show(t, "show tallies where program = dialogue")
+		if len(rows) != 1 || rows[0][3] == "0" || rows[0][3] == "unknown" || before.Spent == 0 {
+			t.Errorf("tallies show %v, the front says %+v", rows, before)
+		}
+		_, rows = cluster.show(t, "show groups where leader = unknown")
+		if len(rows) != 0 {
+			t.Errorf("groups without a leader: %v", rows)
+		}
+		if answer := <-hung; answer == nil || answer.Status != http.StatusOK {
+			t.Fatalf("%s", answer)
+		}
+	})
+}
--- a/system/cmd/yardrock-shell/main.go
+++ b/system/cmd/yardrock-shell/main.go
@@ -170,7 +170,7 @@
 	deadline := time.Now().Add(patience)
 	for {
 		told, err := shell.ask("show groups")
-		ready := err == nil && len(told.Rows) > 0 && !slices.ContainsFunc(told.Rows, func(row []string) bool { return row[1] != "true" || row[3] != "" })
+		ready := err == nil && len(told.Rows) > 0 && !slices.ContainsFunc(told.Rows, func(row []string) bool { return row[1] == "" || row[3] != "" })
 		if ready {
 			return 0
 		}
--- a/system/controlplane/query.go
+++ b/system/controlplane/query.go
@@ -12,8 +12,12 @@
 	"yardrock.example/system/api/gen/administration"
 	"yardrock.example/system/charter"
 	"yardrock.example/system/feed"
+	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/querylanguage"
+	"yardrock.example/system/storeorigin"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
 )
 
 // tableSource gives a table's columns and rows.
@@ -104,10 +108,49 @@
 		leaders := service.node.groupLeaders(ctx, view)
 		rows := [][]string{}
 		for group := range view.Groups {
-			status, led := leaders[group]
-			rows = append(rows, []string{strconv.Itoa(int(group)), strconv.FormatBool(led), strings.Join(status.Voters, " "), strings.Join(status.Learners, " ")})
+			status := leaders[group]
+			rows = append(rows, []string{strconv.Itoa(int(group)), status.leader, strings.Join(status.Voters, " "), strings.Join(status.Learners, " ")})
 		}
-		return []string{"group", "led", "voters", "learners"}, rows
+		return []string{"group", "leader", "voters", "learners"}, rows
+	},
+	"tallies": func(service Administration, ctx context.Context, view *feed.View, made *charter.Charter) ([]string, [][]string) {
+		stores := storeorigin.New(service.node.caller, func() *feed.View { return view })
+		rows := [][]string{}
+		for _, name := range slices.Sorted(maps.Keys(made.Programs)) {
+			program := made.Programs[name]
+			limited, cancel := context.WithTimeout(ctx, callPatience)
+			reply, err := stores.Read(limited, wire.ReadQuery{Line: line.TallyName(program.Team, name, program.Period), Tally: true})
+			cancel()
+			spent, reserved := "unknown", "unknown"
+			if err == nil {
+				spent, reserved = strconv.FormatUint(reply.Spent, 10), strconv.FormatUint(reply.Reserved, 10)
+			}
+			rows = append(rows, []string{name, program.Team, program.Period, spent, reserved, strconv.FormatUint(program.Allowance, 10)})
+		}
+		return []string{"program", "team", "period", "spent", "reserved", "allowance"}, rows
+	},
+	"demand": func(service Administration, ctx context.Context, _ *feed.View, _ *charter.Charter) ([]string, [][]string) {
+		rows := [][]string{}
+		for _, member := range service.node.Live() {
+			if member.Role != feed.RoleFront {
+				continue
+			}
+			limited, cancel := context.WithTimeout(ctx, callPatience)
+			reply, err := service.node.caller.Call(limited, member.Address, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+			cancel()
+			if err != nil || reply.Status == nil {
+				rows = append(rows, []string{member.Name, "unknown", "", "", ""})
+				continue
+			}
+			waiting := strconv.FormatUint(uint64(reply.Status.Waiting), 10)
+			for _, runner := range reply.Status.Demand {
+				rows = append(rows, []string{member.Name, runner.Address, strconv.FormatUint(uint64(runner.Out), 10), strconv.FormatBool(runner.Cooled), waiting})
+			}
+			if len(reply.Status.Demand) == 0 {
+				rows = append(rows, []string{member.Name, "", "0", "", waiting})
+			}
+		}
+		return []string{"front", "runner", "out", "cooled", "waiting"}, rows
 	},
 	"charter": func(_ Administration, _ context.Context, view *feed.View, _ *charter.Charter) ([]string, [][]string) {
 		return []string{"number", "newest", "fleet"}, [][]string{{strconv.FormatUint(view.CharterNumber, 10), strconv.FormatUint(view.Number, 10), view.Fleet}}
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -216,11 +216,17 @@
 	return count
 }
 
+// ledGroup is what a group's leader says of it.
+type ledGroup struct {
+	wire.GroupStatus
+	leader string
+}
+
 // groupLeaders asks all stores and keeps what each group's leader says.
-func (node *Node) groupLeaders(ctx context.Context, view *feed.View) map[uint32]wire.GroupStatus {
+func (node *Node) groupLeaders(ctx context.Context, view *feed.View) map[uint32]ledGroup {
 	var mutex sync.Mutex
 	var asked sync.WaitGroup
-	leaders := map[uint32]wire.GroupStatus{}
+	leaders := map[uint32]ledGroup{}
 	for _, store := range view.Stores {
 		asked.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, callPatience)
@@ -233,7 +239,7 @@
 			defer mutex.Unlock()
 			for _, status := range reply.Status.Groups {
 				if status.Leading {
-					leaders[status.Group] = status
+					leaders[status.Group] = ledGroup{status, store.Name}
 				}
 			}
 		})
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -184,7 +184,9 @@
 		return &wire.Reply{}
 	case schema.Query_Which_status:
 		view := node.follow.View()
+		out, waiting := node.board.Demand()
 		return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
+			Demand: out, Waiting: waiting,
 			Name: node.name, Role: feed.RoleFront, Address: node.settings.Address, Domain: node.settings.Domain,
 			Fleet: view.Fleet, Number: view.Number, Controls: view.Controls,
 		}}
--- a/system/front/query.go
+++ b/system/front/query.go
@@ -343,7 +343,7 @@
 }
 
 func (query *query) tallyName() string {
-	return "tally:" + query.team + "/" + query.program + "/" + query.terms.Period
+	return line.TallyName(query.team, query.program, query.terms.Period)
 }
 
 // reserveWords reserves the new words and the longest answer before anything is
--- a/system/line/types.go
+++ b/system/line/types.go
@@ -175,6 +175,13 @@
 	return lineName, dispatch
 }
 
+// TallyName names the tally of a team's program for a period.
+//
+//	name := line.TallyName("depot", "dialogue", "first")
+func TallyName(team, program, period string) string {
+	return "tally:" + team + "/" + program + "/" + period
+}
+
 // Tally is a program's spending. What is reserved counts as spent. Settled holds,
 // for a while, what was settled, so that a late Reserve can't reserve it again.
 type Tally struct {
--- a/system/scheduling/board.go
+++ b/system/scheduling/board.go
@@ -14,6 +14,7 @@
 	"yardrock.example/system/feed"
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/placement"
+	"yardrock.example/system/wire"
 )
 
 const (
@@ -513,20 +514,17 @@
 	}
 }
 
-// Demand tells how many queries are out to each runner, and how many wait.
+// Demand tells what is out to each runner, and how many queries wait.
 //
 //	out, waiting := board.Demand()
-func (board *Board) Demand() (map[string]int, int) {
+func (board *Board) Demand() ([]wire.RunnerDemand, uint32) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	out, waiting := map[string]int{}, 0
-	for address, use := range board.uses {
-		if use.out > 0 {
-			out[address] = use.out
+	out := []wire.RunnerDemand{}
+	for _, address := range slices.Sorted(maps.Keys(board.uses)) {
+		if use := board.uses[address]; use.out > 0 || !use.cooled.IsZero() {
+			out = append(out, wire.RunnerDemand{Address: address, Out: uint32(use.out), Cooled: !use.cooled.IsZero()})
 		}
 	}
-	for _, queue := range board.waiting {
-		waiting += len(queue)
-	}
-	return out, waiting
+	return out, uint32(len(board.waiting[0]) + len(board.waiting[1]) + len(board.waiting[2]))
 }
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -125,6 +125,14 @@
   controls @8 :List(Member);
   founding @9 :List(Text);
   groups @10 :List(GroupStatus);
+  demand @11 :List(RunnerDemand);
+  waiting @12 :UInt32;
+}
+
+struct RunnerDemand {
+  address @0 :Text;
+  out @1 :UInt32;
+  cooled @2 :Bool;
 }
 
 struct GroupStatus {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -90,6 +90,16 @@
 	Controls []feed.Member
 	Founding []string
 	Groups   []GroupStatus
+	Demand   []RunnerDemand
+	Waiting  uint32
+}
+
+// RunnerDemand is what a front has out to a runner, and whether it takes the runner
+// for just started.
+type RunnerDemand struct {
+	Address string
+	Out     uint32
+	Cooled  bool
 }
 
 // GroupStatus is a replica's word on one group; only a leader's counts.
