--- a/system/controlplane/machine.go
+++ b/system/controlplane/machine.go
@@ -117,9 +117,11 @@
 }
 
 // Image is the checkpoint of the control group.
-func (machine *feedMachine) Image() []byte {
+func (machine *feedMachine) Image() func() []byte {
 	state := machine.state()
-	return wire.MustEncode(schema.ControlImage_TypeID, &wire.ControlImage{Version: controlImageFormat, View: *state.view, Changes: state.changes})
+	return func() []byte {
+		return wire.MustEncode(schema.ControlImage_TypeID, &wire.ControlImage{Version: controlImageFormat, View: *state.view, Changes: state.changes})
+	}
 }
 
 // Restore replaces the content by a checkpoint's.
--- a/system/replica/host.go
+++ b/system/replica/host.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
+	"runtime"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,11 +29,12 @@
 	recordPinned
 )
 
-// Machine is the state machine of one group. Apply and Restore are called from
-// the host's loop only.
+// Machine is the state machine of one group. Apply, Restore and Image are called
+// from the host's loop only. What Image gives encodes the content as it is now, and
+// may be called at leisure elsewhere.
 type Machine interface {
 	Apply(entry agreement.Entry) any
-	Image() []byte
+	Image() func() []byte
 	Restore(data []byte) error
 }
 
@@ -70,6 +74,11 @@
 	machine   Machine
 	proposals map[uint64]proposal
 	reads     map[uint64]chan error
+	// logged counts the bytes applied since the last checkpoint, pointed the bytes of
+	// that checkpoint; imaging tells that the next is being made.
+	logged  int
+	pointed int
+	imaging bool
 }
 
 type diskJob struct {
@@ -139,10 +148,8 @@
 			return nil, mishap.New(mishap.FormatTooNew, fmt.Sprintf("a stored record is of kind %d", record.Kind), "run the newer version of the program that wrote it")
 		}
 	}
-	for number, content := range stored {
-		if err := host.startGroup(number, content); err != nil {
-			return nil, err
-		}
+	if err := host.startGroups(stored); err != nil {
+		return nil, err
 	}
 	host.publish()
 	go host.runDisk()
@@ -150,20 +157,49 @@
 	return host, nil
 }
 
+// startGroups restores all groups, several at a time: after an outage this is most
+// of what a start takes.
+func (host *Host) startGroups(stored map[uint32]agreement.Stored) error {
+	var mutex sync.Mutex
+	var restoring sync.WaitGroup
+	var failed error
+	places := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for number, content := range stored {
+		restoring.Go(func() {
+			places <- struct{}{}
+			made, err := host.makeGroup(number, content)
+			<-places
+			mutex.Lock()
+			defer mutex.Unlock()
+			host.groups[number] = made
+			failed = errors.Join(failed, err)
+		})
+	}
+	restoring.Wait()
+	return failed
+}
+
 func (host *Host) startGroup(number uint32, stored agreement.Stored) error {
+	made, err := host.makeGroup(number, stored)
+	if err == nil {
+		host.groups[number] = made
+	}
+	return err
+}
+
+func (host *Host) makeGroup(number uint32, stored agreement.Stored) (*group, error) {
 	machine := host.machines(number)
 	if len(stored.Checkpoint.Data) > 0 {
 		if err := machine.Restore(stored.Checkpoint.Data); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	host.groups[number] = &group{
+	return &group{
 		core: agreement.New(agreement.Settings{
 			Group: number, Name: host.name, ElectionTicks: host.settings.ElectionTicks, HeartbeatTicks: host.settings.HeartbeatTicks, Seed: host.settings.Seed,
 		}, stored),
-		machine: machine, proposals: map[uint64]proposal{}, reads: map[uint64]chan error{},
-	}
-	return nil
+		machine: machine, proposals: map[uint64]proposal{}, reads: map[uint64]chan error{}, pointed: len(stored.Checkpoint.Data),
+	}, nil
 }
 
 // Name is the disk's identity.
@@ -338,6 +374,7 @@
 	member := host.groups[number]
 	output := member.core.Step(input)
 	if output.Restore != nil {
+		member.pointed, member.logged = len(output.Restore.Data), 0
 		if err := member.machine.Restore(output.Restore.Data); err != nil {
 			log.WithFields(log.Fields{"node": host.name, "group": number, "error": err.Error()}).Error("restore_failed")
 		}
@@ -376,15 +413,39 @@
 			waiting <- nil
 		}
 	}
-	if input.Kind != agreement.InputCompact && member.core.SinceCheckpoint() >= host.settings.CheckpointEvery {
-		host.step(number, agreement.Input{Kind: agreement.InputCompact, Index: member.core.Applied(), Data: member.machine.Image()})
-	}
+	host.checkpoint(number, member)
 	return output
 }
 
+// checkpointShare: a checkpoint is made once the log since the last is a fourth of its
+// size, so that what is written for checkpoints stays in proportion to what happens.
+const checkpointShare = 4
+
+// checkpoint lets a group's content be encoded, off the loop, once enough has happened.
+func (host *Host) checkpoint(number uint32, member *group) {
+	if member.imaging || member.core.SinceCheckpoint() < host.settings.CheckpointEvery || member.logged < member.pointed/checkpointShare {
+		return
+	}
+	member.imaging = true
+	index, encode := member.core.Applied(), member.machine.Image()
+	logged := member.logged
+	go func() {
+		data := encode()
+		host.do(func() {
+			member.imaging = false
+			if host.groups[number] != member {
+				return
+			}
+			member.pointed, member.logged = len(data), member.logged-logged
+			host.step(number, agreement.Input{Kind: agreement.InputCompact, Index: index, Data: data})
+		})
+	}()
+}
+
 func (host *Host) commit(member *group, entry agreement.Entry) {
 	var outcome any
 	if entry.Kind == agreement.EntryCommand {
+		member.logged += len(entry.Data)
 		outcome = member.machine.Apply(entry)
 	}
 	waiting, found := member.proposals[entry.Index]
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -88,10 +88,13 @@
 	return outcome
 }
 
-// Image gives the checkpoint.
-func (machine *lineMachine) Image() []byte {
-	image := machine.View().Image()
-	return wire.MustEncode(schema.LineImage_TypeID, &image)
+// Image gives the checkpoint of what the view holds now.
+func (machine *lineMachine) Image() func() []byte {
+	view := machine.View()
+	return func() []byte {
+		image := view.Image()
+		return wire.MustEncode(schema.LineImage_TypeID, &image)
+	}
 }
 
 // Restore takes a checkpoint.
