--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -129,7 +129,11 @@
 }
 
 func (cluster *Cluster) pace(index int) replica.Settings {
-	return replica.Usual(cluster.Seed*1000 + uint64(index))
+	pace := replica.Usual(cluster.Seed*1000 + uint64(index))
+	if cluster.Seed%2 == 1 {
+		pace.CheckpointEvery = 48 // so that checkpoints are made and sent within a test
+	}
+	return pace
 }
 
 // AddControl makes a control machine, not yet started nor counted.
