--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -69,6 +69,7 @@
 	arguments []string
 	log       string
 	command   *exec.Cmd
+	started   time.Time
 	waited    chan struct{}
 }
 
@@ -487,7 +488,7 @@
 	if err := process.command.Start(); err != nil {
 		return err
 	}
-	process.waited = make(chan struct{})
+	process.started, process.waited = time.Now(), make(chan struct{})
 	command, waited := process.command, process.waited
 	go func() {
 		command.Wait()
--- a/proof/fleet/operators.go
+++ b/proof/fleet/operators.go
@@ -286,12 +286,13 @@
 	return err
 }
 
-// hangUp signals all daemons but those that have only just started, which read the
-// settings anyway, that these have changed.
-func (running *Fleet) hangUp(started ...*Process) {
+// hangUp signals all daemons that their settings have changed, but those that have
+// only just started: they read them anyway, and a signal before a program's first
+// line ends it.
+func (running *Fleet) hangUp() {
 	for _, role := range []string{"control", "store", "front"} {
 		for _, process := range running.Of(role) {
-			if !slices.Contains(started, process) {
+			if time.Since(process.started) > time.Second {
 				process.signal(syscall.SIGHUP)
 			}
 		}
@@ -336,7 +337,7 @@
 		if err := running.setSeeds(seeds); err != nil {
 			return err
 		}
-		running.hangUp(fresh)
+		running.hangUp()
 	}
 	return running.awaitHealed(ctx, fresh)
 }
