--- a/proof/simulator/operate_test.go
+++ b/proof/simulator/operate_test.go
@@ -44,7 +44,9 @@
 			}
 		}
 		_, rows := cluster.show(t, "show demand where out > 0")
-		if len(rows) != 1 || rows[0][1] != cluster.Runners[slices.IndexFunc(cluster.Runners, func(machine *RunnerMachine) bool { return machine.Runner.Record().MostOut > 0 && machine.Host[5] == '4' })].Host+":8000" {
+		if len(rows) != 1 || rows[0][1] != cluster.Runners[slices.IndexFunc(cluster.Runners, func(machine *RunnerMachine) bool {
+			return machine.Runner.Record().MostOut > 0 && machine.Host[5] == '4'
+		})].Host+":8000" {
 			t.Errorf("demand shows %v", rows)
 		}
 		before, err := cluster.tally(cluster.Fronts[0], "dialogue")
