--- a/system/coldstore/coldstore.go
+++ b/system/coldstore/coldstore.go
@@ -44,9 +44,12 @@
 // Store is an open cold store.
 type Store struct {
 	folder files.Folder
-	mutex  sync.RWMutex
-	lines  map[string][]place
-	living map[uint64]int // how many chunks of each file still count
+	// writing lets one Put write at a time, and guards next; mutex guards what is known,
+	// and is never held while the disk works, so that reads go on while a sync is slow.
+	writing sync.Mutex
+	mutex   sync.RWMutex
+	lines   map[string][]place
+	living  map[uint64]int // how many chunks of each file still count
 	// sums are digests of how far each line is here without a hole, by group; byGroup
 	// names the lines of a group.
 	sums    map[uint32]*line.Sums
@@ -166,6 +169,8 @@
 }
 
 func (store *Store) covered(chunk wire.ColdChunk) bool {
+	store.mutex.RLock()
+	defer store.mutex.RUnlock()
 	return slices.ContainsFunc(store.lines[chunk.Line], func(at place) bool { return at.first <= chunk.First && at.last >= chunk.Last })
 }
 
@@ -174,8 +179,8 @@
 //
 //	err := cold.Put([]wire.ColdChunk{{Line: "team/c-1", First: 1, Last: 9, Events: events}})
 func (store *Store) Put(chunks []wire.ColdChunk) error {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
+	store.writing.Lock()
+	defer store.writing.Unlock()
 	var bodies []byte
 	index := wire.ColdIndex{}
 	for _, chunk := range chunks {
@@ -211,6 +216,8 @@
 	if err := store.folder.Sync(fileName(number)); err != nil {
 		return mishap.New(mishap.DiskUnavailable, "the cold store could not sync: "+err.Error(), "free space on the disk or replace it")
 	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
 	for _, at := range index.Places {
 		store.add(number, at)
 	}
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +39,7 @@
 	members    atomic.Pointer[[]feed.Member]
 	freshUntil atomic.Int64 // since began, on the monotonic clock
 	controlled atomic.Int64 // when a control quorum answered last, since began
-	adopting   sync.Mutex
+	adopting   chan struct{} // holds one token while no view is being taken
 	control    string
 	known      []string
 	turns      int
@@ -55,7 +54,7 @@
 //
 //	following := follower.Start(caller, member, seeds, held, func(view *feed.View) { ... })
 func Start(caller *link.Caller, member feed.Member, seeds []string, held *feed.View, onView func(*feed.View)) *Follower {
-	follower := &Follower{caller: caller, member: member, onView: onView, began: time.Now(), foreign: make(chan error, 1), done: make(chan struct{})}
+	follower := &Follower{caller: caller, member: member, onView: onView, began: time.Now(), foreign: make(chan error, 1), adopting: make(chan struct{}, 1), done: make(chan struct{})}
 	if held == nil {
 		held = &feed.View{}
 	}
@@ -63,6 +62,7 @@
 	follower.members.Store(&[]feed.Member{})
 	follower.SetSeeds(seeds)
 	follower.context, follower.stop = context.WithCancel(context.Background())
+	follower.adopting <- struct{}{}
 	go follower.run()
 	return follower
 }
@@ -109,8 +109,12 @@
 //
 //	following.Adopt(view)
 func (follower *Follower) Adopt(view *feed.View) {
-	follower.adopting.Lock()
-	defer follower.adopting.Unlock()
+	select {
+	case <-follower.adopting:
+		defer func() { follower.adopting <- struct{}{} }()
+	case <-follower.context.Done():
+		return
+	}
 	held := follower.view.Load()
 	if view.Number <= held.Number || (held.Bound() != "" && held.Bound() != view.Fleet) {
 		return
