--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -37,8 +37,8 @@
 	seeds      atomic.Pointer[[]string]
 	view       atomic.Pointer[feed.View]
 	members    atomic.Pointer[[]feed.Member]
-	freshUntil atomic.Int64 // since began, on the monotonic clock
-	controlled atomic.Int64 // when a control quorum answered last, since began
+	freshUntil atomic.Int64  // since began, on the monotonic clock
+	controlled atomic.Int64  // when a control quorum answered last, since began
 	adopting   chan struct{} // holds one token while no view is being taken
 	control    string
 	known      []string
