One reader of whole lines, for fronts and for the settling of tallies

The settler had written the front's paging over a line again, without its page size. Both call storeorigin.ReadAll now.

--- a/system/front/query.go
+++ b/system/front/query.go
@@ -18,7 +18,6 @@
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/runnerorigin"
 	"yardrock.example/system/scheduling"
-	"yardrock.example/system/wire"
 )
 
 // query is one caller's query on its way through the filters.
@@ -207,7 +206,9 @@
 		query.said, query.unheard = conversation.Fold(nil), false
 		return nil, nil
 	}
-	events, session, clock, err := node.readAll(ctx, query.line())
+	reading, cancel := context.WithTimeout(ctx, commitPatience)
+	defer cancel()
+	events, last, err := node.stores.ReadAll(reading, query.line())
 	if mishap.Is(err, mishap.NotFound) {
 		query.said = conversation.Fold(nil)
 		if query.follows > 0 {
@@ -219,9 +220,9 @@
 		return nil, asNotRun(err)
 	}
 	query.said, query.existed = conversation.Fold(events), true
-	query.said.Clock = clock
+	query.said.Clock = last.Clock
 	if query.program == "" {
-		query.program = session.Program
+		query.program = last.Session.Program
 	}
 	return nil, nil
 }
@@ -232,24 +233,6 @@
 	return &mishap.Mishap{Kind: mishap.NotRun, Message: failed.Message, Remedy: failed.Remedy, RetryAfter: max(failed.RetryAfter, time.Second)}
 }
 
-const eventsAtOnce = 2048
-
-func (node *Node) readAll(ctx context.Context, name string) ([]line.Event, line.Session, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitPatience)
-	defer cancel()
-	events := []line.Event{}
-	for {
-		reply, err := node.stores.Read(ctx, wire.ReadQuery{Line: name, After: uint64(len(events)), Limit: eventsAtOnce})
-		if err != nil {
-			return nil, line.Session{}, 0, err
-		}
-		events = append(events, reply.Events...)
-		if uint64(len(events)) >= reply.Session.Head || len(reply.Events) == 0 {
-			return events, reply.Session, reply.Clock, nil
-		}
-	}
-}
-
 // programOfLine refuses a line that is not there; its program was read with it.
 func programOfLine(_ *Node, _ context.Context, query *query) (any, error) {
 	if !query.existed {
--- a/system/store/tallies.go
+++ b/system/store/tallies.go
@@ -60,19 +60,12 @@
 // fences whoever runs it.
 func (node *Node) spent(ctx context.Context, reservation line.Reservation, over bool) (uint64, bool) {
 	name, dispatch := reservation.Turn()
-	events := []line.Event{}
-	for {
-		reply, err := node.lines.Read(ctx, wire.ReadQuery{Line: name, After: uint64(len(events))})
-		if mishap.Is(err, mishap.NotFound) {
-			return 0, over
-		}
-		if err != nil {
-			return 0, false
-		}
-		events = append(events, reply.Events...)
-		if uint64(len(events)) >= reply.Session.Head || len(reply.Events) == 0 {
-			break
-		}
+	events, _, err := node.lines.ReadAll(ctx, name)
+	if mishap.Is(err, mishap.NotFound) {
+		return 0, over
+	}
+	if err != nil {
+		return 0, false
 	}
 	view := conversation.Fold(events)
 	for _, event := range events {
--- a/system/storeorigin/storeorigin.go
+++ b/system/storeorigin/storeorigin.go
@@ -157,3 +157,24 @@
 	}
 	return reply.Read, nil
 }
+
+// EventsAtOnce is how many events one page of a line holds at most.
+const EventsAtOnce = 2048
+
+// ReadAll reads a whole line, page by page; the last page's reply comes with its
+// events.
+//
+//	events, last, err := origin.ReadAll(ctx, "team/c-1")
+func (origin *Origin) ReadAll(ctx context.Context, name string) ([]line.Event, *wire.ReadReply, error) {
+	events := []line.Event{}
+	for {
+		reply, err := origin.Read(ctx, wire.ReadQuery{Line: name, After: uint64(len(events)), Limit: EventsAtOnce})
+		if err != nil {
+			return nil, nil, err
+		}
+		events = append(events, reply.Events...)
+		if uint64(len(events)) >= reply.Session.Head || len(reply.Events) == 0 {
+			return events, reply, nil
+		}
+	}
+}
