--- a/system/charter/charter.go
+++ b/system/charter/charter.go
@@ -96,6 +96,8 @@
 	Kinds     map[string]WorkKind           `json:"kinds"`
 	Limits    Limits                        `json:"limits"`
 	Platform  Platform                      `json:"platform"`
+	// Routing is how queries are forwarded unchanged; nil if nothing is.
+	Routing *Routing `json:"routing,omitempty"`
 }
 
 // Compile checks CUE source and gives the charter and its compiled form. What is
--- a/system/feed/feed.go
+++ b/system/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"iter"
 	"slices"
+	"time"
 
 	"yardrock.example/system/placement"
 )
@@ -35,17 +36,25 @@
 	Domain         string
 	State          string
 	Administration string
+	// Machine is what the operator calls the node's machine; it may be empty.
+	Machine string
 }
 
 // Runner is one model or application runner of the platform's list. Since is a wall
 // clock's word, for people; Warmed tells that it has served for its group's ramp.
 type Runner struct {
+	// Life names this start of the runner; every start has a new one. It may be empty.
+	Life    string
 	Address string
 	Group   string
 	Domain  string
 	State   string
 	Since   int64
 	Warmed  bool
+	Slots   uint32
+	// ColdFor is how long the runner stayed cold yet when the list was read.
+	ColdFor  time.Duration
+	Revision string // of its software
 }
 
 // Domain is a zone, and whether it takes work.
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -149,6 +149,7 @@
   domain @3 :Text;
   state @4 :Text;
   administration @5 :Text;
+  machine @6 :Text;
 }
 
 # --- lines ---
@@ -342,6 +343,10 @@
   state @3 :Text;
   since @4 :Int64;
   warmed @5 :Bool;
+  life @6 :Text;
+  slots @7 :UInt32;
+  coldFor @8 :Int64;
+  revision @9 :Text;
 }
 
 struct Domain {
