Count calls and bytes per kind of query, and tell them with a status

The cost of sessions, feed and agreement at a larger size must be told apart. The counters are the process's; a status query that asks for traffic is answered with them by the link itself, whatever the role.

--- a/system/link/link.go
+++ b/system/link/link.go
@@ -222,7 +222,9 @@
 		if err != nil {
 			return err
 		}
-		return wire.PutQuery(target, query)
+		err = wire.PutQuery(target, query)
+		countAsked(query.Which, params.Message())
+		return err
 	})
 	defer release()
 	results, err := future.Struct()
@@ -233,6 +235,7 @@
 	if err != nil {
 		return answered{err: mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")}
 	}
+	countReply(query.Which, source.Message())
 	reply, err := wire.TakeReply(source)
 	if err != nil {
 		return answered{err: mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")}
@@ -296,6 +299,7 @@
 	if err != nil {
 		return err
 	}
+	countAnswered(source.Which(), source.Message())
 	query, err := wire.TakeQuery(source)
 	if err != nil {
 		return err
@@ -310,14 +314,20 @@
 	if err != nil {
 		return err
 	}
-	return wire.PutReply(target, reply)
+	err = wire.PutReply(target, reply)
+	countSent(query.Which, target.Message())
+	return err
 }
 
 func (server *Server) answer(ctx context.Context, query *wire.Query) *wire.Reply {
 	if query.Version > wire.Version {
 		return wire.Failed(mishap.New(mishap.FormatTooNew, "the query is of a newer form", "update this process to the version of its siblings"))
 	}
-	return server.handler(ctx, query)
+	reply := server.handler(ctx, query)
+	if query.Status != nil && query.Status.Traffic && reply.Status != nil {
+		reply.Status.Traffic = Traffic()
+	}
+	return reply
 }
 
 // Close stops answering and ends all connections.
--- /dev/null
+++ b/system/link/traffic_test.go
@@ -0,0 +1,71 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"yardrock.example/system/agreement"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+func trafficOf(kind string) wire.KindTraffic {
+	for _, counted := range Traffic() {
+		if counted.Kind == kind {
+			return counted
+		}
+	}
+	return wire.KindTraffic{Kind: kind}
+}
+
+// TestTrafficIsCountedByKindOnBothSides has both sides in one process, so each query
+// is counted once as asked and once as answered, its bytes once out and once in.
+func TestTrafficIsCountedByKindOnBothSides(t *testing.T) {
+	listener, err := TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := Serve(listener, func(_ context.Context, query *wire.Query) *wire.Reply {
+		if query.Status != nil {
+			return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{Name: "one"}}
+		}
+		return &wire.Reply{}
+	})
+	defer server.Close()
+	caller := NewCaller(TCP{})
+	defer caller.Close()
+	before := trafficOf("agreement")
+	const queries, size = 5, 4096
+	for range queries {
+		message := agreement.Message{Kind: agreement.MessageAppend, Entries: []agreement.Entry{{Data: bytes.Repeat([]byte{1}, size)}}}
+		if _, err := caller.Call(t.Context(), listener.Addr().String(), &wire.Query{Which: schema.Query_Which_agreement, Agreement: &wire.AgreementBatch{Messages: []agreement.Message{message}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	after := trafficOf("agreement")
+	if asked, answered := after.Asked-before.Asked, after.Answered-before.Answered; asked != queries || answered != queries {
+		t.Fatalf("counted %d asked and %d answered, want %d of each", asked, answered, queries)
+	}
+	for side, grown := range map[string]uint64{"out": after.BytesOut - before.BytesOut, "in": after.BytesIn - before.BytesIn} {
+		if grown < queries*size || grown > queries*(size+2048) {
+			t.Errorf("counted %d bytes %s for %d queries of %d", grown, side, queries, size)
+		}
+	}
+	for asks, want := range map[bool]bool{false: false, true: true} {
+		reply, err := caller.Call(t.Context(), listener.Addr().String(), &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{Traffic: asks}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if told := len(reply.Status.Traffic) > 0; told != want {
+			t.Errorf("traffic asked for: %t, told: %t", asks, told)
+		}
+	}
+}
+
+func TestKindsBeyondTheCountedAreLeftOut(t *testing.T) {
+	countAsked(kinds, nil)
+	countAnswered(kinds+1, nil)
+	countReply(kinds+2, nil)
+	countSent(kinds+3, nil)
+}
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -111,6 +111,15 @@
 
 struct StatusQuery {
   address @0 :Text;
+  traffic @1 :Bool;
+}
+
+struct KindTraffic {
+  kind @0 :Text;
+  asked @1 :UInt64;
+  answered @2 :UInt64;
+  bytesOut @3 :UInt64;
+  bytesIn @4 :UInt64;
 }
 
 struct StatusReply {
@@ -127,6 +136,7 @@
   groups @10 :List(GroupStatus);
   demand @11 :List(RunnerDemand);
   waiting @12 :UInt32;
+  traffic @13 :List(KindTraffic);
 }
 
 struct RunnerDemand {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -74,8 +74,21 @@
 	Checkpoint agreement.Checkpoint
 }
 
-// StatusQuery asks a process who it is.
-type StatusQuery struct{ Address string }
+// StatusQuery asks a process who it is, and, if Traffic is set, what it said so far.
+type StatusQuery struct {
+	Address string
+	Traffic bool
+}
+
+// KindTraffic counts the queries of one kind that a process asked and answered since
+// it started, and the bytes of their messages, queries and replies, both ways.
+type KindTraffic struct {
+	Kind     string
+	Asked    uint64
+	Answered uint64
+	BytesOut uint64
+	BytesIn  uint64
+}
 
 // StatusReply tells who a process is.
 type StatusReply struct {
@@ -92,6 +105,7 @@
 	Groups   []GroupStatus
 	Demand   []RunnerDemand
 	Waiting  uint32
+	Traffic  []KindTraffic
 }
 
 // RunnerDemand is what a front has out to a runner, and whether it takes the runner
