Balancer: which runner gets a query, by kept parts, load, coldness and outcomes

Runners were chosen by free slots alone; model runners read a prompt again that another had kept, and a cold runner's rate had no bound over all fronts. The balancer estimates the time at each usable runner, agrees with other fronts by rendezvous hashing, and shares a cold runner's rate out, checked by properties on a simulated clock.

--- /dev/null
+++ b/system/balancer/choosing.go
@@ -0,0 +1,232 @@
+package balancer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"yardrock.example/system/charter"
+)
+
+const (
+	// distanceModel and distancePlain are what the way to another domain costs, in
+	// milliseconds; prompts are long, and bytes between domains cost too.
+	distanceModel = 6
+	distancePlain = 2
+	// runningPart is how much slower a model runner gets with each query that it runs.
+	runningPart = 0.03
+	// fullPart is how much slower a plain runner is when its slots are all taken.
+	fullPart = 0.4
+	// agreedLeast and agreedPart are what it is worth, in milliseconds and as a part of
+	// the time to read the prompt, to go where the other fronts send a program's turns.
+	agreedLeast = 6
+	agreedPart  = 0.25
+	// stickyPart is what a runner that has seen the subject saves.
+	stickyPart = 0.25
+	// unreadPart is how much of others' reading is waited for.
+	unreadPart = 0.7
+	// queueFactor is how many times its slots a runner is thought to take at most.
+	queueFactor = 4
+	// Above this part of what a cold runner would bear, more queries cost: it may have
+	// become cold without having been noticed.
+	spreadFrom = 0.6
+	spreadCost = 40 // milliseconds at the bound
+	// toldHalf is how fast a told load loses its weight.
+	toldHalf = 300 * time.Millisecond
+	// What the rules bear of a cold runner, over all fronts.
+	coldExcess = 1.5
+	coldSlack  = 5
+)
+
+// pick turns the wheel of a route over the services that have usable runners: over any
+// span each service's share stays within one of its weight.
+func (balancer *Balancer) pick(asked *charter.Route) (*group, bool) {
+	current := balancer.table.Load()
+	route := current.routes[asked.Name]
+	if route == nil {
+		route = asked
+	}
+	total, usable := 0.0, 0
+	var only *group
+	for _, share := range route.Shares {
+		if one := current.groups[share.Service]; one != nil && share.Weight > 0 && len(one.candidates) > 0 {
+			total += share.Weight
+			usable++
+			only = one
+		}
+	}
+	if usable <= 1 {
+		delete(balancer.wheels, route.Name)
+		return only, usable == 1
+	}
+	wheel, known := balancer.wheels[route.Name]
+	if !known {
+		wheel = map[string]float64{}
+		balancer.wheels[route.Name] = wheel
+	}
+	var best *group
+	for _, share := range route.Shares {
+		one := current.groups[share.Service]
+		if one == nil || share.Weight <= 0 || len(one.candidates) == 0 {
+			delete(wheel, share.Service)
+			continue
+		}
+		wheel[share.Service] += share.Weight / total
+		if best == nil || wheel[share.Service] > wheel[best.service.Name] {
+			best = one
+		}
+	}
+	for name := range wheel {
+		if !slices.ContainsFunc(route.Shares, func(share charter.Share) bool { return share.Service == name }) {
+			delete(wheel, name)
+		}
+	}
+	wheel[best.service.Name]--
+	return best, true
+}
+
+// unpick gives a turn of the wheel back that was not used.
+func (balancer *Balancer) unpick(asked *charter.Route, service string) {
+	if wheel, known := balancer.wheels[asked.Name]; known {
+		wheel[service]++
+	}
+}
+
+// choose takes the runner with the least expected time. Without one that may be taken
+// now it tells in how long there may be one.
+func (balancer *Balancer) choose(from *group, need *Need, now time.Duration) (*Lease, time.Duration) {
+	balancer.markKept(from, need, now)
+	weigh := balancer.weighing(from, need, now)
+	var best, last *candidate
+	bestCost, lastCost, opens := math.Inf(1), math.Inf(1), time.Duration(math.MaxInt64)
+	for at := range from.candidates {
+		one := &from.candidates[at]
+		if one.state.misdirected || slices.Contains(need.Avoid, one.runner.Life) || slices.Contains(need.Avoid, one.runner.Address) {
+			continue
+		}
+		cold, ill := one.state.cold.opens(now), one.state.health.opens(now)
+		cost := weigh.cost(one)
+		if weigh.load(one) >= queueFactor*float64(one.slots) || one.state.out >= one.connections {
+			room := time.Duration(weigh.duration / float64(one.slots) * float64(time.Millisecond))
+			opens = min(opens, max(cold, ill, room))
+			continue
+		}
+		switch {
+		case cold > 0:
+			opens = min(opens, max(cold, ill))
+		case ill > 0:
+			opens = min(opens, ill)
+			if one.state.health.full <= now && cost+milliseconds(ill) < lastCost {
+				last, lastCost = one, cost+milliseconds(ill)
+			}
+		case cost < bestCost:
+			best, bestCost = one, cost
+		}
+	}
+	if best == nil && last != nil {
+		// All are avoided: one that may be well again is better than none.
+		best = last
+	}
+	if best == nil {
+		return nil, opens
+	}
+	return balancer.grant(from, best, need, now), 0
+}
+
+// weighing holds what the cost of all candidates for one query rests on.
+type weighing struct {
+	balancer *Balancer
+	from     *group
+	now      time.Duration
+	engine   bool
+	tokens   float64
+	rate     float64 // tokens read in a millisecond
+	duration float64 // milliseconds
+	others   float64 // what the other fronts have out at a runner, if they are like this one
+	arrivals float64 // what they sent to it in the last second
+	bound    float64
+	agreed   *runnerState
+	bonus    float64
+}
+
+func (balancer *Balancer) weighing(from *group, need *Need, now time.Duration) weighing {
+	runners, fronts := float64(len(from.candidates)), float64(balancer.table.Load().fronts)
+	weigh := weighing{balancer: balancer, from: from, now: now, engine: from.service.Engine != nil, bound: math.Inf(1)}
+	weigh.others = (fronts - 1) * float64(from.state.out) / runners
+	if from.service.ColdRate > 0 {
+		weigh.bound = coldExcess*from.service.ColdRate + coldSlack
+		weigh.arrivals = (fronts - 1) * from.state.arrivals.now(now) / runners
+	}
+	line := lineOf(need)
+	if weigh.engine {
+		weigh.tokens, weigh.rate, weigh.duration = tokensOf(need), from.state.reading.rate(), from.state.duration.or(200)
+		weigh.bonus = agreedLeast + agreedPart*weigh.tokens/weigh.rate
+	} else {
+		weigh.duration = from.state.usual(need.Route.Name)
+		weigh.bonus = stickyPart * weigh.duration
+		if line = 0; need.Route.Sticky && need.Subject != "" {
+			line = hashOf(need.Subject)
+		}
+	}
+	if line != 0 {
+		weigh.agreed = from.agreed(line)
+	}
+	return weigh
+}
+
+// agreed is the runner that all fronts of a domain choose for a line of turns, by
+// rendezvous hashing.
+func (from *group) agreed(line uint64) *runnerState {
+	var best *runnerState
+	highest := uint64(0)
+	for at := range from.candidates {
+		one := &from.candidates[at]
+		if from.nearby && !one.near {
+			continue
+		}
+		if weight := mixed(line ^ one.state.hash); best == nil || weight > highest {
+			best, highest = one.state, weight
+		}
+	}
+	return best
+}
+
+// load is how many queries a runner is thought to have, running and waiting.
+func (weigh *weighing) load(one *candidate) float64 {
+	state, others := one.state, weigh.others
+	if state.toldEver {
+		told := math.Max(0, float64(state.told.Running+state.told.Waiting-state.toldOut))
+		others += (told - others) * fading(weigh.now-state.toldAt, toldHalf)
+	}
+	return float64(state.out) + others
+}
+
+// cost is how many milliseconds a query is expected to take at a runner, beside what
+// it takes at all of them.
+func (weigh *weighing) cost(one *candidate) float64 {
+	state, now := one.state, weigh.now
+	load := weigh.load(one)
+	cost := failureCost * state.health.chance(now)
+	cost += weigh.duration * math.Max(0, load-float64(one.slots)+1) / float64(one.slots)
+	if weigh.engine {
+		cost += (weigh.tokens-float64(weigh.balancer.keptBy(state)))/weigh.rate + unreadPart*state.unread/weigh.rate
+		cost += weigh.duration*runningPart*load + math.Max(0, state.slowness.now(now))
+		if !one.near {
+			cost += distanceModel
+		}
+	} else {
+		full := math.Min(1, load/float64(one.slots))
+		cost += weigh.duration * (1 + state.slowness.now(now) + fullPart*full)
+		cost += weigh.balancer.random.Float64() * 0.05 * weigh.duration
+		if !one.near {
+			cost += distancePlain
+		}
+	}
+	if over := (state.arrivals.now(now)+weigh.arrivals)/weigh.bound - spreadFrom; over > 0 {
+		cost += spreadCost * over / (1 - spreadFrom)
+	}
+	if state == weigh.agreed {
+		cost -= weigh.bonus
+	}
+	return cost
+}
--- /dev/null
+++ b/system/balancer/cold.go
@@ -0,0 +1,179 @@
+package balancer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"yardrock.example/system/charter"
+	"yardrock.example/system/feed"
+)
+
+const (
+	// frontsSettle is how long a front waits before it takes over the share of one
+	// that has left: the others must have heard of the change too.
+	frontsSettle = 2 * time.Second
+	// coldPart is the part of a cold runner's rate that the fronts share out.
+	coldPart = 0.9
+	// coldFronts is how many fronts may send to one cold runner, as a part of its rate:
+	// each may send one query at any time, so that their number adds to the rate.
+	coldFronts = 0.4
+	coldBurst  = 1
+)
+
+// frontSet is which fronts share the runners, and which did a moment ago.
+type frontSet struct {
+	now, before frontList
+	changed     time.Duration
+	updated     time.Duration // when the last state came
+	known       bool
+}
+
+type frontList struct {
+	count int
+	front string
+	names []string
+}
+
+func (set *frontSet) note(state State, now time.Duration) {
+	list := frontList{count: max(1, state.Fronts, len(state.Names)), front: state.Front, names: state.Names}
+	if set.known && set.now.count == list.count && set.now.front == list.front && slices.Equal(set.now.names, list.names) {
+		return
+	}
+	set.before, set.now, set.changed = set.now, list, now
+	set.known = true
+}
+
+// shareOf cuts a cold runner's rate over the live fronts so that all of them together
+// keep to it at every time; of many fronts only some may send to one runner, by
+// rendezvous. What a change of the fronts takes away counts at once, what it gives
+// only after a while.
+func (set *frontSet) shareOf(runner uint64, rate float64, seed uint64, now time.Duration) coldShare {
+	share := set.now.shareOf(runner, rate, seed)
+	if now-set.changed >= frontsSettle {
+		return coldShare{rate: share}
+	}
+	return coldShare{rate: math.Min(share, set.before.shareOf(runner, rate, seed)), next: share, from: set.changed + frontsSettle}
+}
+
+func (list frontList) shareOf(runner uint64, rate float64, seed uint64) float64 {
+	if list.count == 0 || rate <= 0 {
+		return 0
+	}
+	sending := max(1, min(list.count, int(coldFronts*rate)))
+	switch {
+	case sending == list.count:
+	case slices.Contains(list.names, list.front):
+		if list.rank(runner) >= sending {
+			return 0
+		}
+	default:
+		// Without names each front tosses for itself; fewer may send, for there may be more.
+		sending = max(1, sending*2/3)
+		if float64(mixed(runner^mixed(seed)))/math.MaxUint64*float64(list.count) >= float64(sending) {
+			return 0
+		}
+	}
+	return coldPart * rate / float64(sending)
+}
+
+// rank is this front's place among those that share a runner.
+func (list frontList) rank(runner uint64) int {
+	mine, rank := mixed(runner^hashOf(list.front)), 0
+	for _, name := range list.names {
+		if name != list.front && mixed(runner^hashOf(name)) > mine {
+			rank++
+		}
+	}
+	return rank
+}
+
+// coldShare is how many queries a second this front may send to a cold runner.
+type coldShare struct {
+	rate float64
+	next float64 // what it will be
+	from time.Duration
+}
+
+// set takes a lower share at once, and a higher one when the other fronts had time to
+// take theirs back.
+func (share *coldShare) set(rate float64, now time.Duration) {
+	share.settle(now)
+	switch {
+	case rate <= share.rate:
+		share.rate, share.next = rate, rate
+	case rate != share.next:
+		share.next, share.from = rate, now+frontsSettle
+	}
+}
+
+func (share *coldShare) settle(now time.Duration) {
+	if share.next > share.rate && now >= share.from {
+		share.rate = share.next
+	}
+}
+
+// coldness tells until when a runner is cold and counts out what it may get.
+type coldness struct {
+	until  time.Duration
+	share  coldShare
+	tokens float64
+	at     time.Duration
+}
+
+// note takes over what the list says of a runner. A fresh one was started or refilled
+// just now, whatever the list says.
+func (cold *coldness) note(runner feed.Runner, service *charter.Service, fresh bool, now time.Duration) {
+	if service.ColdRate <= 0 {
+		cold.until = 0
+		return
+	}
+	span := runner.ColdFor
+	if runner.State == feed.Cold && span <= 0 || fresh {
+		span = max(span, time.Duration(service.ColdFor))
+	}
+	if span <= 0 {
+		return
+	}
+	if !cold.is(now) {
+		cold.tokens, cold.at = 0, now
+	}
+	cold.until = max(cold.until, now+span)
+}
+
+func (cold *coldness) is(now time.Duration) bool { return now < cold.until }
+
+// opens tells in how long a cold runner may get a query from this front.
+func (cold *coldness) opens(now time.Duration) time.Duration {
+	if !cold.is(now) {
+		return 0
+	}
+	cold.refill(now)
+	if cold.tokens >= coldBurst {
+		return 0
+	}
+	left := cold.until - now
+	if cold.share.rate > 0 {
+		left = min(left, time.Duration((coldBurst-cold.tokens)/cold.share.rate*float64(time.Second))+1)
+	}
+	return left
+}
+
+func (cold *coldness) refill(now time.Duration) {
+	cold.share.settle(now)
+	cold.tokens = math.Min(coldBurst, cold.tokens+cold.share.rate*(now-cold.at).Seconds())
+	cold.at = now
+}
+
+// take counts a query to a cold runner; it tells whether the runner is cold.
+func (cold *coldness) take(now time.Duration) bool {
+	if !cold.is(now) {
+		return false
+	}
+	cold.refill(now)
+	cold.tokens--
+	return true
+}
+
+// giveBack undoes take when nothing was sent.
+func (cold *coldness) giveBack() { cold.tokens = math.Min(coldBurst, cold.tokens+1) }
--- /dev/null
+++ b/system/balancer/cold_test.go
@@ -0,0 +1,219 @@
+package balancer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"yardrock.example/system/charter"
+	"yardrock.example/system/feed"
+)
+
+// The most that arrives at a cold runner in any one second, over all fronts.
+func mostInOneSecond(arrivals []time.Time) int {
+	most, from := 0, 0
+	for at := range arrivals {
+		for arrivals[at].Sub(arrivals[from]) > time.Second {
+			from++
+		}
+		most = max(most, at-from+1)
+	}
+	return most
+}
+
+// coldRun lets many fronts press on cold runners while fronts come and go; each front
+// hears of it up to a second late. It gives the most that one runner got in a second,
+// and how much was sent altogether.
+func coldRun(seed uint64, fronts int, rate float64, names, coming bool) (most, sent int) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	clock := newSteady()
+	service := modelService(rate)
+	route := routeTo(charter.Share{Service: "model", Weight: 1})
+	runners := runnersOf("model", 3, 32)
+	for at := range runners {
+		runners[at].State, runners[at].ColdFor = feed.Cold, time.Minute
+	}
+	live := []string{}
+	for at := range fronts {
+		live = append(live, fmt.Sprintf("front-%d", at))
+	}
+	balancers := map[string]*Balancer{}
+	type hearing struct {
+		front string
+		at    time.Time
+		state State
+	}
+	var hearings []hearing
+	started := 0
+	tell := func() {
+		for _, front := range live {
+			if balancers[front] == nil {
+				started++
+				balancers[front] = New(domains[started%3], random.Uint64(), clock.now)
+			}
+			state := stateOf([]charter.Service{service}, route, runners, len(live))
+			if state.Front = front; names {
+				state.Names = slices.Clone(live)
+			}
+			hearings = append(hearings, hearing{front, clock.time.Add(time.Duration(random.IntN(1000)) * time.Millisecond), state})
+		}
+	}
+	tell()
+	arrivals := map[string][]time.Time{}
+	for range 600 { // 12 s in steps of 20 ms
+		clock.pass(20 * time.Millisecond)
+		if coming && random.IntN(75) == 0 {
+			at := random.IntN(len(live))
+			if random.IntN(2) == 0 && len(live) > 1 {
+				delete(balancers, live[at])
+				live = slices.Delete(slices.Clone(live), at, at+1)
+			} else {
+				live = append(slices.Clone(live), fmt.Sprintf("front-%d", 1000+started))
+			}
+			tell()
+		}
+		hearings = slices.DeleteFunc(hearings, func(one hearing) bool {
+			if clock.time.Before(one.at) {
+				return false
+			}
+			if front := balancers[one.front]; front != nil {
+				front.Update(one.state)
+			}
+			return true
+		})
+		for _, front := range live {
+			lease, err := balancers[front].Acquire(context.Background(), Need{Route: &route, Program: fmt.Sprint(random.IntN(50)), Deadline: clock.time})
+			if err == nil {
+				arrivals[lease.Runner.Life] = append(arrivals[lease.Runner.Life], clock.time)
+				lease.First(50 * time.Millisecond)
+				lease.Release(Answered, nil)
+				sent++
+			}
+		}
+	}
+	for _, at := range arrivals {
+		most = max(most, mostInOneSecond(at))
+	}
+	return most, sent
+}
+
+func TestColdRunnersGetNoMoreThanTheyBear(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20261204)
+	parameters.MinSuccessfulTests = 30
+	properties := gopter.NewProperties(parameters)
+	properties.Property("in every second a cold runner gets less than the bound from all fronts", prop.ForAll(func(seed uint64, fronts int, rate float64, names, coming bool) string {
+		most, _ := coldRun(seed, fronts, rate, names, coming)
+		if float64(most) > coldExcess*rate+coldSlack {
+			return fmt.Sprintf("%d fronts sent %d in a second, the rate is %v", fronts, most, rate)
+		}
+		return ""
+	}, gen.UInt64(), gen.IntRange(1, 24), gen.Float64Range(0.3, 30), gen.Bool(), gen.Bool()))
+	properties.TestingRun(t)
+}
+
+func TestColdRunnersAreUsed(t *testing.T) {
+	for _, one := range []struct {
+		fronts int
+		rate   float64
+		names  bool
+		part   float64 // of what three runners bear in ten seconds
+	}{{1, 19, true, 0.7}, {6, 22, true, 0.7}, {6, 22, false, 0.7}, {72, 19, true, 0.6}, {3, 0.5, true, 0.3}} {
+		most, sent := coldRun(7, one.fronts, one.rate, one.names, false)
+		if float64(sent) < one.part*30*one.rate {
+			t.Errorf("%d fronts sent %d in ten seconds, at most %d in one, at a rate of %v", one.fronts, sent, most, one.rate)
+		}
+	}
+}
+
+func TestWhatMakesARunnerCold(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(state *State)
+		after  func(state *State)
+		cold   bool
+	}{
+		{"nothing", func(*State) {}, func(*State) {}, false},
+		{"the list says so", func(*State) {}, func(state *State) { state.View.Runners[0].ColdFor = time.Second }, true},
+		{"its state says so", func(*State) {}, func(state *State) { state.View.Runners[0].State = feed.Cold }, true},
+		{"it has a new life", func(*State) {}, func(state *State) { state.View.Runners[0].Life = "new" }, true},
+		{"its domain was refilled", func(state *State) {
+			state.View.Domains = []feed.Domain{{Name: "east", State: feed.Emptied}}
+		}, func(state *State) {
+			state.View.Domains = []feed.Domain{{Name: "east", State: feed.Serving}}
+		}, true},
+		{"its domain was emptied and refilled between two views", func(state *State) {
+			state.View.Domains = []feed.Domain{{Name: "east", State: feed.Serving, Since: 1}}
+		}, func(state *State) {
+			state.View.Domains = []feed.Domain{{Name: "east", State: feed.Serving, Since: 9}}
+		}, true},
+		{"another domain was refilled", func(state *State) {
+			state.View.Domains = []feed.Domain{{Name: "west", State: feed.Emptied}}
+		}, func(state *State) {
+			state.View.Domains = []feed.Domain{{Name: "west", State: feed.Serving}}
+		}, false},
+		{"it left the list for a while", func(state *State) {}, func(state *State) {
+			state.View.Runners = state.View.Runners[1:]
+		}, false},
+		{"its service bears any rate", func(*State) {}, func(state *State) {
+			state.View.Runners[0].State = feed.Cold
+			state.Routes.Services[0].ColdRate = 0
+		}, false},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			clock := newSteady()
+			choices := New("east", 1, clock.now)
+			fresh := func() State {
+				return stateOf([]charter.Service{modelService(19)}, routeTo(charter.Share{Service: "model", Weight: 1}), runnersOf("model", 3, 32), 1)
+			}
+			state := fresh()
+			one.before(&state)
+			choices.Update(state)
+			clock.pass(10 * time.Second)
+			choices.Update(state)
+			state = fresh()
+			one.after(&state)
+			choices.Update(state)
+			cold := false
+			for _, runner := range choices.Demand().Runners {
+				cold = cold || runner.Cold && runner.Runner.Domain == "east"
+			}
+			if cold != one.cold {
+				t.Fatalf("cold: %v", cold)
+			}
+			clock.pass(3100 * time.Millisecond)
+			for _, runner := range choices.Demand().Runners {
+				if runner.Cold {
+					t.Fatalf("%s is still cold", runner.Runner.Life)
+				}
+			}
+		})
+	}
+}
+
+func TestUnusedLeasesGiveTheColdPlaceBack(t *testing.T) {
+	clock := newSteady()
+	choices := New("east", 1, clock.now)
+	route := routeTo(charter.Share{Service: "model", Weight: 1})
+	runners := runnersOf("model", 1, 32)
+	choices.Update(stateOf([]charter.Service{modelService(2)}, route, runners, 1))
+	clock.pass(5 * time.Second)
+	runners = runnersOf("model", 1, 32)
+	runners[0].ColdFor = time.Minute
+	choices.Update(stateOf([]charter.Service{modelService(2)}, route, runners, 1))
+	clock.pass(2 * time.Second)
+	for range 5 {
+		acquired(t, choices, Need{Route: &route}).Release(Unused, nil)
+	}
+	acquired(t, choices, Need{Route: &route}).Release(Answered, nil)
+	if _, err := choices.Acquire(context.Background(), Need{Route: &route, Deadline: clock.now()}); err == nil {
+		t.Fatal("two were sent at once")
+	}
+}
--- a/system/balancer/types.go
+++ b/system/balancer/types.go
@@ -34,6 +34,10 @@
 	View   *feed.View
 	Routes *charter.Routing
 	Fronts int // live fronts that share the runners, this one included
+	// Front is this front's name and Names those of all live fronts. They may be left
+	// out; with them, more fronts can share a cold runner exactly.
+	Front string
+	Names []string
 }
 
 // Ending tells how a dispatch ended, for the balancer's knowledge of the runner.
