--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -115,7 +115,7 @@
 		interval time.Duration
 		run      func()
 	}{
-		{foundingInterval, node.found}, {gossipInterval, node.gossip}, {steerInterval, node.steer}, {steerInterval, node.runDuties},
+		{foundingInterval, node.found}, {gossipInterval, node.gossip}, {steerInterval, node.steer}, {steerInterval, node.runDuties}, {steerInterval, node.finishRetiring},
 	} {
 		node.tasks.Add(1)
 		go node.repeat(task.interval, task.run)
--- /dev/null
+++ b/system/controlplane/retire.go
@@ -0,0 +1,125 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
+	"yardrock.example/system/wire"
+)
+
+const retireWait = 200 * time.Millisecond
+
+// beginRetire has a store of the list emptied, unless it is being emptied already. From
+// then on its groups move away by their own leaders, and the control leader takes it off
+// the list once it holds none.
+func (node *Node) beginRetire(ctx context.Context, by, called string, is func(store feed.Member) bool) (*wire.ChangeReply, error) {
+	return node.carryOut(ctx, func(view *feed.View) (*feed.Change, error) {
+		at := slices.IndexFunc(view.Stores, is)
+		switch {
+		case at < 0 && slices.ContainsFunc(view.Retired, is):
+			return nil, nil
+		case at < 0:
+			return nil, mishap.New(mishap.NotFound, "no store of "+called+" is enrolled", "name one of those that the fleet query lists")
+		case view.Stores[at].State == feed.Retiring:
+			return nil, nil
+		}
+		if left := len(view.StorePlaces()); left <= placement.Factor {
+			return nil, mishap.New(mishap.Conflict, fmt.Sprintf("only %d stores are left, and each group needs %d", left, placement.Factor), "enrol another store first")
+		}
+		next := slices.Clone(view.Stores)
+		next[at].State = feed.Retiring
+		return &feed.Change{Kind: feed.ChangeStores, By: by, Expects: true, Expected: view.Number, Members: next}, nil
+	})
+}
+
+// BeginRetire has the store on a machine emptied, and returns once that is acknowledged;
+// it goes on by itself, and RetireState tells when the machine may be switched off. Over
+// is how long the operator leaves it; groups move as soon as they can. NotFound tells
+// that no store is on the machine, Conflict that too few would be left.
+//
+//	err := node.BeginRetire(ctx, "root", "storage-east-1", 10*time.Second)
+func (node *Node) BeginRetire(ctx context.Context, by, machine string, over time.Duration) error {
+	_, err := node.beginRetire(ctx, by, machine, onMachine(machine))
+	if err == nil {
+		log.WithFields(log.Fields{"node": node.Name(), "machine": machine, "by": by, "over": over}).Info("retire_begun")
+	}
+	return err
+}
+
+func onMachine(machine string) func(store feed.Member) bool {
+	return func(store feed.Member) bool { return machine != "" && store.Machine == machine }
+}
+
+// RetireState tells how far a machine's store is emptied: feed.Retiring, or feed.Retired
+// once nothing is lost with the machine. NotFound tells that none is retired there.
+//
+//	state, err := node.RetireState(ctx, "storage-east-1")
+func (node *Node) RetireState(ctx context.Context, machine string) (string, error) {
+	state := feed.Retiring
+	_, err := node.carryOut(ctx, func(view *feed.View) (*feed.Change, error) {
+		at := slices.IndexFunc(view.Stores, onMachine(machine))
+		switch {
+		case at >= 0 && view.Stores[at].State == feed.Retiring:
+			state = feed.Retiring
+		case at < 0 && slices.ContainsFunc(view.Retired, onMachine(machine)):
+			state = feed.Retired
+		default:
+			return nil, mishap.New(mishap.NotFound, "no store of "+machine+" is retired", "begin to retire it, or name one of those that the fleet query lists")
+		}
+		return nil, nil
+	})
+	return state, err
+}
+
+// RetireStore empties a store and returns once no group has a replica there, so
+// that its machine may be switched off.
+//
+//	reply, err := node.RetireStore(ctx, "root", "store-…")
+func (node *Node) RetireStore(ctx context.Context, by, name string) (*wire.ChangeReply, error) {
+	is := func(store feed.Member) bool { return store.Name == name }
+	beginning, cancel := context.WithTimeout(ctx, administrationPatience)
+	defer cancel()
+	if _, err := node.beginRetire(beginning, by, name, is); err != nil {
+		return nil, err
+	}
+	for {
+		if view := node.View(); view.WasRetired(name) && !slices.ContainsFunc(view.Stores, is) {
+			return node.Await(ctx, view.Number)
+		}
+		select {
+		case <-time.After(retireWait):
+		case <-ctx.Done():
+			return nil, mishap.Later(mishap.Unclear, name+" still has replicas; it goes on being emptied", "send the same command again to wait on", time.Second)
+		}
+	}
+}
+
+// finishRetiring takes stores that hold no group any more off the list.
+func (node *Node) finishRetiring() {
+	view := node.View()
+	if !node.Leading() || !slices.ContainsFunc(view.Stores, func(store feed.Member) bool { return store.State == feed.Retiring }) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(node.context, 2*callPatience)
+	defer cancel()
+	for at, store := range view.Stores {
+		if store.State != feed.Retiring {
+			continue
+		}
+		if left, known := node.groupsOn(ctx, view, store.Name); !known || left > 0 {
+			continue
+		}
+		log.WithFields(log.Fields{"node": node.Name(), "store": store.Name, "machine": store.Machine}).Info("store_retired")
+		store.State = feed.Retired
+		next := slices.Delete(slices.Clone(view.Stores), at, at+1)
+		node.propose(ctx, feed.Change{Kind: feed.ChangeStores, By: node.Name(), Expects: true, Expected: view.Number, Members: next, Member: store})
+		return
+	}
+}
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -20,7 +19,6 @@
 	// recoveredStep is how far a recovered feed jumps ahead, so that no number
 	// that was given out but not acknowledged is ever given out again.
 	recoveredStep = 1_000_000
-	retireWait    = 200 * time.Millisecond
 )
 
 // foundStores makes the first store list once enough stores have sessions. If a
@@ -153,42 +151,6 @@
 	return nil, mishap.New(mishap.NotFound, "no store named "+name+" has a session", "start it with the seeds of this fleet; the fleet query lists who is there")
 }
 
-// RetireStore empties a store and returns once no group has a replica there, so
-// that its machine may be switched off.
-//
-//	reply, err := node.RetireStore(ctx, "root", "store-…")
-func (node *Node) RetireStore(ctx context.Context, by, name string) (*wire.ChangeReply, error) {
-	view, err := node.confirmedView(ctx)
-	if err != nil {
-		return nil, err
-	}
-	at := slices.IndexFunc(view.Stores, func(store feed.Member) bool { return store.Name == name })
-	if at < 0 {
-		return nil, mishap.New(mishap.NotFound, "no store named "+name+" is enrolled", "the fleet query lists the stores")
-	}
-	if left := len(view.StorePlaces()); view.Stores[at].State != feed.Retiring && left <= placement.Factor {
-		return nil, mishap.New(mishap.Conflict, fmt.Sprintf("only %d stores are left, and each group needs %d", left, placement.Factor), "enrol another store first")
-	}
-	next := slices.Clone(view.Stores)
-	next[at].State = feed.Retiring
-	if _, err := node.Change(ctx, feed.Change{Kind: feed.ChangeStores, By: by, Expects: true, Expected: view.Number, Members: next}); err != nil {
-		return nil, err
-	}
-	for {
-		view = node.View()
-		left, known := node.groupsOn(ctx, view, name)
-		if known && left == 0 {
-			next = slices.DeleteFunc(slices.Clone(view.Stores), func(store feed.Member) bool { return store.Name == name })
-			return node.Change(ctx, feed.Change{Kind: feed.ChangeStores, By: by, Expects: true, Expected: view.Number, Members: next})
-		}
-		select {
-		case <-time.After(retireWait):
-		case <-ctx.Done():
-			return nil, mishap.Later(mishap.Unclear, fmt.Sprintf("%s still has %d replicas; it goes on being emptied", name, left), "send the same command again to wait on", time.Second)
-		}
-	}
-}
-
 // groupsOn counts the groups whose confirmed leaders name a store; false tells
 // that some group has no leader who says.
 func (node *Node) groupsOn(ctx context.Context, view *feed.View, name string) (int, bool) {
--- a/system/feed/feed.go
+++ b/system/feed/feed.go
@@ -189,6 +189,14 @@
 	return false
 }
 
+// WasRetired tells whether a store was emptied and has left the list: it may be switched
+// off, and is not to be enrolled again by itself.
+//
+//	if view.WasRetired(member.Name) { continue }
+func (view *View) WasRetired(name string) bool {
+	return slices.ContainsFunc(view.Retired, func(store Member) bool { return store.Name == name })
+}
+
 // Bound names the fleet that a node with this view belongs to for good. Until there
 // is a store list nothing was acknowledged, and the control plane that founded the
 // fleet may still find that it is the one of an older fleet that lost its disks.
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -280,7 +280,7 @@
 	view := node.held.Load()
 	groups := []wire.GroupStatus{}
 	for number, status := range node.host.Statuses() {
-		groups = append(groups, wire.GroupStatus{Group: number, Leading: status.Confirmed, Voters: status.Replicas.Voters, Learners: status.Replicas.Learners})
+		groups = append(groups, wire.GroupStatus{Group: number, Leading: status.Confirmed && !status.Changing, Voters: status.Replicas.Voters, Learners: status.Replicas.Learners})
 	}
 	return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
 		Name: node.Name(), Role: feed.RoleStore, Address: node.settings.Address, Domain: node.settings.Domain,
