Turns of programs begin and end in one commit each, with their budget and history

A turn's begin makes the line, reserves its tokens and records it, or does nothing; its end records output, outcome and settlement. The state machine dedupes both by the turn's name and keeps an index of names, so that turns branch and are found in other lines, whose chain is adopted. NotFound is told only when every group's confirmed leader knows no such turn.

--- /dev/null
+++ b/proof/simulator/turns_test.go
@@ -0,0 +1,288 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/follower"
+	"yardrock.example/system/line"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/storeorigin"
+)
+
+// origin asks the stores from a host of its own, until closed.
+func (cluster *Cluster) origin(host string) (origin *storeorigin.Origin, end func()) {
+	caller := link.NewCaller(cluster.Network.At(host))
+	following := follower.Start(caller, feed.Member{Name: host, Role: "client", Address: host + ":1"}, cluster.seeds, nil, func(*feed.View) {})
+	for following.View().Groups == 0 || len(following.View().Stores) == 0 {
+		<-time.After(50 * time.Millisecond)
+	}
+	return storeorigin.New(caller, following.View), func() {
+		following.Stop()
+		caller.Close()
+	}
+}
+
+const (
+	turnMost      = 20
+	turnAllowance = 400
+)
+
+func programTurn(program, name, follows string) storeorigin.Turn {
+	return storeorigin.Turn{Line: "program/" + program, Name: name, Follows: follows, Input: []byte("in " + name + "\n"), Keeps: true, Keep: 5 * time.Minute,
+		Budgeted: true, Most: turnMost, Allowance: turnAllowance, Dispatch: "here/" + name, Life: time.Minute}
+}
+
+func programTurnEnd(program, name, outcome string, seq, tokens uint64) storeorigin.TurnEnd {
+	return storeorigin.TurnEnd{Line: "program/" + program, Name: name, Seq: seq, Output: []byte("out " + name + "\n"), Tokens: tokens, Outcome: outcome, Kept: true}
+}
+
+// whole is what a turn answered whole adds to a history.
+func whole(name string) string { return "in " + name + "\nout " + name + "\n" }
+
+func TestTurnsOfProgramsGoOnFromEachOther(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		origin, end := cluster.origin("10.8.0.1")
+		defer end()
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+		defer cancel()
+		take := func(program, name, follows, history string) {
+			t.Helper()
+			begun, err := origin.BeginTurn(ctx, programTurn(program, name, follows))
+			if err != nil || string(begun.History) != history {
+				t.Fatalf("%s: %+v, %v; want the history %q", name, begun, err, history)
+			}
+			again, err := origin.BeginTurn(ctx, programTurn(program, name, follows))
+			if err != nil || again.Seq != begun.Seq || string(again.History) != history {
+				t.Fatalf("%s repeated: %+v, %v; want the history %q", name, again, err, history)
+			}
+			for range 2 {
+				if err := origin.EndTurn(ctx, programTurnEnd(program, name, line.OutcomeComplete, begun.Seq, 10)); err != nil {
+					t.Fatalf("%s: %v", name, err)
+				}
+			}
+		}
+		refused := func(kind mishap.Kind, program, name, follows string) {
+			t.Helper()
+			if _, err := origin.BeginTurn(ctx, programTurn(program, name, follows)); !mishap.Is(err, kind) {
+				t.Fatalf("%s: %v, want %s", name, err, kind)
+			}
+		}
+		take("p", "a", "", "")
+		take("p", "b", "a", whole("a"))
+		take("p", "c", "a", whole("a"))
+		take("p", "d", "b", whole("a")+whole("b"))
+		// Also once what was said is archived, and in another line, whose group may be another.
+		for round := range 2 {
+			take("p", fmt.Sprint("e", round), "d", whole("a")+whole("b")+whole("d"))
+			for number := range 4 {
+				program, name := fmt.Sprintf("q%d-%d", round, number), fmt.Sprintf("f%d-%d", round, number)
+				take(program, name, "c", whole("a")+whole("c"))
+				take(program, name+"-on", name, whole("a")+whole("c")+whole(name))
+				take(program, name+"-beside", "a", whole("a"))
+			}
+			<-time.After(12 * time.Second)
+		}
+		refused(mishap.NotFound, "p", "g", "none")
+		refused(mishap.NotFound, "new", "g", "none")
+		begun, err := origin.BeginTurn(ctx, programTurn("p", "open", "d"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		refused(mishap.NotRun, "p", "h", "open")
+		refused(mishap.NotRun, "new", "h", "open")
+		other := programTurn("p", "open", "d")
+		other.Dispatch = "elsewhere"
+		if _, err := origin.BeginTurn(ctx, other); !mishap.Is(err, mishap.Conflict) {
+			t.Fatalf("a second dispatch began the turn: %v", err)
+		}
+		if err := origin.EndTurn(ctx, programTurnEnd("p", "open", line.OutcomeCut, begun.Seq, 3)); err != nil {
+			t.Fatal(err)
+		}
+		refused(mishap.NotFound, "p", "h", "open")
+		refused(mishap.NotFound, "new", "h", "open")
+		large := programTurn("p", "i", "d")
+		large.Most = turnAllowance
+		if _, err := origin.BeginTurn(ctx, large); !mishap.Is(err, mishap.Exhausted) {
+			t.Fatalf("beyond the allowance: %v", err)
+		}
+		// While a group has no quorum, nothing is said to be unknown.
+		cluster.Network.Isolate(cluster.Stores[0].Host)
+		cluster.Network.Isolate(cluster.Stores[1].Host)
+		short, give := context.WithTimeout(ctx, 3*time.Second)
+		defer give()
+		if _, err := origin.BeginTurn(short, programTurn("p", "j", "none")); !mishap.Is(err, mishap.NotRun) {
+			t.Fatalf("without a quorum: %v", err)
+		}
+	})
+}
+
+// toldTurn is a turn that was answered whole.
+type toldTurn struct {
+	name, program, history string
+}
+
+// programs runs programs against the stores: each turn goes on from one that was
+// answered whole, of this program or of another.
+type programs struct {
+	mutex  sync.Mutex
+	whole  []toldTurn
+	handed map[string]uint64
+	begun  int
+	failed []string
+}
+
+func (told *programs) fail(text string, values ...any) {
+	told.mutex.Lock()
+	told.failed = append(told.failed, fmt.Sprintf(text, values...))
+	told.mutex.Unlock()
+}
+
+func (told *programs) run(origin *storeorigin.Origin, random *rand.Rand, number int, stop context.Context) {
+	for position := 0; stop.Err() == nil; position++ {
+		name, program := fmt.Sprintf("t%d-%d", number, position), fmt.Sprintf("p%d", random.IntN(6)+6*(position/40))
+		followed := toldTurn{}
+		told.mutex.Lock()
+		if count := len(told.whole); count > 0 && random.IntN(5) > 0 {
+			followed = told.whole[max(0, count-1-random.IntN(30))]
+		}
+		told.mutex.Unlock()
+		if random.IntN(8) > 0 && followed.program != "" {
+			program = followed.program
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		begun, err := origin.BeginTurn(ctx, programTurn(program, name, followed.name))
+		cancel()
+		if err == nil {
+			told.take(origin, random, program, name, followed, begun)
+		} else if mishap.Is(err, mishap.NotFound) {
+			told.fail("%s was answered whole and is not known: %v", followed.name, err)
+		} else if !mishap.Is(err, mishap.NotRun) && !mishap.Is(err, mishap.Exhausted) {
+			told.fail("%s: %v", name, err)
+		}
+		<-time.After(time.Duration(random.IntN(150)) * time.Millisecond)
+	}
+}
+
+func (told *programs) take(origin *storeorigin.Origin, random *rand.Rand, program, name string, followed toldTurn, begun *storeorigin.Begun) {
+	if string(begun.History) != followed.history {
+		told.fail("%s goes on from %q, want %q", name, begun.History, followed.history)
+	}
+	told.mutex.Lock()
+	told.begun++
+	tokens := uint64(random.IntN(turnMost + 1))
+	told.handed[program] += tokens
+	if told.handed[program] > turnAllowance+turnMost {
+		told.failed = append(told.failed, fmt.Sprintf("%s handed out %d", program, told.handed[program]))
+	}
+	told.mutex.Unlock()
+	<-time.After(time.Duration(random.IntN(80)) * time.Millisecond)
+	outcome := line.OutcomeComplete
+	switch random.IntN(8) {
+	case 0:
+		outcome = line.OutcomeCut
+	case 1:
+		return // its front is gone
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	err := origin.EndTurn(ctx, programTurnEnd(program, name, outcome, begun.Seq, tokens))
+	if err == nil && outcome == line.OutcomeComplete {
+		told.mutex.Lock()
+		told.whole = append(told.whole, toldTurn{name: name, program: program, history: followed.history + whole(name)})
+		told.mutex.Unlock()
+	}
+	if err != nil && !mishap.Is(err, mishap.Unclear) && !mishap.Is(err, mishap.NoQuorum) {
+		told.fail("the end of %s: %v", name, err)
+	}
+}
+
+// TestEveryTurnAnsweredWholeStaysKnownUnderFaults kills, wipes, stalls and cuts off
+// stores while programs run. No turn that was answered whole may be told unknown, all
+// histories are exact, and no program hands out more than its allowance and one turn.
+func TestEveryTurnAnsweredWholeStaysKnownUnderFaults(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 4, Fronts: 1, Models: 1, Applications: 1}, func(t *testing.T, cluster *Cluster) {
+		told := &programs{handed: map[string]uint64{}}
+		stop, cancel := context.WithCancel(context.Background())
+		var working sync.WaitGroup
+		for number := range 4 {
+			origin, end := cluster.origin(fmt.Sprintf("10.8.0.%d", number+1))
+			working.Go(func() {
+				defer end()
+				told.run(origin, cluster.Random(uint64(50+number)), number, stop)
+			})
+		}
+		random := cluster.Random(49)
+		for range 10 {
+			store := cluster.Stores[random.IntN(len(cluster.Stores))]
+			switch random.IntN(6) {
+			case 0:
+				store.Kill()
+				<-time.After(1500 * time.Millisecond)
+				store.Start()
+			case 1:
+				store.LosePower()
+				store.Start()
+			case 2:
+				cluster.Network.Isolate(store.Host)
+				<-time.After(2500 * time.Millisecond)
+				cluster.Network.Rejoin(store.Host)
+			case 3:
+				store.Disk.Stall()
+				<-time.After(2500 * time.Millisecond)
+				store.Disk.Resume()
+			case 4: // a leader that callers reach, but not its siblings
+				for _, other := range cluster.Stores {
+					if other != store {
+						cluster.Network.Cut(store.Host, other.Host)
+					}
+				}
+				<-time.After(3500 * time.Millisecond)
+				for _, other := range cluster.Stores {
+					cluster.Network.Mend(store.Host, other.Host)
+				}
+			case 5:
+				store.Kill()
+				store.Wipe()
+				store.Start()
+				cluster.awaitHealed(t)
+			}
+			<-time.After(1500 * time.Millisecond)
+		}
+		cancel()
+		working.Wait()
+		t.Logf("%d turns begun, %d answered whole", told.begun, len(told.whole))
+		if told.begun < 200 {
+			t.Errorf("only %d turns were begun", told.begun)
+		}
+		for _, failure := range told.failed {
+			t.Error(failure)
+		}
+		// After an outage of all, programs with new names go on from any of them.
+		for _, store := range cluster.Stores {
+			store.LosePower()
+		}
+		for _, store := range cluster.Stores {
+			store.Start()
+		}
+		origin, end := cluster.origin("10.8.0.9")
+		defer end()
+		for position, one := range told.whole {
+			if position%7 != 0 {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			begun, err := origin.BeginTurn(ctx, programTurn(fmt.Sprintf("after-%d", position), fmt.Sprintf("after-%d", position), one.name))
+			cancel()
+			if err != nil || string(begun.History) != one.history {
+				t.Fatalf("after the outage %s: %+v, %v; want %q", one.name, begun, err, one.history)
+			}
+		}
+	})
+}
--- a/system/line/machine.go
+++ b/system/line/machine.go
@@ -16,7 +16,7 @@
 )
 
 // ImageVersion is the newest checkpoint format that this program reads.
-const ImageVersion = 1
+const ImageVersion = 2
 
 // View is a group's content at one applied index. It never changes.
 type View struct {
@@ -32,6 +32,9 @@
 	hot      *immutable.Map[string, struct{}]
 	expiries *immutable.SortedMap[string, string]
 	sums     Sums
+	// turns finds the turns of programs by name. Only adopted turns are in more lines
+	// than one.
+	turns *immutable.Map[string, []*Turn]
 }
 
 // Sums are digests over a group's lines, one a bucket of them.
@@ -112,13 +115,14 @@
 			view.sessions = view.sessions.Delete(name)
 			view.hot = view.hot.Delete(name)
 			view.sums.Toggle(name, session.ArchivedSeq)
+			view.forgetTurns(session)
 		}
 	}
 }
 
 func emptyView() *View {
 	return &View{sessions: immutable.NewMap[string, *Session](nil), tallies: immutable.NewMap[string, *Tally](nil),
-		hot: immutable.NewMap[string, struct{}](nil), expiries: immutable.NewSortedMap[string, string](nil)}
+		hot: immutable.NewMap[string, struct{}](nil), expiries: immutable.NewSortedMap[string, string](nil), turns: immutable.NewMap[string, []*Turn](nil)}
 }
 
 // Session finds a line.
@@ -190,6 +194,8 @@
 	AckArchived:   (*View).ackArchived,
 	Reserve:       (*View).reserve,
 	Settle:        (*View).settle,
+	BeginTurn:     (*View).beginTurn,
+	EndTurn:       (*View).endTurn,
 }
 
 // Apply carries out one committed command and publishes the result.
@@ -388,6 +394,7 @@
 	image := Image{Version: ImageVersion, Clock: view.clock}
 	for session := range view.Sessions() {
 		image.Sessions = append(image.Sessions, *session)
+		image.Turns = view.appendRecords(image.Turns, session)
 	}
 	for tally := range view.Tallies() {
 		image.Tallies = append(image.Tallies, *tally)
@@ -405,7 +412,12 @@
 	sessions, tallies := immutable.NewMapBuilder[string, *Session](nil), immutable.NewMapBuilder[string, *Tally](nil)
 	hot, expiries := immutable.NewMapBuilder[string, struct{}](nil), immutable.NewSortedMapBuilder[string, string](nil)
 	view := &View{clock: image.Clock}
+	names := map[string][]string{}
+	for _, turn := range image.Turns {
+		names[turn.Line] = append(names[turn.Line], turn.Name)
+	}
 	for _, session := range image.Sessions {
+		session.Turns = names[session.Line]
 		sessions.Set(session.Line, &session)
 		expiries.Set(expiryKey(&session), session.Line)
 		view.sums.Toggle(session.Line, session.ArchivedSeq)
@@ -417,6 +429,7 @@
 		tallies.Set(tally.Name, &tally)
 	}
 	view.sessions, view.tallies, view.hot, view.expiries = sessions.Map(), tallies.Map(), hot.Map(), expiries.Map()
+	view.turns = restoredTurns(image.Turns)
 	machine.published.Store(view)
 	return nil
 }
--- a/system/line/types.go
+++ b/system/line/types.go
@@ -21,6 +21,8 @@
 	HelperStarted
 	// Fenced takes the place of a TurnBegun, so that it can never begin later.
 	Fenced
+	// TurnAdopted is a whole turn of another line that a turn of this one goes on from.
+	TurnAdopted
 )
 
 // The outcomes that a TurnEnded or ToolAnswered event may record.
@@ -50,12 +52,15 @@
 	ProducerSeq uint64
 	Charter     uint64
 	Deadline    int64
+	// Data is a turn's input in its beginning, and its output in its end.
+	Data []byte
 }
 
 // CommandKind selects what a command does.
 type CommandKind uint16
 
-// The commands. The first four are Starcite's; the last two keep tallies.
+// The commands. The first four are Starcite's; the next two keep tallies; the last two
+// each do at once all that a turn of a program needs at its beginning or its end.
 const (
 	CreateSession CommandKind = iota + 1
 	AppendEvent
@@ -63,6 +68,8 @@
 	AckArchived
 	Reserve
 	Settle
+	BeginTurn
+	EndTurn
 )
 
 // Ack tells how far a line's events are in the cold store.
@@ -90,8 +97,27 @@
 	Words       uint64
 	Allowance   uint64
 	Acks        []Ack
-	// Life is how long a reservation may be out before it is looked into.
+	// Life is how long a reservation may be out before it is looked into, or a turn be
+	// open.
 	Life time.Duration
+
+	// What follows is for turns of programs, whose name is Producer. Data is the input
+	// or the output, Tokens what may be or was put out.
+	Follows  string
+	Dispatch string
+	Outcome  string
+	Data     []byte
+	Tokens   uint64
+	Budgeted bool
+	Keeps    bool
+	Adopted  []AdoptedTurn
+}
+
+// AdoptedTurn is a turn that was answered whole in another line: its input with its
+// output.
+type AdoptedTurn struct {
+	Name string
+	Data []byte
 }
 
 // Status tells how a command ended.
@@ -106,6 +132,14 @@
 	StaleProducer
 	AllowanceExhausted
 	BadCommand
+	// UnknownTurn: the line knows no turn of the name that was given.
+	UnknownTurn
+	// TurnOpen: the turn to go on from has not ended yet.
+	TurnOpen
+	// TurnCut: the turn to go on from was not answered whole, and never will be.
+	TurnCut
+	// TurnTaken: another dispatch began the turn, or it has ended.
+	TurnTaken
 )
 
 // Outcome is what applying a command answers.
@@ -140,13 +174,21 @@
 	Producers   []Producer
 	Hot         []Event
 	OpenTurns   []uint64
+	// Until is the least time to which the line is kept, by the group's clock.
+	Until int64
+	// Spent and Reserved are the tokens of a program's turns: those that were put out,
+	// and those that open turns may still put out.
+	Spent    uint64
+	Reserved uint64
+	// Turns names the line's turns in the order in which they began.
+	Turns []string
 }
 
 // Expires tells when the line's keeping time ends.
 //
 //	if session.Expires().Before(now) { ... }
 func (session *Session) Expires() time.Time {
-	return time.Unix(0, session.TouchedAt).Add(session.KeepFor)
+	return time.Unix(0, max(session.TouchedAt+int64(session.KeepFor), session.Until))
 }
 
 // Reservation is what a running turn may still speak, and until when by the
@@ -208,4 +250,5 @@
 	Clock    int64
 	Sessions []Session
 	Tallies  []Tally
+	Turns    []TurnRecord
 }
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -81,11 +81,17 @@
 func (machine *lineMachine) Apply(entry agreement.Entry) any {
 	var command line.Command
 	if err := wire.Decode(schema.Command_TypeID, entry.Data, &command); err != nil {
-		return line.Outcome{Status: line.BadCommand}
+		return applied{line.Outcome{Status: line.BadCommand}, machine.View()}
 	}
 	outcome := machine.Machine.Apply(&command)
 	machine.applied(command.Line)
-	return outcome
+	return applied{outcome, machine.View()}
+}
+
+// applied is what a command answered, and the view right after it.
+type applied struct {
+	outcome line.Outcome
+	view    *line.View
 }
 
 // Image gives the checkpoint of what the view holds now.
@@ -255,6 +261,7 @@
 	schema.Query_Which_putCold:   (*Node).answerPutCold,
 	schema.Query_Which_getCold:   (*Node).answerGetCold,
 	schema.Query_Which_digests:   (*Node).answerDigests,
+	schema.Query_Which_find:      (*Node).answerFind,
 }
 
 // Answer answers one query of another process.
@@ -319,6 +326,7 @@
 	commands := make([][]byte, len(query.Command.Commands))
 	for position, command := range query.Command.Commands {
 		command.Now = node.clock(query.Command.Group)
+		node.expect(query.Command.Group, &command)
 		commands[position] = wire.MustEncode(schema.Command_TypeID, &command)
 	}
 	outcomes, err := node.host.Propose(ctx, query.Command.Group, commands)
@@ -326,8 +334,14 @@
 		return nil, err
 	}
 	list := &wire.OutcomeList{}
-	for _, outcome := range outcomes {
-		list.Outcomes = append(list.Outcomes, outcome.(line.Outcome))
+	for position, outcome := range outcomes {
+		told := outcome.(applied)
+		list.Outcomes = append(list.Outcomes, told.outcome)
+		if command := &query.Command.Commands[position]; command.Kind == line.BeginTurn && command.Keeps && told.outcome.Status == line.Done {
+			if list.History, err = node.history(ctx, query.Command.Group, told.view, command.Line, command.Producer); err != nil {
+				return nil, err
+			}
+		}
 	}
 	return &wire.Reply{Which: schema.Reply_Which_outcomes, Outcomes: list}, nil
 }
--- /dev/null
+++ b/system/store/turns.go
@@ -0,0 +1,162 @@
+package store
+
+import (
+	"context"
+	"sync"
+
+	"yardrock.example/system/line"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+// expect gives the beginning of a turn the position that it counts on: where the turn
+// that it follows ended. The state machine checks it.
+func (node *Node) expect(group uint32, command *line.Command) {
+	machine := node.machine(group)
+	if command.Kind != line.BeginTurn || command.Follows == "" || machine == nil {
+		return
+	}
+	if followed, found := machine.View().Turn(command.Line, command.Follows); found && followed.Whole() {
+		command.Expects, command.ExpectedSeq = true, followed.Ended
+	}
+}
+
+// history joins the bytes of the turns that a turn follows, oldest first: each turn's
+// input, then its output. It is whole or not at all.
+func (node *Node) history(ctx context.Context, group uint32, view *line.View, lineName, name string) ([]byte, error) {
+	turn, found := view.Turn(lineName, name)
+	if !found || turn.Follows == nil {
+		return nil, nil
+	}
+	pieces, err := node.pieces(ctx, group, view, turn.Follows.Chain())
+	if err != nil {
+		return nil, err
+	}
+	size := 0
+	for _, piece := range pieces {
+		size += len(piece)
+	}
+	joined := make([]byte, 0, size)
+	for _, piece := range pieces {
+		joined = append(joined, piece...)
+	}
+	return joined, nil
+}
+
+// pieces gives the bytes of a chain's events, two for each turn; the second of an
+// adopted turn is empty.
+func (node *Node) pieces(ctx context.Context, group uint32, view *line.View, chain []*line.Turn) ([][]byte, error) {
+	session, found := view.Session(chain[0].Line)
+	if !found {
+		return nil, gapMishap(chain[0].Line)
+	}
+	seqs := make([]uint64, 0, 2*len(chain))
+	for _, turn := range chain {
+		ended := turn.Ended
+		if ended == turn.Seq {
+			ended = 0
+		}
+		seqs = append(seqs, turn.Seq, ended)
+	}
+	cold, err := node.coldData(ctx, group, session, seqs)
+	if err != nil {
+		return nil, err
+	}
+	pieces := make([][]byte, len(seqs))
+	for position, seq := range seqs {
+		switch {
+		case seq == 0:
+		case seq > session.ArchivedSeq:
+			pieces[position] = session.Hot[seq-session.ArchivedSeq-1].Data
+		default:
+			pieces[position] = cold[seq]
+		}
+	}
+	return pieces, nil
+}
+
+// coldData reads those of a line's events that are archived, without a gap.
+func (node *Node) coldData(ctx context.Context, group uint32, session *line.Session, seqs []uint64) (map[uint64][]byte, error) {
+	wanted := map[uint64][]byte{}
+	first, last := uint64(0), uint64(0)
+	for _, seq := range seqs {
+		if seq != 0 && seq <= session.ArchivedSeq {
+			wanted[seq] = nil
+			if first == 0 || seq < first {
+				first = seq
+			}
+			last = max(last, seq)
+		}
+	}
+	for after := first - 1; first != 0 && after < last; {
+		events, err := node.merged(ctx, group, session, after, last-after)
+		if err != nil {
+			return nil, err
+		}
+		for _, event := range events {
+			after = event.Seq
+			if _, asked := wanted[event.Seq]; asked {
+				wanted[event.Seq] = event.Data
+			}
+		}
+	}
+	return wanted, nil
+}
+
+// answerFind looks for a turn in every group that a quorum confirms to be led here.
+func (node *Node) answerFind(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandPatience)
+	defer cancel()
+	var mutex sync.Mutex
+	var asking sync.WaitGroup
+	answer := &wire.FindReply{}
+	var failed error
+	for group, status := range node.host.Statuses() {
+		if !status.Leading {
+			continue
+		}
+		asking.Go(func() {
+			view, err := node.confirmed(ctx, group)
+			if err != nil {
+				return
+			}
+			chain, open, err := node.find(ctx, group, view, query.Find.Name)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil {
+				failed = err
+				return
+			}
+			answer.Covered = append(answer.Covered, group)
+			answer.Open = answer.Open || open
+			if len(chain) > 0 {
+				answer.Found, answer.Chain = true, chain
+			}
+		})
+	}
+	asking.Wait()
+	if failed != nil && !answer.Found {
+		return nil, mishap.Of(failed)
+	}
+	return &wire.Reply{Which: schema.Reply_Which_found, Found: answer}, nil
+}
+
+// find looks for a turn in one group, and gives it with all that it follows, or tells
+// that it is still open.
+func (node *Node) find(ctx context.Context, group uint32, view *line.View, name string) (chain []line.AdoptedTurn, open bool, err error) {
+	turn, found := view.TurnAnywhere(name)
+	if !found || !turn.Whole() {
+		return nil, found && turn.Open(view.Clock()), nil
+	}
+	turns := turn.Chain()
+	pieces, err := node.pieces(ctx, group, view, turns)
+	if err != nil {
+		return nil, false, err
+	}
+	for position, one := range turns {
+		data := append(append([]byte{}, pieces[2*position]...), pieces[2*position+1]...)
+		chain = append(chain, line.AdoptedTurn{Name: one.Name, Data: data})
+	}
+	return chain, false, nil
+}
--- a/system/storeorigin/storeorigin.go
+++ b/system/storeorigin/storeorigin.go
@@ -102,6 +102,7 @@
 				arrived = arrived || !failed.NeverSent
 				origin.hint(group, "")
 			case mishap.NoQuorum, mishap.Gap:
+				arrived = arrived || failed.Kind == mishap.Gap // the answer can't be read, but was committed
 				origin.hint(group, "")
 			default:
 				return nil, true, err
--- /dev/null
+++ b/system/storeorigin/turns.go
@@ -0,0 +1,236 @@
+package storeorigin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/line"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+// Turn is a turn of a program that is about to begin.
+type Turn struct {
+	// Line is the program's, Name the query's; a name is used once.
+	Line string
+	Name string
+	// Follows names the turn to go on from; "" starts.
+	Follows string
+	// Input is what the turn brings. With Keeps it is kept for the turns that follow.
+	Input []byte
+	Keeps bool
+	// Keep is how long the turn is kept from the end of its answer.
+	Keep time.Duration
+	// Budgeted turns put out Most tokens at most, of the program's Allowance.
+	Budgeted  bool
+	Most      uint64
+	Allowance uint64
+	// Dispatch names the one attempt that may run the turn.
+	Dispatch string
+	// Life is how long the turn may be open.
+	Life time.Duration
+}
+
+// Begun is a turn that was begun.
+type Begun struct {
+	Seq uint64
+	// History is, for a turn that is kept, each turn of the chain that it follows, oldest
+	// first: its input, then its output.
+	History []byte
+}
+
+// TurnEnd is how a turn ended. Output is the data of its events, each with a line feed
+// after it; Tokens are those that were put out to the caller.
+type TurnEnd struct {
+	Line    string
+	Name    string
+	Seq     uint64
+	Output  []byte
+	Tokens  uint64
+	Outcome string
+	Kept    bool
+}
+
+const (
+	// leastKept is how long a program's line is kept at least, so that its tally is not
+	// forgotten while the program still runs.
+	leastKept     = 10 * time.Minute
+	openPause     = 200 * time.Millisecond
+	laterPause    = 500 * time.Millisecond
+	fencePatience = 5 * time.Second
+)
+
+// BeginTurn reserves what a turn may put out and records its beginning, in one commit.
+// Its failures: NotFound proves that there is no such turn as Follows, Exhausted that
+// the allowance does not bear the turn. NotRun tells that it can't be told in time; then
+// nothing that was begun will ever be used. Conflict tells that another dispatch began
+// the turn.
+//
+//	begun, err := origin.BeginTurn(ctx, storeorigin.Turn{Line: "program/3fa81c", Name: "9c41d07b", Input: body, Keeps: true, Keep: time.Minute, Dispatch: "front-1/7", Life: time.Minute})
+func (origin *Origin) BeginTurn(ctx context.Context, turn Turn) (*Begun, error) {
+	command := line.Command{Kind: line.BeginTurn, Producer: turn.Name, ProducerSeq: 1, Follows: turn.Follows, Dispatch: turn.Dispatch, Keeps: turn.Keeps,
+		KeepFor: max(turn.Keep, leastKept), Budgeted: turn.Budgeted, Tokens: turn.Most, Allowance: turn.Allowance, Life: turn.Life}
+	if turn.Keeps {
+		command.Data = turn.Input
+	}
+	for {
+		told, history, err := origin.commit(ctx, turn.Line, command)
+		if mishap.Is(err, mishap.Unclear) {
+			go origin.fence(turn)
+		}
+		if err != nil {
+			return nil, mishap.Later(mishap.NotRun, "the turn could not be begun in time: "+mishap.Of(err).Message, "ask again", laterPause)
+		}
+		switch told.Status {
+		case line.Done:
+			return &Begun{Seq: told.Seq, History: history}, nil
+		case line.UnknownTurn:
+			if len(command.Adopted) > 0 {
+				return nil, mishap.Later(mishap.NotRun, "the turn to go on from could not be adopted", "ask again", laterPause)
+			}
+			if command.Adopted, err = origin.find(ctx, turn.Follows); err != nil {
+				return nil, err
+			}
+		default:
+			return nil, beginMishaps[told.Status]()
+		}
+	}
+}
+
+var beginMishaps = map[line.Status]func() error{
+	line.AllowanceExhausted: func() error {
+		return mishap.New(mishap.Exhausted, "the program's allowance does not bear one more turn", "raise the allowance, or end the program")
+	},
+	line.TurnCut: func() error { return unknownTurn() },
+	line.TurnOpen: func() error {
+		return mishap.Later(mishap.NotRun, "the turn to go on from has not ended", "ask again", openPause)
+	},
+	line.TurnTaken: func() error {
+		return mishap.New(mishap.Conflict, "another dispatch began the turn", "give each query a name of its own")
+	},
+	line.TurnClosed: func() error {
+		return mishap.Later(mishap.NotRun, "the turn was given up before it began", "ask again under another name", openPause)
+	},
+	line.UnexpectedSeq: func() error {
+		return mishap.Later(mishap.NotRun, "the line was changed meanwhile", "ask again", openPause)
+	},
+	line.BadCommand: func() error {
+		return mishap.New(mishap.Invalid, "a turn needs a name, and can't follow itself", "name the turn")
+	},
+}
+
+func unknownTurn() error {
+	return mishap.New(mishap.NotFound, "no turn of that name was answered whole", "check the name; a turn is forgotten when its keeping time is over")
+}
+
+// EndTurn records a turn's output and outcome and books its tokens, in one commit.
+// Unclear means that it may have been recorded; any other failure that it was not, and
+// the answer must not look complete.
+//
+//	err := origin.EndTurn(ctx, storeorigin.TurnEnd{Line: "program/3fa81c", Name: "9c41d07b", Seq: begun.Seq, Output: data, Tokens: 80, Outcome: line.OutcomeComplete, Kept: true})
+func (origin *Origin) EndTurn(ctx context.Context, end TurnEnd) error {
+	command := line.Command{Kind: line.EndTurn, Producer: end.Name, ProducerSeq: 2, Outcome: end.Outcome, Tokens: end.Tokens, Keeps: end.Kept, KeepFor: leastKept}
+	if end.Kept && end.Outcome == line.OutcomeComplete {
+		command.Data = end.Output
+	}
+	told, _, err := origin.commit(ctx, end.Line, command)
+	if err != nil {
+		return err
+	}
+	if told.Status == line.Done {
+		return nil
+	}
+	if failed, known := endMishaps[told.Status]; known {
+		return failed()
+	}
+	return mishap.New(mishap.Invalid, "a turn's end needs a name and an outcome", "name both")
+}
+
+var endMishaps = map[line.Status]func() error{
+	line.UnknownTurn: func() error {
+		return mishap.New(mishap.NotFound, "the turn is not in its line any more", "break the answer off")
+	},
+	line.TurnClosed: func() error {
+		return mishap.New(mishap.Conflict, "the turn was ended otherwise", "break the answer off")
+	},
+}
+
+// fence ends a turn of which it is not known whether it began, so that it is not left
+// open and what it reserved does not count.
+func (origin *Origin) fence(turn Turn) {
+	ctx, cancel := context.WithTimeout(context.Background(), fencePatience)
+	defer cancel()
+	_ = origin.EndTurn(ctx, TurnEnd{Line: turn.Line, Name: turn.Name, Outcome: line.OutcomeNotRun}) // else it counts at its most
+}
+
+func (origin *Origin) commit(ctx context.Context, name string, command line.Command) (line.Outcome, []byte, error) {
+	command.Line = name
+	reply, arrived, err := origin.ask(ctx, name, callPatience, func(group uint32) *wire.Query {
+		return &wire.Query{Which: schema.Query_Which_command, Command: &wire.CommandQuery{Group: group, Commands: []line.Command{command}}}
+	})
+	if err != nil && arrived {
+		return line.Outcome{}, nil, mishap.New(mishap.Unclear, "the commit was not seen to its end: "+err.Error(), "ask again; repeats are deduped")
+	}
+	if err != nil {
+		return line.Outcome{}, nil, err
+	}
+	if reply.Outcomes == nil || len(reply.Outcomes.Outcomes) != 1 {
+		return line.Outcome{}, nil, mishap.New(mishap.Unclear, "a store answered out of form", "run matching versions of the programs")
+	}
+	return reply.Outcomes.Outcomes[0], reply.Outcomes.History, nil
+}
+
+// find looks for a turn in all groups. NotFound is proven: the leader of every group,
+// confirmed by a quorum, knows no such turn.
+func (origin *Origin) find(ctx context.Context, name string) ([]line.AdoptedTurn, error) {
+	covered := map[uint32]bool{}
+	for pause := firstPause; ; pause = min(2*pause, longestPause) {
+		view := origin.view()
+		open := false
+		for _, reply := range origin.findAtAll(ctx, view, name) {
+			if reply.Found {
+				return reply.Chain, nil
+			}
+			open = open || reply.Open
+			for _, group := range reply.Covered {
+				covered[group] = true
+			}
+		}
+		if open {
+			return nil, beginMishaps[line.TurnOpen]()
+		}
+		if view.Groups > 0 && len(covered) >= int(view.Groups) {
+			return nil, unknownTurn()
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil, mishap.Later(mishap.NotRun, "not all groups of lines could be asked for the turn in time", "ask again", laterPause)
+		}
+	}
+}
+
+// findAtAll asks every store for the groups that it leads.
+func (origin *Origin) findAtAll(ctx context.Context, view *feed.View, name string) []*wire.FindReply {
+	ctx, cancel := context.WithTimeout(ctx, callPatience)
+	defer cancel()
+	var mutex sync.Mutex
+	var asking sync.WaitGroup
+	found := []*wire.FindReply{}
+	for _, member := range view.Stores {
+		asking.Go(func() {
+			reply, err := origin.caller.Call(ctx, member.Address, &wire.Query{Fleet: view.Fleet, Which: schema.Query_Which_find, Find: &wire.FindQuery{Name: name}})
+			if err != nil || reply.Found == nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			found = append(found, reply.Found)
+		})
+	}
+	asking.Wait()
+	return found
+}
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"errors"
 	"time"
 
@@ -252,17 +253,28 @@
 			return err
 		}
 	}
-	return nil
+	if len(value.Data) == 0 {
+		return nil
+	}
+	return target.SetData(value.Data)
 }
 
 func takeEvent(source schema.Event, value *line.Event) error {
 	reading := &taking{}
 	*value = line.Event{Seq: source.Seq(), At: source.At(), Kind: line.EventKind(source.Kind()), Turn: source.Turn(), Follows: source.Follows(), Part: source.Part(),
 		ProducerSeq: source.ProducerSeq(), Charter: source.Charter(), Deadline: source.Deadline(), Words: field(reading, source.Words), Outcome: field(reading, source.Outcome),
-		Runner: field(reading, source.Runner), Dispatch: field(reading, source.Dispatch), Digest: field(reading, source.Digest), Name: field(reading, source.Name), Producer: field(reading, source.Producer)}
+		Runner: field(reading, source.Runner), Dispatch: field(reading, source.Dispatch), Digest: field(reading, source.Digest), Name: field(reading, source.Name), Producer: field(reading, source.Producer), Data: bytesOf(reading, source.Data)}
 	return reading.failed
 }
 
+// bytesOf reads a byte field; an empty one is nil.
+func bytesOf(reading *taking, read func() ([]byte, error)) []byte {
+	if data := field(reading, read); len(data) > 0 {
+		return data
+	}
+	return nil
+}
+
 func putCommand(target schema.Command, value *line.Command) error {
 	target.SetKind(uint16(value.Kind))
 	target.SetNow(value.Now)
@@ -273,9 +285,36 @@
 	target.SetWords(value.Words)
 	target.SetAllowance(value.Allowance)
 	target.SetLife(int64(value.Life))
-	if err := errors.Join(target.SetLine(value.Line), target.SetTeam(value.Team), target.SetProgram(value.Program), target.SetWorkKind(value.WorkKind),
-		target.SetProducer(value.Producer), target.SetReservation(value.Reservation)); err != nil {
-		return err
+	target.SetTokens(value.Tokens)
+	target.SetBudgeted(value.Budgeted)
+	target.SetKeeps(value.Keeps)
+	for _, text := range []struct {
+		value string
+		set   func(string) error
+	}{
+		{value.Line, target.SetLine}, {value.Team, target.SetTeam}, {value.Program, target.SetProgram}, {value.WorkKind, target.SetWorkKind}, {value.Producer, target.SetProducer},
+		{value.Reservation, target.SetReservation}, {value.Follows, target.SetFollows}, {value.Dispatch, target.SetDispatch}, {value.Outcome, target.SetOutcome},
+	} {
+		if text.value == "" {
+			continue
+		}
+		if err := text.set(text.value); err != nil {
+			return err
+		}
+	}
+	if len(value.Data) > 0 {
+		if err := target.SetData(value.Data); err != nil {
+			return err
+		}
+	}
+	if len(value.Adopted) > 0 {
+		adopted, err := target.NewAdopted(int32(len(value.Adopted)))
+		if err := putList(adopted, err, value.Adopted, putAdopted); err != nil {
+			return err
+		}
+	}
+	if len(value.Events) == 0 && len(value.Acks) == 0 {
+		return nil
 	}
 	events, err := target.NewEvents(int32(len(value.Events)))
 	if err := putList(events, err, value.Events, putEvent); err != nil {
@@ -292,10 +331,16 @@
 	reading := &taking{}
 	*value = line.Command{Kind: line.CommandKind(source.Kind()), Now: source.Now(), KeepFor: time.Duration(source.KeepFor()), ProducerSeq: source.ProducerSeq(), Expects: source.Expects(),
 		ExpectedSeq: source.ExpectedSeq(), Words: source.Words(), Allowance: source.Allowance(), Life: time.Duration(source.Life()), Line: field(reading, source.Line), Team: field(reading, source.Team),
-		Program: field(reading, source.Program), WorkKind: field(reading, source.WorkKind), Producer: field(reading, source.Producer), Reservation: field(reading, source.Reservation)}
+		Program: field(reading, source.Program), WorkKind: field(reading, source.WorkKind), Producer: field(reading, source.Producer), Reservation: field(reading, source.Reservation),
+		Follows: field(reading, source.Follows), Dispatch: field(reading, source.Dispatch), Outcome: field(reading, source.Outcome), Data: bytesOf(reading, source.Data),
+		Tokens: source.Tokens(), Budgeted: source.Budgeted(), Keeps: source.Keeps()}
 	if reading.failed != nil {
 		return reading.failed
 	}
+	adopted, err := source.Adopted()
+	if value.Adopted, err = takeList(adopted, err, takeAdopted); err != nil {
+		return err
+	}
 	events, err := source.Events()
 	if value.Events, err = takeList(events, err, takeEvent); err != nil {
 		return err
@@ -309,6 +354,31 @@
 	return err
 }
 
+func putAdopted(target schema.AdoptedTurn, value *line.AdoptedTurn) error {
+	return errors.Join(target.SetName(value.Name), target.SetData(value.Data))
+}
+
+func takeAdopted(source schema.AdoptedTurn, value *line.AdoptedTurn) error {
+	reading := &taking{}
+	*value = line.AdoptedTurn{Name: field(reading, source.Name), Data: bytesOf(reading, source.Data)}
+	return reading.failed
+}
+
+func putTurnRecord(target schema.TurnRecord, value *line.TurnRecord) error {
+	target.SetSeq(value.Seq)
+	target.SetEnded(value.Ended)
+	target.SetDeadline(value.Deadline)
+	target.SetTokens(value.Tokens)
+	return errors.Join(target.SetLine(value.Line), target.SetName(value.Name), target.SetFollows(value.Follows), target.SetOutcome(value.Outcome), target.SetDispatch(value.Dispatch))
+}
+
+func takeTurnRecord(source schema.TurnRecord, value *line.TurnRecord) error {
+	reading := &taking{}
+	*value = line.TurnRecord{Seq: source.Seq(), Ended: source.Ended(), Deadline: source.Deadline(), Tokens: source.Tokens(), Line: field(reading, source.Line), Name: field(reading, source.Name),
+		Follows: field(reading, source.Follows), Outcome: field(reading, source.Outcome), Dispatch: field(reading, source.Dispatch)}
+	return reading.failed
+}
+
 func putOutcome(target schema.Outcome, value *line.Outcome) error {
 	target.SetStatus(uint16(value.Status))
 	target.SetSeq(value.Seq)
@@ -432,6 +502,9 @@
 	target.SetTouchedAt(value.TouchedAt)
 	target.SetHead(value.Head)
 	target.SetArchivedSeq(value.ArchivedSeq)
+	target.SetUntil(value.Until)
+	target.SetSpent(value.Spent)
+	target.SetReserved(value.Reserved)
 	if err := errors.Join(target.SetLine(value.Line), target.SetTeam(value.Team), target.SetProgram(value.Program), target.SetWorkKind(value.WorkKind)); err != nil {
 		return err
 	}
@@ -456,7 +529,7 @@
 func takeSession(source schema.Session, value *line.Session) error {
 	reading := &taking{}
 	*value = line.Session{CreatedAt: source.CreatedAt(), KeepFor: time.Duration(source.KeepFor()), TouchedAt: source.TouchedAt(), Head: source.Head(), ArchivedSeq: source.ArchivedSeq(),
-		Line: field(reading, source.Line), Team: field(reading, source.Team), Program: field(reading, source.Program), WorkKind: field(reading, source.WorkKind)}
+		Until: source.Until(), Spent: source.Spent(), Reserved: source.Reserved(), Line: field(reading, source.Line), Team: field(reading, source.Team), Program: field(reading, source.Program), WorkKind: field(reading, source.WorkKind)}
 	if reading.failed != nil {
 		return reading.failed
 	}
@@ -525,7 +598,11 @@
 		return err
 	}
 	tallies, err := target.NewTallies(int32(len(value.Tallies)))
-	return putList(tallies, err, value.Tallies, putTally)
+	if err := putList(tallies, err, value.Tallies, putTally); err != nil {
+		return err
+	}
+	turns, err := target.NewTurns(int32(len(value.Turns)))
+	return putList(turns, err, value.Turns, putTurnRecord)
 }
 
 func takeImage(source schema.LineImage, value *line.Image) error {
@@ -535,7 +612,11 @@
 		return err
 	}
 	tallies, err := source.Tallies()
-	value.Tallies, err = takeList(tallies, err, takeTally)
+	if value.Tallies, err = takeList(tallies, err, takeTally); err != nil {
+		return err
+	}
+	turns, err := source.Turns()
+	value.Turns, err = takeList(turns, err, takeTurnRecord)
 	return err
 }
 
@@ -667,6 +748,11 @@
 		if err != nil {
 			return err
 		}
+		if len(reply.Outcomes.History) > 0 {
+			if err := made.SetHistory(reply.Outcomes.History); err != nil {
+				return err
+			}
+		}
 		outcomes, err := made.NewOutcomes(int32(len(reply.Outcomes.Outcomes)))
 		return putList(outcomes, err, reply.Outcomes.Outcomes, putOutcome)
 	case reply.Which == schema.Reply_Which_read:
@@ -695,7 +781,11 @@
 		}
 		list, err := made.Outcomes()
 		reply.Outcomes = &OutcomeList{}
-		reply.Outcomes.Outcomes, err = takeList(list, err, takeOutcome)
+		if reply.Outcomes.Outcomes, err = takeList(list, err, takeOutcome); err != nil {
+			return nil, err
+		}
+		history, err := made.History()
+		reply.Outcomes.History = bytes.Clone(history) // the library will use the message again
 		return reply, err
 	case reply.Which == schema.Reply_Which_read:
 		made, err := source.Read()
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -26,6 +26,7 @@
     digests @12 :DigestQuery;
     getCold @13 :GetColdQuery;
     runner @14 :RunnerNote;
+    find @15 :FindQuery;
   }
 }
 
@@ -41,6 +42,7 @@
     change @7 :ChangeReply;
     digests @8 :DigestReply;
     chunks @9 :ColdChunkBatch;
+    found @10 :FindReply;
   }
 }
 
@@ -181,6 +183,7 @@
   producerSeq @13 :UInt64;
   charter @14 :UInt64;
   deadline @15 :Int64;
+  data @16 :Data;
 }
 
 struct Command {
@@ -202,6 +205,31 @@
   allowance @15 :UInt64;
   acks @16 :List(Ack);
   life @17 :Int64;
+  follows @18 :Text;
+  dispatch @19 :Text;
+  outcome @20 :Text;
+  data @21 :Data;
+  tokens @22 :UInt64;
+  budgeted @23 :Bool;
+  keeps @24 :Bool;
+  adopted @25 :List(AdoptedTurn);
+}
+
+struct AdoptedTurn {
+  name @0 :Text;
+  data @1 :Data;
+}
+
+struct TurnRecord {
+  line @0 :Text;
+  name @1 :Text;
+  seq @2 :UInt64;
+  ended @3 :UInt64;
+  follows @4 :Text;
+  outcome @5 :Text;
+  dispatch @6 :Text;
+  deadline @7 :Int64;
+  tokens @8 :UInt64;
 }
 
 struct Ack {
@@ -220,6 +248,18 @@
 
 struct OutcomeList {
   outcomes @0 :List(Outcome);
+  history @1 :Data;
+}
+
+struct FindQuery {
+  name @0 :Text;
+}
+
+struct FindReply {
+  covered @0 :List(UInt32);
+  found @1 :Bool;
+  open @2 :Bool;
+  chain @3 :List(AdoptedTurn);
 }
 
 struct Producer {
@@ -242,6 +282,9 @@
   producers @9 :List(Producer);
   hot @10 :List(Event);
   openTurns @11 :List(UInt64);
+  until @12 :Int64;
+  spent @13 :UInt64;
+  reserved @14 :UInt64;
 }
 
 struct Reservation {
@@ -262,6 +305,7 @@
   clock @1 :Int64;
   sessions @2 :List(Session);
   tallies @3 :List(Tally);
+  turns @4 :List(TurnRecord);
 }
 
 struct CommandQuery {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -38,6 +38,7 @@
 	Digests   *DigestQuery
 	GetCold   *GetColdQuery
 	Runner    *RunnerNote
+	Find      *FindQuery
 }
 
 // Reply answers a Query; a Mishap with a Kind says that it failed.
@@ -52,6 +53,7 @@
 	Change   *ChangeReply
 	Digests  *DigestReply
 	Chunks   *ColdChunkBatch
+	Found    *FindReply
 }
 
 // Mishap is a typed failure on its way.
@@ -130,8 +132,25 @@
 	Commands []line.Command
 }
 
-// OutcomeList answers a CommandQuery.
-type OutcomeList struct{ Outcomes []line.Outcome }
+// OutcomeList answers a CommandQuery. History is what a turn that began goes on from:
+// the bytes of the chain of turns that it follows, oldest first.
+type OutcomeList struct {
+	Outcomes []line.Outcome
+	History  []byte
+}
+
+// FindQuery asks a store whether a group that it leads knows a turn of a program.
+type FindQuery struct{ Name string }
+
+// FindReply answers a FindQuery for the groups that a quorum confirmed the store to
+// lead. Chain is the turn found with all that it follows, oldest first; Open tells of
+// a turn that has not ended.
+type FindReply struct {
+	Covered []uint32
+	Found   bool
+	Open    bool
+	Chain   []line.AdoptedTurn
+}
 
 // ReadQuery asks a group's leader for a line, or for a tally. With Wait it holds
 // the answer until there is something after After.
