--- a/proof/simulator/network.go
+++ b/proof/simulator/network.go
@@ -387,6 +387,13 @@
 	return count, 0, changed, incoming.grown, nil
 }
 
+// Quiet tells that nothing has arrived and the other side has closed nothing.
+func (end *end) Quiet() bool {
+	var none [1]byte
+	count, _, _, _, err := end.take(none[:])
+	return count == 0 && err == nil
+}
+
 // Write sends; it blocks only while its host is frozen.
 func (end *end) Write(data []byte) (int, error) {
 	end.network.awake(end.host, end.done)
--- a/system/link/link.go
+++ b/system/link/link.go
@@ -31,13 +31,37 @@
 	// Listens tells where to listen instead, for addresses that others reach in a
 	// roundabout way.
 	Listens map[string]string
+	// Silence is how long the other side may leave unanswered what its system should
+	// answer at once, before a dialled connection counts as broken: a cut or a machine
+	// without power says nothing. Zero leaves it to the system, which waits for minutes.
+	// It does not hold for accepted connections, as some systems also count the time for
+	// which a caller reads nothing.
+	Silence time.Duration
+}
+
+// keepAlive has the system ask a silent other side whether it is still there.
+func (network TCP) keepAlive() net.KeepAliveConfig {
+	if network.Silence <= 0 {
+		return net.KeepAliveConfig{}
+	}
+	return net.KeepAliveConfig{Enable: true, Idle: max(network.Silence/2, time.Second), Interval: time.Second, Count: max(1, int(network.Silence/time.Second))}
+}
+
+// control sets how long what was sent may stay unanswered.
+func (network TCP) control(_, _ string, socket syscall.RawConn) error {
+	if network.Silence <= 0 {
+		return nil
+	}
+	var failed error
+	err := socket.Control(func(descriptor uintptr) { failed = setSilence(int(descriptor), network.Silence) })
+	return errors.Join(err, failed)
 }
 
 // Dial connects by IP and port.
 //
 //	connection, err := link.TCP{}.Dial(ctx, "127.0.0.1:7000")
 func (network TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{}
+	dialer := &net.Dialer{Control: network.control, KeepAliveConfig: network.keepAlive()}
 	if from := net.ParseIP(network.From); from != nil && !from.IsUnspecified() {
 		dialer.LocalAddr = &net.TCPAddr{IP: from}
 	}
--- a/system/mishap/mishap.go
+++ b/system/mishap/mishap.go
@@ -52,6 +52,8 @@
 	// Lost tells that the other side refused for want of room, was not there, or went
 	// away: it may have just started anew.
 	Lost bool
+	// Misdirected tells that another process has the address now than the one meant.
+	Misdirected bool
 }
 
 // Error gives the message with its remedy.
--- /dev/null
+++ b/system/runnerpool/events_test.go
@@ -0,0 +1,197 @@
+package runnerpool
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"yardrock.example/system/mishap"
+)
+
+// pieces is a reader that gives one piece with each read, and asks for nothing more
+// than is needed: after the last piece comes its error.
+type pieces struct {
+	left [][]byte
+	err  error
+}
+
+func (pieces *pieces) Read(target []byte) (int, error) {
+	if len(pieces.left) == 0 {
+		return 0, pieces.err
+	}
+	count := copy(target, pieces.left[0])
+	if pieces.left[0] = pieces.left[0][count:]; len(pieces.left[0]) == 0 {
+		pieces.left = pieces.left[1:]
+	}
+	return count, nil
+}
+
+func (event Event) String() string {
+	return fmt.Sprintf("%q id=%q data=%q %v", event.Raw, event.ID, event.Data, event.HasData)
+}
+
+func collect(events *Events) ([]string, error) {
+	all := []string{}
+	for {
+		event, err := events.Next()
+		if err != nil {
+			return all, err
+		}
+		all = append(all, event.String())
+	}
+}
+
+var streams = map[string]struct {
+	text string
+	want []Event
+}{
+	"plain":             {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []Event{{[]byte("id: 1\ndata: a\n\n"), "1", []byte("a"), true}, {[]byte("id: 2\ndata: b\n\n"), "2", []byte("b"), true}}},
+	"returns and feeds": {"id: 1\r\ndata: a\r\n\r\ndata: b\r\n\r\n", []Event{{[]byte("id: 1\r\ndata: a\r\n\r\n"), "1", []byte("a"), true}, {[]byte("data: b\r\n\r\n"), "", []byte("b"), true}}},
+	"returns":           {"id: 1\rdata: a\r\rdata: b\r\r", []Event{{[]byte("id: 1\rdata: a\r\r"), "1", []byte("a"), true}, {[]byte("data: b\r\r"), "", []byte("b"), true}}},
+	"mixed ends":        {"id: 1\r\ndata: a\n\ndata: b\n\ndata: c\r\n\n", []Event{{[]byte("id: 1\r\ndata: a\n\n"), "1", []byte("a"), true}, {[]byte("data: b\n\n"), "", []byte("b"), true}, {[]byte("data: c\r\n\n"), "", []byte("c"), true}}},
+	"many data lines":   {"data: a\ndata:b\ndata\ndata:  c\n\n", []Event{{[]byte("data: a\ndata:b\ndata\ndata:  c\n\n"), "", []byte("a\nb\n\n c"), true}}},
+	"empty data":        {"data\n\ndata:\n\n", []Event{{[]byte("data\n\n"), "", nil, true}, {[]byte("data:\n\n"), "", nil, true}}},
+	"comment":           {": ping\n\ndata: a\n\n", []Event{{[]byte(": ping\n\n"), "", nil, false}, {[]byte("data: a\n\n"), "", []byte("a"), true}}},
+	"other fields":      {"weight-versions: 4\nevent: x\nretry: 3\nDATA: n\nid : 7\ndata: a\n\n", []Event{{[]byte("weight-versions: 4\nevent: x\nretry: 3\nDATA: n\nid : 7\ndata: a\n\n"), "", []byte("a"), true}}},
+	"the last id":       {"id: 1\nid: 2\ndata: a\n\n", []Event{{[]byte("id: 1\nid: 2\ndata: a\n\n"), "2", []byte("a"), true}}},
+	"id with a zero":    {"id: 1\x00\ndata: a\n\n", []Event{{[]byte("id: 1\x00\ndata: a\n\n"), "", []byte("a"), true}}},
+	"blank lines":       {"\n\ndata: a\n\n\n", []Event{{Raw: []byte("\n")}, {Raw: []byte("\n")}, {[]byte("data: a\n\n"), "", []byte("a"), true}, {Raw: []byte("\n")}}},
+	"mark of order":     {"\xef\xbb\xbfdata: a\n\n\xef\xbb\xbfdata: b\n\n", []Event{{[]byte("\xef\xbb\xbfdata: a\n\n"), "", []byte("a"), true}, {[]byte("\xef\xbb\xbfdata: b\n\n"), "", nil, false}}},
+	"no last blank":     {"data: a\n\ndata: b\n", []Event{{[]byte("data: a\n\n"), "", []byte("a"), true}, {Raw: []byte("data: b\n")}}},
+	"no last line end":  {"data: a\n\ndata: b", []Event{{[]byte("data: a\n\n"), "", []byte("a"), true}, {Raw: []byte("data: b")}}},
+	"long":              {"id: 9\ndata: " + strings.Repeat("x", 50_000) + "\n\ndata: b\n\n", []Event{{[]byte("id: 9\ndata: " + strings.Repeat("x", 50_000) + "\n\n"), "9", []byte(strings.Repeat("x", 50_000)), true}, {[]byte("data: b\n\n"), "", []byte("b"), true}}},
+	"nothing":           {"", nil},
+}
+
+func TestEventsAreSplitHoweverTheyCome(t *testing.T) {
+	for name, test := range streams {
+		t.Run(name, func(t *testing.T) {
+			want := []string{}
+			for _, event := range test.want {
+				want = append(want, event.String())
+			}
+			readers := map[string]io.Reader{
+				"whole":           strings.NewReader(test.text),
+				"end with data":   iotest.DataErrReader(strings.NewReader(test.text)),
+				"byte for byte":   iotest.OneByteReader(strings.NewReader(test.text)),
+				"half by half":    iotest.HalfReader(strings.NewReader(test.text)),
+				"seven at a time": &pieces{parts(test.text, 7), io.EOF},
+			}
+			for way, reader := range readers {
+				if got, err := collect(NewEvents(reader)); err != io.EOF || !slices.Equal(got, want) {
+					t.Errorf("%s:\ngot  %v, %v\nwant %v", way, got, err, want)
+				}
+			}
+		})
+	}
+}
+
+// TestAnEventDoesNotWaitForMore fails if a read is made after the blank line came.
+func TestAnEventDoesNotWaitForMore(t *testing.T) {
+	for _, text := range []string{"data: a\n\n", "data: a\r\n\r\n", "data: a\r\r", ": ping\n\n", "\n", "data: a\r\n\n", "data: a\n\r\n"} {
+		for size := 1; size <= len(text); size++ {
+			events := NewEvents(&pieces{parts(text, size), errors.New("read too far")})
+			event, err := events.Next()
+			if want := text; err != nil || strings.TrimSuffix(string(event.Raw), "\n") != strings.TrimSuffix(want, "\n") {
+				t.Errorf("%q by %d: got %q, %v", text, size, event.Raw, err)
+			}
+		}
+	}
+}
+
+func TestABrokenStreamGivesNoPart(t *testing.T) {
+	broken := errors.New("broken")
+	for _, text := range []string{"data: a\n\ndata: b", "data: a\n\ndata: b\n", "data: a\n\ndata: b\r"} {
+		events := NewEvents(&pieces{[][]byte{[]byte(text)}, broken})
+		got, err := collect(events)
+		if err != broken || len(got) != 1 {
+			t.Errorf("%q: got %v, %v", text, got, err)
+		}
+		if _, err := events.Next(); err != broken {
+			t.Errorf("%q: then %v", text, err)
+		}
+	}
+}
+
+func TestAnEventIsBounded(t *testing.T) {
+	events := NewEvents(io.MultiReader(strings.NewReader("data: "), strings.NewReader(strings.Repeat("x", 2*largestEvent))))
+	if _, err := events.Next(); !mishap.Is(err, mishap.RunnerMishap) {
+		t.Errorf("got %v", err)
+	}
+	if _, err := events.Next(); !mishap.Is(err, mishap.RunnerMishap) {
+		t.Errorf("then %v", err)
+	}
+}
+
+func TestReadyTellsOfWhatIsThere(t *testing.T) {
+	events := NewEvents(&pieces{[][]byte{[]byte("data: a\n\ndata: b\n\ndata: c\n")}, io.EOF})
+	if events.Ready() {
+		t.Error("ready before anything was read")
+	}
+	for _, want := range []bool{true, false} {
+		if _, err := events.Next(); err != nil || events.Ready() != want {
+			t.Errorf("ready is not %v, %v", want, err)
+		}
+	}
+}
+
+func TestEventsStayAsTheyWere(t *testing.T) {
+	text := strings.Builder{}
+	for number := range 2000 {
+		fmt.Fprintf(&text, "id: %d\ndata: one %d\ndata: two\n\n", number, number)
+	}
+	events := NewEvents(iotest.HalfReader(strings.NewReader(text.String())))
+	kept := []Event{}
+	for {
+		event, err := events.Next()
+		if err != nil {
+			break
+		}
+		kept = append(kept, event)
+	}
+	raw := strings.Builder{}
+	for number, event := range kept {
+		raw.Write(event.Raw)
+		if want := fmt.Sprintf("one %d\ntwo", number); string(event.Data) != want || event.ID != fmt.Sprint(number) {
+			t.Fatalf("event %d has become %v", number, event)
+		}
+	}
+	if raw.String() != text.String() || len(kept) != 2000 {
+		t.Error("the stream is not what it was")
+	}
+}
+
+// FuzzEvents holds that no byte is lost or moved, whatever comes, and that how it is
+// cut into reads does not change the data.
+func FuzzEvents(f *testing.F) {
+	for _, test := range streams {
+		if len(test.text) < 1000 {
+			f.Add(test.text, 3)
+		}
+	}
+	f.Add("\r\n\r\n\r\r\n\n\r", 1)
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		read := func(size int) (raw, data string) {
+			events := NewEvents(&pieces{parts(text, size), io.EOF})
+			for {
+				event, err := events.Next()
+				if err != nil {
+					return raw, data
+				}
+				raw += string(event.Raw)
+				if event.HasData {
+					data += fmt.Sprintf("%q %q,", event.ID, event.Data)
+				}
+			}
+		}
+		raw, data := read(min(max(size, 1), 1000))
+		whole, all := read(len(text) + 1)
+		if raw != text || whole != text || data != all {
+			t.Errorf("%q became %q and %q, with %s and %s", text, raw, whole, data, all)
+		}
+	})
+}
--- /dev/null
+++ b/system/runnerpool/pool_test.go
@@ -0,0 +1,449 @@
+package runnerpool
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+)
+
+func must(t *testing.T, pool *Pool, name string, changes ...func(*Dispatch)) {
+	t.Helper()
+	if _, body, err := ask(t, pool, query(name, changes...)); body != "fine" || err != nil {
+		t.Fatalf("%s got %q, %v", name, body, err)
+	}
+}
+
+// hold sends queries whose replies stay open; the function returned ends one.
+func hold(t *testing.T, pool *Pool, count int) []func() {
+	t.Helper()
+	ends := []func(){}
+	for number := range count {
+		reply, err := pool.Send(t.Context(), query(fmt.Sprint("held", number)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ends = append(ends, func() {
+			io.Copy(io.Discard, reply)
+			reply.Close()
+			reply.Close()
+		})
+	}
+	return ends
+}
+
+func TestTheConnectionUsedLastIsTakenFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(repeat(ok("fine"), 99))
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		for _, end := range hold(t, pool, 3) {
+			end()
+		}
+		if stats := pool.Stats(); stats != (Stats{Dials: 3, Idle: 3}) {
+			t.Errorf("stats %+v", stats)
+		}
+		for number := range 5 {
+			must(t, pool, fmt.Sprint("q", number))
+			if got := runner.got()[3+number].connection; got != 2 {
+				t.Errorf("connection %d was taken", got)
+			}
+		}
+		if stats := pool.Stats(); stats != (Stats{Dials: 3, Reuses: 5, Idle: 3}) {
+			t.Errorf("stats %+v", stats)
+		}
+	})
+}
+
+func TestNoMoreConnectionsThanAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(repeat(ok("fine"), 99))
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		ends := hold(t, pool, 4)
+		_, err := pool.Send(t.Context(), query("q1"))
+		if got := failureOf(err); got != (failure{kind: mishap.Unavailable, neverSent: true}) || runner.dials != 4 {
+			t.Errorf("got %v after %d dials", err, runner.dials)
+		}
+		other := func(dispatch *Dispatch) { dispatch.Runner = feed.Runner{Address: "10.0.0.10:8080", Life: "life-2"} }
+		must(t, pool, "q2", other)
+		ends[0]()
+		must(t, pool, "q3")
+		if runner.dials != 5 {
+			t.Errorf("%d dials", runner.dials)
+		}
+		// Fewer are allowed now: what is beyond ends as it comes back.
+		fewer := func(dispatch *Dispatch) { dispatch.Most = 2 }
+		must(t, pool, "q4", fewer)
+		for _, end := range ends[1:] {
+			end()
+		}
+		if stats := pool.Stats(); stats.Idle != 3 || stats.Out != 0 {
+			t.Errorf("stats %+v", stats)
+		}
+		// None allowed counts as one, so that a runner with many callers is used at all.
+		pool.Retain(nil)
+		must(t, pool, "q5", func(dispatch *Dispatch) { dispatch.Most = 0 })
+	})
+}
+
+func TestIdleConnectionsEndBeforeTheRunnerEndsThem(t *testing.T) {
+	for name, test := range map[string]struct {
+		headers  string
+		longest  time.Duration // for which a connection is kept
+		answered int           // queries that come before, each after half of the time
+	}{
+		"told":           {"Keep-Alive: timeout=8, max=9", 5750 * time.Millisecond, 0},
+		"told little":    {"Keep-Alive: timeout=1", 500 * time.Millisecond, 0},
+		"not told":       {"Seal: x", untoldIdle, 0},
+		"told nonsense":  {"Keep-Alive: timeout=soon", untoldIdle, 0},
+		"counted anew":   {"Keep-Alive: timeout=8", 5750 * time.Millisecond, 3},
+		"told very much": {"Keep-Alive: timeout=1000", 750*time.Second - 250*time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, late := range []bool{false, true} {
+				synctest.Test(t, func(t *testing.T) {
+					runner := script(repeat(okWith(test.headers, "fine"), 99))
+					pool := New(runner, testDialect)
+					defer pool.Close()
+					must(t, pool, "q1")
+					for range test.answered {
+						time.Sleep(test.longest / 2)
+						must(t, pool, "q")
+					}
+					wait, dials := test.longest-time.Millisecond, 1
+					if late {
+						wait, dials = test.longest, 2
+					}
+					time.Sleep(wait)
+					must(t, pool, "q2")
+					if runner.dials != dials {
+						t.Errorf("%d connections after %v", runner.dials, wait)
+					}
+				})
+			}
+		})
+	}
+}
+
+func TestIdleConnectionsEndWithoutFurtherQueries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(repeat(ok("fine"), 9))
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		ends := hold(t, pool, 2)
+		ends[0]()
+		time.Sleep(untoldIdle / 2)
+		ends[1]()
+		time.Sleep(untoldIdle/2 + time.Second)
+		synctest.Wait()
+		if !runner.made[0].closed() || runner.made[1].closed() || pool.Stats().Idle != 1 {
+			t.Error("not just the first connection has ended")
+		}
+		time.Sleep(untoldIdle / 2)
+		synctest.Wait()
+		if !runner.made[1].closed() || pool.Stats().Idle != 0 {
+			t.Error("the second connection has not ended")
+		}
+		must(t, pool, "q1")
+		time.Sleep(untoldIdle + time.Second)
+		synctest.Wait()
+		if !runner.made[2].closed() {
+			t.Error("after a pause, connections do not end any more")
+		}
+	})
+}
+
+// TestAnIdleConnectionOnWhichSomethingCameIsNotUsed lets a runner do things to the idle
+// connection; the next query must go over another.
+func TestAnIdleConnectionOnWhichSomethingCameIsNotUsed(t *testing.T) {
+	for name, do := range map[string]func(connection *end){
+		"closed":       func(connection *end) { connection.Close() },
+		"reset":        func(connection *end) { connection.reset() },
+		"one byte":     func(connection *end) { io.WriteString(connection, "x") },
+		"whole answer": func(connection *end) { io.WriteString(connection, ok("late")) },
+		"timeout told": func(connection *end) {
+			io.WriteString(connection, "HTTP/1.1 408 Request Timeout\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			connection.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script(repeat(ok("fine"), 9))
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				must(t, pool, "q1")
+				synctest.Wait()
+				do(runner.made[0])
+				must(t, pool, "q2")
+				synctest.Wait()
+				if got := runner.got(); len(got) != 2 || got[1].connection != 1 || pool.Stats() != (Stats{Dials: 2, Idle: 1}) {
+					t.Errorf("%d queries, stats %+v", len(got), pool.Stats())
+				}
+			})
+		})
+	}
+}
+
+// TestARunnersOwnIdleTimeIsLearnt has a runner close what is idle for 600 ms without
+// telling it.
+func TestARunnersOwnIdleTimeIsLearnt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(repeat(ok("fine"), 99))
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		must(t, pool, "q1")
+		time.Sleep(600 * time.Millisecond)
+		runner.made[0].Close()
+		must(t, pool, "q2")
+		time.Sleep(299 * time.Millisecond)
+		must(t, pool, "q3")
+		if runner.dials != 2 {
+			t.Errorf("%d dials: a connection was not kept", runner.dials)
+		}
+		time.Sleep(300 * time.Millisecond)
+		must(t, pool, "q4")
+		if runner.dials != 3 || !runner.made[1].closed() {
+			t.Errorf("%d dials: a connection was kept too long", runner.dials)
+		}
+		// A connection that ends at once tells no idle time below the bound.
+		runner.made[2].Close()
+		must(t, pool, "q5")
+		time.Sleep(shortestIdle - 1)
+		must(t, pool, "q6")
+		if runner.dials != 4 {
+			t.Errorf("%d dials", runner.dials)
+		}
+	})
+}
+
+// TestAKeptConnectionThatFails meets what a look at the connection could not find.
+func TestAKeptConnectionThatFails(t *testing.T) {
+	for name, test := range map[string]struct {
+		second string // on the kept connection
+		want   failure
+		body   string
+		dials  int
+	}{
+		"closed after the query came":       {"|CLOSE", failure{kind: mishap.RunnerMishap, lost: true}, "", 1},
+		"reset after the query came":        {"|RESET", failure{kind: mishap.RunnerMishap, lost: true}, "", 1},
+		"closed in the head":                {"HTTP/1.1 2|CLOSE", failure{kind: mishap.RunnerMishap, lost: true}, "", 1},
+		"refused without a name":            {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", failure{kind: mishap.RunnerMishap, lost: true}, "", 1},
+		"misdirected without a name":        {"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", failure{kind: mishap.RunnerMishap, lost: true}, "", 1},
+		"failure without a name":            {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", failure{kind: mishap.RunnerMishap, lost: true}, "", 1},
+		"the late answer to the one before": {"HTTP/1.1 200 OK\r\nQuery-Name: q1\r\nContent-Length: 4\r\n\r\nlate" + ok("fine"), failure{}, "fine", 1},
+		"a late answer in chunks":           {"HTTP/1.1 200 OK\r\nQuery-Name: q1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n\r\n" + ok("fine"), failure{}, "fine", 1},
+		"a late refusal":                    {"HTTP/1.1 503 Full\r\nQuery-Name: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" + ok("fine"), failure{}, "fine", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script([]string{ok("fine"), test.second, ok("third")}, []string{ok("fine")})
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				must(t, pool, "q1")
+				_, body, err := ask(t, pool, query("q2"))
+				if got := failureOf(err); got != test.want || body != test.body {
+					t.Errorf("got %q, %v", body, err)
+				}
+				if runner.dials != test.dials || pool.Stats().Idle != 0 || len(runner.got()) != 2 {
+					t.Errorf("%d dials, %d queries, stats %+v", runner.dials, len(runner.got()), pool.Stats())
+				}
+			})
+		})
+	}
+}
+
+// TestAKeptConnectionThatTakesNoByte is dead, and its runner could not be heard to say
+// so; the query goes over the next one.
+func TestAKeptConnectionThatTakesNoByte(t *testing.T) {
+	for _, body := range []int{0, 100, 3 * directBytes} {
+		synctest.Test(t, func(t *testing.T) {
+			runner := script(repeat(ok("fine"), 9))
+			pool := New(deaf{runner}, testDialect)
+			defer pool.Close()
+			for _, end := range hold(t, pool, 3) {
+				end()
+			}
+			for _, made := range runner.made {
+				made.reset()
+			}
+			looks := 0
+			must(t, pool, "q1", func(dispatch *Dispatch) {
+				dispatch.Body = [][]byte{make([]byte, body)}
+				dispatch.Look = func() error { looks++; return nil }
+			})
+			if runner.dials != 4 || looks != 4 || len(runner.got()) != 4 {
+				t.Errorf("%d dials, %d looks, %d queries", runner.dials, looks, len(runner.got()))
+			}
+		})
+	}
+}
+
+// TestANewConnectionThatTakesNoByte is proof that nothing was sent.
+func TestANewConnectionThatTakesNoByte(t *testing.T) {
+	for _, body := range []int{0, 3 * directBytes} {
+		synctest.Test(t, func(t *testing.T) {
+			runner := script(nil)
+			runner.network.serve = func(_ int, connection *end) { connection.reset() }
+			pool := New(runner, testDialect)
+			defer pool.Close()
+			_, err := pool.Send(t.Context(), query("q1", func(dispatch *Dispatch) {
+				dispatch.Body = [][]byte{make([]byte, body)}
+				dispatch.Look = func() error { synctest.Wait(); return nil }
+			}))
+			if got := failureOf(err); got != (failure{kind: mishap.RunnerMishap, neverSent: true, lost: true}) || runner.dials != 1 {
+				t.Errorf("got %v after %d dials", err, runner.dials)
+			}
+			if pool.Stats() != (Stats{Dials: 1}) {
+				t.Errorf("stats %+v", pool.Stats())
+			}
+		})
+	}
+}
+
+func TestLivesThatEnd(t *testing.T) {
+	life := func(name string) func(*Dispatch) { return func(dispatch *Dispatch) { dispatch.Runner.Life = name } }
+	for name, test := range map[string]struct {
+		first  string
+		retain func(pool *Pool)
+		second string
+		dials  int
+	}{
+		"same life":          {"a", func(pool *Pool) { pool.Retain([]feed.Runner{{Address: "10.0.0.9:8080", Life: "a"}}) }, "a", 1},
+		"same life, unnamed": {"a", func(pool *Pool) { pool.Retain([]feed.Runner{{Address: "10.0.0.9:8080"}}) }, "a", 1},
+		"life becomes known": {"", func(pool *Pool) { pool.Retain([]feed.Runner{{Address: "10.0.0.9:8080", Life: "a"}}) }, "a", 1},
+		"two lives, one is ours": {"a", func(pool *Pool) {
+			pool.Retain([]feed.Runner{{Address: "10.0.0.9:8080", Life: "a"}, {Address: "10.0.0.9:8080", Life: "b"}})
+		}, "a", 1},
+		"other life":              {"a", func(pool *Pool) { pool.Retain([]feed.Runner{{Address: "10.0.0.9:8080", Life: "b"}}) }, "b", 2},
+		"gone":                    {"a", func(pool *Pool) { pool.Retain([]feed.Runner{{Address: "10.0.0.7:8080", Life: "a"}}) }, "a", 2},
+		"other life, not told":    {"a", func(*Pool) {}, "b", 2},
+		"life not known any more": {"a", func(*Pool) {}, "", 1},
+		"all gone, and come anew": {"a", func(pool *Pool) { pool.Retain(nil) }, "a", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script(repeat(ok("fine"), 9))
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				must(t, pool, "q1", life(test.first))
+				test.retain(pool)
+				must(t, pool, "q2", life(test.second))
+				synctest.Wait()
+				if runner.dials != test.dials || runner.made[0].closed() != (test.dials == 2) {
+					t.Errorf("%d dials", runner.dials)
+				}
+				if stats := pool.Stats(); stats.Idle != 1 || stats.Out != 0 {
+					t.Errorf("stats %+v", stats)
+				}
+			})
+		})
+	}
+}
+
+func TestARunnerThatLeavesMayEndItsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(repeat(ok("fine"), 9))
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		reply, err := pool.Send(t.Context(), query("q1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool.Retain(nil)
+		if body, err := io.ReadAll(reply); string(body) != "fine" || err != nil {
+			t.Errorf("got %q, %v", body, err)
+		}
+		reply.Close()
+		synctest.Wait()
+		if !runner.made[0].closed() || pool.Stats() != (Stats{Dials: 1}) {
+			t.Errorf("its connection stays, stats %+v", pool.Stats())
+		}
+	})
+}
+
+func TestAReplyThatIsNotReadEndsItsConnection(t *testing.T) {
+	for name, bytes := range map[string]int{"unread": 0, "read in part": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script(repeat(ok("fine"), 9))
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				reply, err := pool.Send(t.Context(), query("q1"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				io.ReadFull(reply, make([]byte, bytes))
+				reply.Close()
+				synctest.Wait()
+				if !runner.made[0].closed() || pool.Stats() != (Stats{Dials: 1}) {
+					t.Errorf("its connection stays, stats %+v", pool.Stats())
+				}
+				if _, err := reply.Read(make([]byte, 1)); !mishap.Is(err, mishap.Cancelled) {
+					t.Errorf("a closed reply gives %v", err)
+				}
+			})
+		})
+	}
+}
+
+func TestAClosedPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(repeat(ok("fine"), 9))
+		pool := New(runner, testDialect)
+		ends := hold(t, pool, 2)
+		ends[0]()
+		pool.Close()
+		synctest.Wait()
+		if !runner.made[0].closed() || runner.made[1].closed() {
+			t.Error("not just the idle connection has ended")
+		}
+		ends[1]()
+		if _, err := pool.Send(t.Context(), query("q1")); failureOf(err) != (failure{kind: mishap.Unavailable, neverSent: true}) {
+			t.Errorf("a closed pool gives %v", err)
+		}
+		if pool.Stats() != (Stats{Dials: 2}) {
+			t.Errorf("stats %+v", pool.Stats())
+		}
+		pool.Close()
+	})
+}
+
+// TestManyQueriesAtOnce looks for answers that go astray; each bears its query's body.
+func TestManyQueriesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(nil)
+		runner.network.serve = echo
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		done := make(chan struct{})
+		for worker := range 16 {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				for number := range 50 {
+					name := fmt.Sprintf("q%d-%d", worker, number)
+					_, body, err := ask(t, pool, query(name, func(dispatch *Dispatch) {
+						dispatch.Body, dispatch.Most = [][]byte{[]byte(name)}, 8
+						dispatch.Runner.Address = fmt.Sprint("10.0.0.", number%3, ":8080")
+					}))
+					if err == nil && body != name || err != nil && failureOf(err) != (failure{kind: mishap.Unavailable, neverSent: true}) {
+						t.Errorf("%s got %q, %v", name, body, err)
+					}
+					if number%10 == 0 {
+						pool.Retain([]feed.Runner{{Address: "10.0.0.1:8080"}})
+					}
+				}
+			}()
+		}
+		for range 16 {
+			<-done
+		}
+		if stats := pool.Stats(); stats.Out != 0 || stats.Dials < 3 || stats.Reuses == 0 {
+			t.Errorf("stats %+v", stats)
+		}
+	})
+}
--- /dev/null
+++ b/system/runnerpool/send_test.go
@@ -0,0 +1,537 @@
+package runnerpool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yardrock.example/system/mishap"
+)
+
+func TestAQueryReachesTheRunnerUnchanged(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*Dispatch)
+		want   map[string][]string
+		not    []string
+	}{
+		"own headers": {func(dispatch *Dispatch) {}, map[string][]string{"Query-Name": {"q1"}, "Expected-Runner": {"life-1"}, "Time-Left": {"10000"}, "Content-Length": {"6"}}, []string{"Urgency", "Last-Event-Id"}},
+		"urgency and resuming": {func(dispatch *Dispatch) { dispatch.Urgency, dispatch.Resume = "3", "17" },
+			map[string][]string{"Urgency": {"3"}, "Last-Event-Id": {"17"}}, nil},
+		"own headers replace the caller's": {func(dispatch *Dispatch) {
+			dispatch.Urgency, dispatch.Resume = "3", "17"
+			dispatch.Header = http.Header{"Urgency": {"0"}, "Last-Event-Id": {"2"}, "Time-Left": {"5"}, "Expected-Runner": {"x"}, "Query-Name": {"q1"}, "Content-Length": {"99"}, "Host": {"evil"}}
+		}, map[string][]string{"Urgency": {"3"}, "Last-Event-Id": {"17"}, "Time-Left": {"10000"}, "Expected-Runner": {"life-1"}, "Query-Name": {"q1"}, "Content-Length": {"6"}}, nil},
+		"the caller's stay where there is none of ours": {func(dispatch *Dispatch) {
+			dispatch.Deadline, dispatch.Runner.Life, dispatch.Name = time.Time{}, "", ""
+			dispatch.Header = http.Header{"Urgency": {"0"}, "Last-Event-Id": {"2"}, "Time-Left": {"5"}, "Expected-Runner": {"x"}, "Query-Name": {"q1"}}
+		}, map[string][]string{"Last-Event-Id": {"2"}, "Time-Left": {"5"}, "Expected-Runner": {"x"}, "Query-Name": {"q1"}}, []string{"Urgency"}},
+		"many values": {func(dispatch *Dispatch) {
+			dispatch.Header = http.Header{"Accept": {"a", "b"}, "Cookie": {"About=7"}, "Empty": {""}}
+		}, map[string][]string{"Accept": {"a", "b"}, "Cookie": {"About=7"}, "Empty": {""}}, nil},
+		"headers of one hop stay behind": {func(dispatch *Dispatch) {
+			dispatch.Header = http.Header{"Connection": {"keep-alive, X-Mine", "x-other"}, "X-Mine": {"1"}, "X-Other": {"1"}, "X-Third": {"1"}, "Keep-Alive": {"5"}, "Te": {"trailers"}, "Trailer": {"X"},
+				"Transfer-Encoding": {"chunked"}, "Upgrade": {"websocket"}, "Proxy-Authorization": {"x"}, "Proxy-Connection": {"x"}, "Proxy-Authenticate": {"x"}}
+		}, map[string][]string{"X-Third": {"1"}, "Content-Length": {"6"}}, []string{"Connection", "X-Mine", "X-Other", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Authorization", "Proxy-Connection", "Proxy-Authenticate"}},
+		"no body": {func(dispatch *Dispatch) { dispatch.Method, dispatch.Body = "GET", nil }, map[string][]string{"Content-Length": {"0"}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script([]string{ok("fine")})
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				dispatch := query("q1", test.change)
+				before := dispatch.Header.Clone()
+				status, body, err := ask(t, pool, dispatch)
+				if dispatch.Name != "" && (status != 200 || body != "fine" || err != nil) {
+					t.Fatalf("got %d %q, %v", status, body, err)
+				}
+				got := runner.got()[0]
+				if got.Method != dispatch.Method || got.RequestURI != "/turn/2f?x=1" || got.Host != "agents.example" || got.Proto != "HTTP/1.1" {
+					t.Errorf("the runner got %s %s for %s", got.Method, got.RequestURI, got.Host)
+				}
+				if want := strings.Repeat("say it", len(dispatch.Body)/2); string(got.text) != want {
+					t.Errorf("the body is %q, not %q", got.text, want)
+				}
+				for name, values := range test.want {
+					if fmt.Sprint(got.Header[name]) != fmt.Sprint(values) {
+						t.Errorf("header %s is %q, not %q", name, got.Header[name], values)
+					}
+				}
+				for _, name := range test.not {
+					if len(got.Header[name]) > 0 || name == "Transfer-Encoding" && got.TransferEncoding != nil {
+						t.Errorf("header %s went along: %q", name, got.Header[name])
+					}
+				}
+				if fmt.Sprint(before) != fmt.Sprint(dispatch.Header) {
+					t.Errorf("the caller's headers were changed to %v", dispatch.Header)
+				}
+			})
+		})
+	}
+}
+
+func TestWhatIsNoQueryIsNeverSent(t *testing.T) {
+	for name, change := range map[string]func(*Dispatch){
+		"no method":                   func(dispatch *Dispatch) { dispatch.Method = "" },
+		"method with a blank":         func(dispatch *Dispatch) { dispatch.Method = "GET /x" },
+		"connect":                     func(dispatch *Dispatch) { dispatch.Method = "CONNECT" },
+		"no target":                   func(dispatch *Dispatch) { dispatch.Target = "" },
+		"target with a blank":         func(dispatch *Dispatch) { dispatch.Target = "/a b" },
+		"target with a line end":      func(dispatch *Dispatch) { dispatch.Target = "/a\r\nX: y" },
+		"no host":                     func(dispatch *Dispatch) { dispatch.Host = "" },
+		"host with a line end":        func(dispatch *Dispatch) { dispatch.Host = "a\nb" },
+		"header name with a colon":    func(dispatch *Dispatch) { dispatch.Header = http.Header{"A:b": {"c"}} },
+		"header name that is empty":   func(dispatch *Dispatch) { dispatch.Header = http.Header{"": {"c"}} },
+		"header value with line ends": func(dispatch *Dispatch) { dispatch.Header = http.Header{"A": {"c\r\n\r\nGET / HTTP/1.1"}} },
+		"header value with a zero":    func(dispatch *Dispatch) { dispatch.Header = http.Header{"A": {"\x00"}} },
+		"name with a line end":        func(dispatch *Dispatch) { dispatch.Name = "q\r\n" },
+		"urgency with a line end":     func(dispatch *Dispatch) { dispatch.Urgency = "1\n" },
+		"resume with a line end":      func(dispatch *Dispatch) { dispatch.Resume = "1\r" },
+		"life with a line end":        func(dispatch *Dispatch) { dispatch.Runner.Life = "1\r" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script([]string{ok("fine")})
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				_, _, err := ask(t, pool, query("q1", change))
+				if got := failureOf(err); got != (failure{kind: mishap.Invalid, neverSent: true}) {
+					t.Errorf("got %v", err)
+				}
+				if runner.dials != 0 {
+					t.Error("a connection was made")
+				}
+			})
+		})
+	}
+}
+
+// TestAnswers sends one query over a new connection and, if another tells whether the
+// connection was kept, a second one.
+func TestAnswers(t *testing.T) {
+	const named = "Query-Name: NAME\r\n"
+	lost := failure{kind: mishap.RunnerMishap, lost: true}
+	refused := failure{kind: mishap.NotRun}
+	for name, test := range map[string]struct {
+		raw    string
+		method string
+		status int
+		body   string
+		send   failure // of Send
+		read   failure // of Read
+		kept   bool
+	}{
+		"length":                       {raw: ok("fine"), status: 200, body: "fine", kept: true},
+		"empty":                        {raw: ok(""), status: 200, kept: true},
+		"chunks":                       {raw: "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n3\r\n!!!\r\n0\r\n\r\n", status: 200, body: "fine!!!", kept: true},
+		"chunks with trailer":          {raw: "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n4\r\nfine\r\n0\r\nX: y\r\n\r\n", status: 200, body: "fine", kept: true},
+		"no content":                   {raw: "HTTP/1.1 204 No Content\r\n" + named + "\r\n", status: 204, kept: true},
+		"head":                         {raw: "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 400\r\n\r\n", method: "HEAD", status: 200, kept: true},
+		"head in chunks":               {raw: "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n", method: "HEAD", status: 200, kept: true},
+		"head without length":          {raw: "HTTP/1.1 200 OK\r\n" + named + "\r\n", method: "HEAD", status: 200, kept: true},
+		"not modified":                 {raw: "HTTP/1.1 304 Not Modified\r\n" + named + "\r\n", status: 304, kept: true},
+		"own failure":                  {raw: "HTTP/1.1 500 Oops\r\n" + named + "Content-Length: 4\r\n\r\noops", status: 500, body: "oops", kept: true},
+		"interim heads":                {raw: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok("fine"), status: 200, body: "fine", kept: true},
+		"says close":                   {raw: okWith("Connection: close", "fine"), status: 200, body: "fine"},
+		"says close among others":      {raw: okWith("Connection: x-y, Close", "fine"), status: 200, body: "fine"},
+		"old version":                  {raw: "HTTP/1.0 200 OK\r\n" + named + "Content-Length: 4\r\n\r\nfine", status: 200, body: "fine"},
+		"old version kept":             {raw: "HTTP/1.0 200 OK\r\n" + named + "Connection: keep-alive\r\nContent-Length: 4\r\n\r\nfine", status: 200, body: "fine"},
+		"bytes after it":               {raw: ok("fine") + "junk", status: 200, body: "fine"},
+		"answer after it":              {raw: ok("fine") + ok("more"), status: 200, body: "fine"},
+		"no idle time":                 {raw: okWith("Keep-Alive: timeout=0", "fine"), status: 200, body: "fine"},
+		"identity":                     {raw: okWith("Content-Encoding: identity", "fine"), status: 200, body: "fine", kept: true},
+		"bare line feeds":              {raw: "HTTP/1.1 200 OK\nQuery-Name: NAME\nContent-Length: 4\n\nfine", status: 200, body: "fine", kept: true},
+		"unnamed failure":              {raw: "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", status: 500, kept: true},
+		"not run, but a success":       {raw: okWith("Not-Run: true", "fine"), status: 200, body: "fine", kept: true},
+		"refused":                      {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: true\r\nContent-Length: 4\r\n\r\nfull", send: refused, kept: true},
+		"refused in chunks":            {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n", send: refused, kept: true},
+		"refused, body is missing":     {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\nContent-Length: 4\r\n\r\nfu", send: refused},
+		"refused, body is broken off":  {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\nContent-Length: 4\r\n\r\nfu|RESET", send: refused},
+		"refused, body is long":        {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\nContent-Length: 99999\r\n\r\n" + strings.Repeat("x", 99999), send: refused},
+		"refused, chunks without end":  {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n" + strings.Repeat("x", 0xffff) + "\r\n0\r\n\r\n", send: refused},
+		"refused, no length":           {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\n\r\nfull|CLOSE", send: refused},
+		"refused, says close":          {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n|CLOSE", send: refused},
+		"refused without a name":       {raw: "HTTP/1.1 400 No Name\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", send: refused, kept: true},
+		"refused, encoded":             {raw: "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n", send: refused, kept: true},
+		"misdirected":                  {raw: "HTTP/1.1 421 Misdirected\r\n" + named + "Content-Length: 0\r\n\r\n", send: failure{kind: mishap.NotRun, misdirected: true}, kept: true},
+		"full, without a promise":      {raw: "HTTP/1.1 503 Full\r\n" + named + "Content-Length: 4\r\n\r\nfull", status: 503, body: "full", kept: true},
+		"unnamed success":              {raw: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine", send: lost},
+		"encoded":                      {raw: okWith("Content-Encoding: gzip", "fine"), send: failure{kind: mishap.RunnerMishap}},
+		"encoded twice":                {raw: okWith("Content-Encoding: identity, br", "fine"), send: failure{kind: mishap.RunnerMishap}},
+		"closed at once":               {raw: "|CLOSE", send: lost},
+		"reset at once":                {raw: "|RESET", send: lost},
+		"closed in the head":           {raw: "HTTP/1.1 200 OK\r\nQuery-Na|CLOSE", send: lost},
+		"reset in the head":            {raw: "HTTP/1.1 200|RESET", send: lost},
+		"garbage":                      {raw: "\x00\x01\x02 what\r\n\r\n|CLOSE", send: lost},
+		"other protocol":               {raw: "SSH-2.0-OpenSSH_9.6\r\n|CLOSE", send: lost},
+		"other version":                {raw: "HTTP/2.0 200 OK\r\n" + named + "Content-Length: 0\r\n\r\n", send: lost},
+		"status of two digits":         {raw: "HTTP/1.1 20 OK\r\n" + named + "\r\n", send: lost},
+		"status of letters":            {raw: "HTTP/1.1 abc OK\r\n" + named + "\r\n", send: lost},
+		"status too high":              {raw: "HTTP/1.1 999 OK\r\n" + named + "Content-Length: 0\r\n\r\n", send: lost},
+		"status too low":               {raw: "HTTP/1.1 099 OK\r\n" + named + "Content-Length: 0\r\n\r\n", send: lost},
+		"switching":                    {raw: "HTTP/1.1 101 Switching\r\n" + named + "\r\n", send: lost},
+		"header without colon":         {raw: "HTTP/1.1 200 OK\r\nnonsense\r\n\r\n", send: lost},
+		"two lengths":                  {raw: "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nfine!", send: lost},
+		"length below zero":            {raw: "HTTP/1.1 200 OK\r\n" + named + "Content-Length: -4\r\n\r\nfine", send: lost},
+		"unknown coding":               {raw: "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: odd\r\n\r\nfine", send: lost},
+		"large head":                   {raw: "HTTP/1.1 200 OK\r\n" + named + "X: " + strings.Repeat("x", headBytes) + "\r\nContent-Length: 0\r\n\r\n", send: lost},
+		"large status line":            {raw: "HTTP/1.1 200 " + strings.Repeat("x", headBytes) + "\r\n" + named + "Content-Length: 0\r\n\r\n", send: lost},
+		"head just below the bound":    {raw: okWith("X: "+strings.Repeat("x", headBytes-200), "fine"), status: 200, body: "fine", kept: true},
+		"interim heads without end":    {raw: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 50) + ok("fine"), send: lost},
+		"length, closed early":         {raw: "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 9\r\n\r\nfine|CLOSE", status: 200, body: "fine", read: lost},
+		"length, reset early":          {raw: "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 9\r\n\r\nfine|RESET", status: 200, body: "fine", read: lost},
+		"chunks, closed early":         {raw: "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n|CLOSE", status: 200, body: "fine", read: lost},
+		"chunks, closed in a chunk":    {raw: "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n9\r\nfine|CLOSE", status: 200, body: "fine", read: lost},
+		"chunks, closed after the 0":   {raw: "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n|CLOSE", status: 200, body: "fine", read: lost},
+		"chunks, then garbage":         {raw: "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\nzz\r\n", status: 200, body: "fine", read: lost},
+		"no length":                    {raw: "HTTP/1.1 200 OK\r\n" + named + "\r\nfine|CLOSE", status: 200, body: "fine", read: lost},
+		"an answer to another first":   {raw: strings.ReplaceAll(ok("late"), "NAME", "q0") + ok("fine"), status: 200, body: "fine"},
+		"two answers to others first":  {raw: strings.Repeat(strings.ReplaceAll(ok("late"), "NAME", "q0"), 2) + ok("fine"), status: 200, body: "fine"},
+		"answers to others only":       {raw: strings.Repeat(strings.ReplaceAll(ok("late"), "NAME", "q0"), 3) + ok("fine"), send: lost},
+		"another's refusal first":      {raw: "HTTP/1.1 503 Full\r\nQuery-Name: q0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" + ok("fine"), status: 200, body: "fine"},
+		"another's refusal only":       {raw: "HTTP/1.1 503 Full\r\nQuery-Name: q0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n|CLOSE", send: lost},
+		"another's misdirection only":  {raw: "HTTP/1.1 421 Misdirected\r\nQuery-Name: q0\r\nContent-Length: 0\r\n\r\n|CLOSE", send: lost},
+		"another's without end":        {raw: "HTTP/1.1 200 OK\r\nQuery-Name: q0\r\n\r\nlate|CLOSE", send: lost},
+		"another's broken off":         {raw: "HTTP/1.1 200 OK\r\nQuery-Name: q0\r\nContent-Length: 9\r\n\r\nlate|CLOSE", send: lost},
+		"another's, then an unnamed":   {raw: strings.ReplaceAll(ok("late"), "NAME", "q0") + "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", send: lost},
+		"another's, then ours refused": {raw: strings.ReplaceAll(ok("late"), "NAME", "q0") + "HTTP/1.1 503 Full\r\n" + named + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n", send: refused},
+		"two names":                    {raw: okWith("Query-Name: q0", "fine") + "|CLOSE", send: lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script([]string{test.raw, ok("second")})
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				method := test.method
+				if method == "" {
+					method = "POST"
+				}
+				reply, err := pool.Send(t.Context(), query("q1", func(dispatch *Dispatch) { dispatch.Method = method }))
+				if got := failureOf(err); got != test.send {
+					t.Fatalf("sending failed with %v, which is not %+v", err, test.send)
+				}
+				if err == nil {
+					body, err := io.ReadAll(reply)
+					if got := failureOf(err); reply.Status != test.status || string(body) != test.body || got != test.read {
+						t.Errorf("got %d, %q, %v", reply.Status, body, err)
+					}
+					if _, again := reply.Read(make([]byte, 1)); err == nil && again != io.EOF || err != nil && again != err {
+						t.Errorf("reading again gives %v after %v", again, err)
+					}
+					reply.Close()
+				}
+				synctest.Wait()
+				if kept := pool.Stats().Idle == 1; kept != test.kept {
+					t.Errorf("kept: %v", kept)
+				}
+				if out := pool.Stats().Out; out != 0 {
+					t.Errorf("%d connections are out", out)
+				}
+				if !test.kept && !runner.made[0].closed() {
+					t.Error("the connection was not closed")
+				}
+				if _, body, err := ask(t, pool, query("q2")); test.kept && (body != "second" || err != nil || runner.dials != 1) {
+					t.Errorf("the second query got %q, %v over %d connections", body, err, runner.dials)
+				}
+			})
+		})
+	}
+}
+
+func TestWhatAnAnswerTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script([]string{
+			okWith("Load: 3, 4,64\r\nSeal: x\r\nConnection: X-Mine, keep-alive\r\nX-Mine: 1\r\nKeep-Alive: timeout=9\r\nUpgrade: x", "fine"),
+			"HTTP/1.1 503 Full\r\nQuery-Name: NAME\r\nNot-Run: true\r\nLoad: 64,9,64\r\nRetry-After: 0.25\r\nContent-Length: 0\r\n\r\n",
+		})
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		reply, err := pool.Send(t.Context(), query("q1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if reply.Load == nil || *reply.Load != (Load{3, 4, 64}) || reply.Length != 4 {
+			t.Errorf("load %v, length %d", reply.Load, reply.Length)
+		}
+		if want := fmt.Sprint(http.Header{"Content-Length": {"4"}, "Load": {"3, 4,64"}, "Query-Name": {"q1"}, "Seal": {"x"}}); fmt.Sprint(reply.Header) != want {
+			t.Errorf("headers %v, not %v", reply.Header, want)
+		}
+		io.Copy(io.Discard, reply)
+		reply.Close()
+		reply, err = pool.Send(t.Context(), query("q2"))
+		if !mishap.Is(err, mishap.NotRun) || mishap.Of(err).RetryAfter != 250*time.Millisecond {
+			t.Errorf("got %v", err)
+		}
+		if reply.Status != 503 || *reply.Load != (Load{64, 9, 64}) || reply.Length != 0 {
+			t.Errorf("the refusal tells %+v", reply)
+		}
+		if count, err := reply.Read(make([]byte, 9)); count != 0 || err != io.EOF {
+			t.Errorf("the refusal has a body: %d, %v", count, err)
+		}
+		reply.Close()
+		if stats := pool.Stats(); stats != (Stats{Dials: 1, Reuses: 1, Idle: 1}) {
+			t.Errorf("stats %+v", stats)
+		}
+	})
+}
+
+func TestLoadsAndTimes(t *testing.T) {
+	for words, want := range map[string]*Load{"1,2,3": {1, 2, 3}, " 1 , 2 , 3 ": {1, 2, 3}, "": nil, "1,2": nil, "1,2,3,4": nil, "1,2,x": nil, "-1,2,3": nil, "1,,3": nil, "1,2,99999999999": nil} {
+		if got := readLoad(words); fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("load %q is %v, not %v", words, got, want)
+		}
+	}
+	for words, want := range map[string]time.Duration{"2": 2 * time.Second, "0.5": 500 * time.Millisecond, "": 0, "-1": 0, "NaN": 0, "Inf": 0, "soon": 0, "1e99": 0, "Wed, 21 Oct 2026 07:28:00 GMT": 0} {
+		if got := retryAfter(http.Header{"Retry-After": {words}}); got != want {
+			t.Errorf("waiting %q is %v, not %v", words, got, want)
+		}
+	}
+	for words, want := range map[string]struct {
+		time time.Duration
+		told bool
+	}{"timeout=5, max=100": {5 * time.Second, true}, "max=100, Timeout=2": {2 * time.Second, true}, `timeout="3"`: {3 * time.Second, true}, "timeout": {}, "timeout=": {}, "timeout=x": {}, "timeout=-1": {}, "timeout=1.5": {}, "max=5": {}, "": {}, "timeout=0": {0, true}} {
+		if got, told := keepAlive(http.Header{"Keep-Alive": {words}}); got != want.time || told != want.told {
+			t.Errorf("keep-alive %q is %v, %v", words, got, told)
+		}
+	}
+}
+
+func TestDialsThatFail(t *testing.T) {
+	for name, test := range map[string]struct {
+		fail   func(ctx context.Context) error
+		within time.Duration // of the deadline; 0: 10 s
+		want   failure
+		after  time.Duration
+	}{
+		"nobody listens":    {fail: func(context.Context) error { return fmt.Errorf("dial: %w", syscall.ECONNREFUSED) }, want: failure{kind: mishap.Unavailable, neverSent: true, lost: true, nobodyThere: true}},
+		"reset":             {fail: func(context.Context) error { return syscall.ECONNRESET }, want: failure{kind: mishap.Unavailable, neverSent: true, lost: true}},
+		"cut":               {fail: func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, want: failure{kind: mishap.Unavailable, neverSent: true, lost: true}, after: dialPatience},
+		"cut, little time":  {fail: func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, within: 100 * time.Millisecond, want: failure{kind: mishap.Unavailable, neverSent: true}, after: 100 * time.Millisecond},
+		"time already over": {fail: func(context.Context) error { return errors.New("never asked") }, within: -time.Second, want: failure{kind: mishap.Unavailable, neverSent: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script(nil)
+				runner.fail = test.fail
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				began := time.Now()
+				_, _, err := ask(t, pool, query("q1", func(dispatch *Dispatch) {
+					if test.within != 0 {
+						dispatch.Deadline = time.Now().Add(test.within)
+					}
+				}))
+				if got := failureOf(err); got != test.want {
+					t.Errorf("got %v", err)
+				}
+				if time.Since(began) != test.after || pool.Stats() != (Stats{}) {
+					t.Errorf("after %v, stats %+v", time.Since(began), pool.Stats())
+				}
+			})
+		})
+	}
+}
+
+func TestTheLookComesBeforeTheFirstByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(repeat(ok("fine"), 9))
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		looks := 0
+		seen := query("q1", func(dispatch *Dispatch) {
+			dispatch.Look = func() error {
+				if looks++; len(runner.got()) != looks-1 {
+					t.Error("the query left before the look")
+				}
+				return nil
+			}
+		})
+		for range 2 {
+			if _, _, err := ask(t, pool, seen); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, kept := range []error{mishap.Later(mishap.NotRun, "the runner left", "choose another", time.Second), errors.New("untyped")} {
+			refused := query("q3", func(dispatch *Dispatch) { dispatch.Look = func() error { return kept } })
+			_, _, err := ask(t, pool, refused)
+			if found := mishap.Of(err); !found.NeverSent || found.Lost || found.Kind != mishap.Of(kept).Kind || found.RetryAfter != mishap.Of(kept).RetryAfter {
+				t.Errorf("got %v", err)
+			}
+			if mishap.Of(kept).NeverSent {
+				t.Error("the look's own failure was changed")
+			}
+		}
+		// On a new connection as on a kept one, which is as good as before.
+		pool.Retain(nil)
+		_, _, err := ask(t, pool, query("q4", func(dispatch *Dispatch) { dispatch.Look = func() error { return errors.New("no") } }))
+		if err == nil || len(runner.got()) != 2 {
+			t.Errorf("%v, %d queries left", err, len(runner.got()))
+		}
+		if stats := pool.Stats(); stats != (Stats{Dials: 2, Reuses: 1, Idle: 1}) {
+			t.Errorf("stats %+v", stats)
+		}
+	})
+}
+
+func TestSilenceAndGivingUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		give   bool // the caller gives up after a second
+		body   string
+		send   failure
+		read   failure
+		after  time.Duration
+	}{
+		"silent to the deadline":          {answer: "", send: failure{kind: mishap.Unknown}, after: 10 * time.Second},
+		"silent, given up":                {answer: "", give: true, send: failure{kind: mishap.Cancelled}, after: time.Second},
+		"silent in the body":              {answer: "HTTP/1.1 200 OK\r\nQuery-Name: NAME\r\nContent-Length: 9\r\n\r\nfine", body: "fine", read: failure{kind: mishap.Unknown}, after: 10 * time.Second},
+		"silent in the body, given up":    {answer: "HTTP/1.1 200 OK\r\nQuery-Name: NAME\r\nContent-Length: 9\r\n\r\nfine", body: "fine", give: true, read: failure{kind: mishap.Cancelled}, after: time.Second},
+		"silent in a chunk":               {answer: "HTTP/1.1 200 OK\r\nQuery-Name: NAME\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nfine", body: "fine", read: failure{kind: mishap.Unknown}, after: 10 * time.Second},
+		"silent in the body of another":   {answer: "HTTP/1.1 200 OK\r\nQuery-Name: q0\r\nContent-Length: 9\r\n\r\nfine", send: failure{kind: mishap.Unknown}, after: 10 * time.Second},
+		"silent in the body of a refusal": {answer: "HTTP/1.1 503 Full\r\nQuery-Name: NAME\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nfu", send: failure{kind: mishap.NotRun}, after: refusalPatience},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script([]string{test.answer})
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if test.give {
+					time.AfterFunc(time.Second, cancel)
+				}
+				began := time.Now()
+				reply, err := pool.Send(ctx, query("q1"))
+				if got := failureOf(err); got != test.send {
+					t.Fatalf("sending failed with %v", err)
+				}
+				if err == nil {
+					body, err := io.ReadAll(reply)
+					if got := failureOf(err); string(body) != test.body || got != test.read {
+						t.Errorf("got %q, %v", body, err)
+					}
+					reply.Close()
+				}
+				if time.Since(began) != test.after {
+					t.Errorf("it took %v", time.Since(began))
+				}
+				synctest.Wait()
+				if !runner.made[0].closed() || pool.Stats() != (Stats{Dials: 1}) {
+					t.Errorf("the connection stays: %+v", pool.Stats())
+				}
+			})
+		})
+	}
+}
+
+func TestAContextThatEndsLaterDoesNotHarmTheNextQuery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := script(repeat(ok("fine"), 9))
+		pool := New(runner, testDialect)
+		defer pool.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		reply, err := pool.Send(ctx, query("q1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, reply)
+		reply.Close()
+		cancel()
+		synctest.Wait()
+		if _, body, err := ask(t, pool, query("q2")); body != "fine" || err != nil || runner.dials != 1 {
+			t.Errorf("got %q, %v over %d connections", body, err, runner.dials)
+		}
+		if _, err := pool.Send(ctx, query("q3")); failureOf(err) != (failure{kind: mishap.Cancelled, neverSent: true}) {
+			t.Errorf("an ended context sent a query: %v", err)
+		}
+	})
+}
+
+func TestLongBodies(t *testing.T) {
+	long := strings.Repeat("0123456789", 50_000)
+	refusal := "HTTP/1.1 503 Full\r\nQuery-Name: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, test := range map[string]struct {
+		serve func(connection *end)
+		body  string
+		send  failure
+		kept  bool
+	}{
+		"read whole":                {body: fmt.Sprint(len(long)), kept: true},
+		"refused before it is read": {serve: func(connection *end) { io.WriteString(connection, refusal); connection.in.hold() }, send: failure{kind: mishap.NotRun}},
+		"refused and closed": {serve: func(connection *end) {
+			io.ReadFull(connection, make([]byte, 9))
+			io.WriteString(connection, refusal)
+			connection.Close()
+		}, send: failure{kind: mishap.NotRun}},
+		"refused and half reset": {serve: func(connection *end) { io.WriteString(connection, refusal); connection.reset() }, send: failure{kind: mishap.NotRun}},
+		"reset":                  {serve: func(connection *end) { io.ReadFull(connection, make([]byte, 9)); connection.reset() }, send: failure{kind: mishap.RunnerMishap, lost: true}},
+		"never read":             {serve: func(connection *end) { connection.in.hold() }, send: failure{kind: mishap.Unknown}},
+		"answered before it is read": {serve: func(connection *end) {
+			io.WriteString(connection, strings.ReplaceAll(ok("fine"), "NAME", "q1"))
+			connection.in.hold()
+		},
+			body: "fine"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runner := script(nil)
+				runner.window = 2000
+				runner.network.serve = func(_ int, connection *end) {
+					if test.serve != nil {
+						test.serve(connection)
+						return
+					}
+					runner.answers = [][]string{{ok(fmt.Sprint(len(long)))}}
+					runner.serve(0, connection)
+				}
+				pool := New(runner, testDialect)
+				defer pool.Close()
+				dispatch := query("q1", func(dispatch *Dispatch) { dispatch.Body = parts(long, 7001) })
+				_, body, err := ask(t, pool, dispatch)
+				if got := failureOf(err); got != test.send || body != test.body {
+					t.Errorf("got %q, %v", body, err)
+				}
+				synctest.Wait()
+				if stats := pool.Stats(); stats.Out != 0 || stats.Idle == 1 != test.kept {
+					t.Errorf("stats %+v", stats)
+				}
+				if test.kept && string(runner.got()[0].text) != long {
+					t.Error("the body has changed")
+				}
+			})
+		})
+	}
+}
+
+// hold waits until the connection's other side is closed, and reads nothing.
+func (half *half) hold() {
+	half.mutex.Lock()
+	defer half.mutex.Unlock()
+	for !half.ended {
+		half.moved.Wait()
+	}
+}
+
+func TestShortBodyIsOneWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writes := 0
+		runner := script(repeat(ok("fine"), 9))
+		pool := New(counting{runner, &writes}, testDialect)
+		defer pool.Close()
+		for range 3 {
+			if _, _, err := ask(t, pool, query("q1")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if writes != 3 {
+			t.Errorf("%d writes for three queries", writes)
+		}
+	})
+}
--- a/system/settings/settings.go
+++ b/system/settings/settings.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -37,12 +38,15 @@
 	TrialDisk string `arg:"--trial-disk" json:"trial_disk" help:"for trials only: keep unsynced writes in memory, and obey the disk faults that this file names"`
 }
 
+// silence is within what a caller can still wait for after a connection was cut.
+const silence = 2500 * time.Millisecond
+
 // Network is how the process reaches others and is reached: it dials from its own
 // address's IP.
 //
 //	node, err := front.Start(front.Settings{...}, loaded.Network())
 func (common *Common) Network() link.TCP {
-	network := link.TCP{Listens: map[string]string{}}
+	network := link.TCP{Listens: map[string]string{}, Silence: silence}
 	if host, _, err := net.SplitHostPort(common.Address); err == nil {
 		network.From = host
 	}
