--- /dev/null
+++ b/proof/simulator/routing_test.go
@@ -0,0 +1,280 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"yardrock.example/system/charter"
+	"yardrock.example/system/controlplane"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+)
+
+// operatorPatience is how long an operator waits for one node, ackPatience for the
+// acknowledgement of an order, whatever node gives it.
+const (
+	operatorPatience = 850 * time.Millisecond
+	ackPatience      = 4 * time.Second
+)
+
+// order sends an order to the control nodes in turn, from one on, until it is
+// acknowledged or refused, as operators do.
+func (cluster *Cluster) order(from int, patience time.Duration, send func(ctx context.Context, node *controlplane.Node) error) error {
+	began := time.Now()
+	for turn := from; ; turn++ {
+		err := mishap.New(mishap.NoQuorum, "the node is down", "ask another")
+		if node := cluster.Controls[turn%len(cluster.Controls)].Control; node != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), operatorPatience)
+			err = send(ctx, node)
+			cancel()
+		}
+		if again := mishap.Is(err, mishap.NoQuorum) || mishap.Is(err, mishap.Unclear); !again || time.Since(began) > patience {
+			return err
+		}
+		<-time.After(100 * time.Millisecond)
+	}
+}
+
+// oneRoute is a routing of one route, told apart by its patience.
+func oneRoute(revision uint64, patience time.Duration) charter.Routing {
+	return charter.Routing{
+		Revision: revision,
+		Routes: []charter.Route{{
+			Name: "chat", Host: "one.example", Prefix: "/chat/", Kind: charter.Once, Patience: charter.Duration(patience), Tries: 1,
+			Shares: []charter.Share{{Service: "small", Weight: 1}}, Written: []byte(fmt.Sprintf(`{"revision":%d}`, revision)),
+		}},
+		Services: []charter.Service{{Name: "small", HealthPath: "/health"}},
+	}
+}
+
+func (cluster *Cluster) replace(from int, base uint64, next charter.Routing, digest string) error {
+	return cluster.order(from, ackPatience, func(ctx context.Context, node *controlplane.Node) error {
+		return node.ReplaceRouting(ctx, "root", base, next, digest)
+	})
+}
+
+// mustRead reads the routing at every control node that runs; all must tell the same.
+func (cluster *Cluster) mustRead(t *testing.T, patience time.Duration) *charter.Routing {
+	t.Helper()
+	var newest *charter.Routing
+	for position, machine := range cluster.Controls {
+		if machine.Control == nil {
+			continue
+		}
+		var read *charter.Routing
+		err := cluster.Await(patience, "routing read at "+machine.Host, func() (err error) {
+			ctx, cancel := context.WithTimeout(context.Background(), operatorPatience)
+			defer cancel()
+			read, err = machine.Control.ReadRouting(ctx)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if newest != nil && newest.Revision != read.Revision {
+			t.Fatalf("node %d tells revision %d, another %d", position, read.Revision, newest.Revision)
+		}
+		newest = read
+	}
+	return newest
+}
+
+func (cluster *Cluster) leader() *Machine {
+	at := slices.IndexFunc(cluster.Controls, func(machine *Machine) bool { return machine.Control != nil && machine.Control.Leading() })
+	if at < 0 {
+		return cluster.Controls[0]
+	}
+	return cluster.Controls[at]
+}
+
+// TestOfTwoRoutingsOnOneBaseOneWinsOverAKilledLeader lets two operators race again and
+// again, while control leaders die; repeats, stale and invalid orders come in between.
+func TestOfTwoRoutingsOnOneBaseOneWinsOverAKilledLeader(t *testing.T) {
+	simulate(t, Shape{Controls: 5, Stores: 3, Fronts: 1, Models: 1, Applications: 1}, func(t *testing.T, cluster *Cluster) {
+		random := cluster.Random(11)
+		if read := cluster.mustRead(t, ackPatience); read.Revision != 0 || len(read.Routes) != 0 {
+			t.Fatalf("before the first: %+v", read)
+		}
+		if err := cluster.replace(0, 0, oneRoute(3, time.Second), "first"); err != nil {
+			t.Fatal(err)
+		}
+		base := uint64(3)
+		for round := range 6 {
+			digest := func(operator int) string { return fmt.Sprintf("%d-%d", round, operator) }
+			orders := []charter.Routing{oneRoute(base+1+uint64(random.IntN(5)), time.Second), oneRoute(base+1+uint64(random.IntN(5)), 2*time.Second)}
+			told := make([]chan error, len(orders))
+			began := time.Now()
+			for operator, next := range orders {
+				told[operator] = make(chan error, 1)
+				from := random.IntN(5)
+				go func() { told[operator] <- cluster.replace(from, base, next, digest(operator)) }()
+			}
+			var killed *Machine
+			if round%2 == 1 {
+				<-time.After(time.Duration(random.IntN(60)) * time.Millisecond)
+				killed = cluster.leader()
+				killed.Kill()
+			}
+			results := []error{<-told[0], <-told[1]}
+			winner := slices.Index(results, nil)
+			if winner < 0 || !mishap.Is(results[1-winner], mishap.Conflict) {
+				t.Fatalf("round %d: %v", round, results)
+			}
+			if took := time.Since(began); took > ackPatience {
+				t.Fatalf("round %d: acknowledged after %s", round, took)
+			}
+			before := base
+			base = orders[winner].Revision
+			for from := range cluster.Controls {
+				if err := cluster.replace(from, before, orders[winner], digest(winner)); err != nil {
+					t.Fatalf("round %d: the winner repeated at %d: %v", round, from, err)
+				}
+			}
+			if err := cluster.replace(random.IntN(5), before, orders[1-winner], digest(1-winner)); !mishap.Is(err, mishap.Conflict) {
+				t.Fatalf("round %d: the loser repeated: %v", round, err)
+			}
+			unknown := oneRoute(base+1, time.Second)
+			unknown.Services = nil
+			for name, invalid := range map[string]charter.Routing{"revision": oneRoute(base, 3*time.Second), "older": oneRoute(base-1, 3*time.Second), "patience": oneRoute(base+1, 0), "service": unknown} {
+				if err := cluster.replace(random.IntN(5), base, invalid, name); !mishap.Is(err, mishap.Invalid) {
+					t.Fatalf("round %d: invalid by %s: %v", round, name, err)
+				}
+			}
+			if killed != nil {
+				if err := killed.Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			read := cluster.mustRead(t, 10*time.Second)
+			if read.Revision != base || read.Routes[0].Patience != orders[winner].Routes[0].Patience || string(read.Routes[0].Written) != string(orders[winner].Routes[0].Written) {
+				t.Fatalf("round %d: %+v is in force instead of %+v", round, read, orders[winner])
+			}
+		}
+		amend := func(from int, base uint64, amendment charter.Amendment, digest string) error {
+			return cluster.order(from, ackPatience, func(ctx context.Context, node *controlplane.Node) error {
+				return node.AmendRouting(ctx, "root", base, amendment, digest)
+			})
+		}
+		added := oneRoute(0, time.Second).Routes[0]
+		added.Name, added.Prefix = "more", "/more/"
+		for from := range cluster.Controls {
+			if err := amend(from, base, charter.Amendment{Revision: base + 4, Routes: []charter.Route{added}}, "amended"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := amend(1, base, charter.Amendment{Revision: base + 5, RemoveRoutes: []string{"more"}}, "stale"); !mishap.Is(err, mishap.Conflict) {
+			t.Fatalf("a stale amendment: %v", err)
+		}
+		if err := amend(2, base+4, charter.Amendment{Revision: base + 5, RemoveServices: []string{"small"}}, "needed"); !mishap.Is(err, mishap.Invalid) {
+			t.Fatalf("a service that is needed was removed: %v", err)
+		}
+		if read := cluster.mustRead(t, ackPatience); read.Revision != base+4 || len(read.Routes) != 2 {
+			t.Fatalf("%+v is in force", read)
+		}
+		// A charter that says nothing of routing leaves it as it is.
+		if err := cluster.PutCharter(Rules + "// again\n"); err != nil {
+			t.Fatal(err)
+		}
+		if read := cluster.mustRead(t, ackPatience); read.Revision != base+4 || len(read.Routes) != 2 {
+			t.Fatalf("%+v is in force after a charter was put", read)
+		}
+	})
+}
+
+// TestARoutingOutlivesTheLossOfAllControlDisks loses them right after an
+// acknowledgement, with a store away; no node may tell an older routing meanwhile.
+func TestARoutingOutlivesTheLossOfAllControlDisks(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		base := uint64(0)
+		for _, revision := range []uint64{2, 7, 9} {
+			if err := cluster.replace(int(revision), base, oneRoute(revision, time.Second), fmt.Sprint(revision)); err != nil {
+				t.Fatal(err)
+			}
+			base = revision
+		}
+		for _, control := range cluster.Controls {
+			control.Kill()
+			control.Wipe()
+		}
+		cluster.Stores[cluster.Random(12).IntN(3)].LosePower()
+		for _, control := range cluster.Controls {
+			if err := control.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if read := cluster.mustRead(t, 30*time.Second); read.Revision != 9 {
+			t.Fatalf("revision %d was read back", read.Revision)
+		}
+		if err := cluster.replace(0, 7, oneRoute(9, time.Second), "9"); err != nil {
+			t.Fatalf("the last order, repeated: %v", err)
+		}
+		if err := cluster.replace(1, 9, oneRoute(10, time.Second), "10"); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestEmptyingADomainIsAcknowledgedAgain repeats orders at all nodes, while the leader
+// dies, and takes them back.
+func TestEmptyingADomainIsAcknowledgedAgain(t *testing.T) {
+	simulate(t, Shape{Controls: 5, Stores: 3, Fronts: 1, Models: 2, Applications: 1}, func(t *testing.T, cluster *Cluster) {
+		set := func(from int, name, state string) error {
+			return cluster.order(from, ackPatience, func(ctx context.Context, node *controlplane.Node) error {
+				return node.SetDomainState(ctx, "root", name, state)
+			})
+		}
+		for _, state := range []string{feed.Emptied, feed.Serving, feed.Emptied} {
+			killed := cluster.leader()
+			killed.Kill()
+			for from := range cluster.Controls {
+				began := time.Now()
+				if err := set(from, "east", state); err != nil {
+					t.Fatal(err)
+				}
+				if took := time.Since(began); took > ackPatience {
+					t.Fatalf("%s after %s", state, took)
+				}
+			}
+			if err := killed.Start(); err != nil {
+				t.Fatal(err)
+			}
+			if view := cluster.leader().Control.View(); view.DomainEmptied("east") != (state == feed.Emptied) {
+				t.Fatalf("%s: %+v", state, view.Domains)
+			}
+		}
+		if err := set(0, "east", "half"); !mishap.Is(err, mishap.Invalid) {
+			t.Fatalf("an unknown state: %v", err)
+		}
+	})
+}
+
+// TestOrdersAreNotTakenWithoutAQuorum: an order at a node that is alone is not
+// acknowledged, and its node says so before its operator leaves.
+func TestOrdersAreNotTakenWithoutAQuorum(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		if err := cluster.replace(0, 0, oneRoute(1, time.Second), "1"); err != nil {
+			t.Fatal(err)
+		}
+		for _, machine := range cluster.Controls[1:] {
+			machine.Kill()
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), operatorPatience)
+		defer cancel()
+		began := time.Now()
+		err := cluster.Controls[0].Control.ReplaceRouting(ctx, "root", 1, oneRoute(2, time.Second), "2")
+		if !mishap.Is(err, mishap.NoQuorum) && !mishap.Is(err, mishap.Unclear) {
+			t.Fatalf("alone: %v", err)
+		}
+		if took := time.Since(began); took > operatorPatience+10*time.Millisecond {
+			t.Fatalf("refused after %s", took)
+		}
+		ctx, cancel = context.WithTimeout(context.Background(), operatorPatience)
+		defer cancel()
+		if _, err := cluster.Controls[0].Control.ReadRouting(ctx); err == nil {
+			t.Fatal("a node alone reads the routing")
+		}
+	})
+}
