A source of runners can be given; observed changes cost stores nothing; quick succession

The roster duty is the control leader's and reads an injected source: the platform's list moves with leadership and no longer waits for store acknowledgements or syncs. Stores come and go without a command where AutoEnrol says so, the disk of a machine that was lost is succeeded at once by the one at its address, and a lost voter goes just before its successor votes. Groups move in steps of 50 ms instead of 1 s. A view that a node could not take is no longer shown to it as held.

--- a/proof/simulator/linearizable_test.go
+++ b/proof/simulator/linearizable_test.go
@@ -99,7 +99,7 @@
 			host := fmt.Sprintf("10.8.0.%d", number+1)
 			caller := link.NewCaller(cluster.Network.At(host))
 			defer caller.Close()
-			following := follower.Start(caller, feed.Member{Name: host, Role: "client", Address: host + ":1"}, cluster.seeds, nil, func(*feed.View) {})
+			following := follower.Start(caller, feed.Member{Name: host, Role: "client", Address: host + ":1"}, cluster.seeds, nil, func(*feed.View) error { return nil })
 			defer following.Stop()
 			for following.View().Groups == 0 {
 				<-time.After(50 * time.Millisecond)
--- a/system/controlplane/changes.go
+++ b/system/controlplane/changes.go
@@ -17,7 +17,7 @@
 )
 
 // Change commits one change and waits until it is acknowledged: synced by a
-// control majority and by a majority of the store list.
+// control majority and, if it was ordered, by a majority of the store list.
 //
 //	reply, err := node.Change(ctx, feed.Change{Kind: feed.ChangeDomain, Domain: feed.Domain{Name: "east", State: feed.Emptied}})
 func (node *Node) Change(ctx context.Context, change feed.Change) (*wire.ChangeReply, error) {
@@ -39,7 +39,7 @@
 	if query.Change.Await > 0 {
 		return node.answerAwait(ctx, query.Change.Await)
 	}
-	before := node.View().Stores
+	before := feed.Keepers(node.View().Stores)
 	change := query.Change.Change
 	change.At = time.Now().UnixNano()
 	outcomes, err := node.host.Propose(ctx, controlGroup, [][]byte{wire.MustEncode(schema.Change_TypeID, &change)})
@@ -54,7 +54,11 @@
 		return nil, outcome.err
 	}
 	answer := &wire.ChangeReply{Number: outcome.number}
-	answer.Acknowledged = node.awaitStores(ctx, outcome.number, before) && node.awaitStores(ctx, outcome.number, node.View().Stores)
+	if change.Kind.Observed() {
+		answer.Acknowledged = true
+		return &wire.Reply{Which: schema.Reply_Which_change, Change: answer}, nil
+	}
+	answer.Acknowledged = node.awaitStores(ctx, outcome.number, before) && node.awaitStores(ctx, outcome.number, feed.Keepers(node.View().Stores))
 	return &wire.Reply{Which: schema.Reply_Which_change, Change: answer}, nil
 }
 
@@ -74,11 +78,11 @@
 	if err := node.host.Read(ctx, controlGroup); err != nil {
 		return nil, err
 	}
-	view := node.View()
-	if view.Number < number {
+	state := node.machine.state()
+	if state.view.Number < number {
 		return nil, mishap.New(mishap.Conflict, fmt.Sprintf("number %d was never given", number), "read what is in force and decide anew")
 	}
-	answer := &wire.ChangeReply{Number: number, Acknowledged: node.awaitStores(ctx, number, view.Stores)}
+	answer := &wire.ChangeReply{Number: number, Acknowledged: node.awaitStores(ctx, min(number, state.ordered), feed.Keepers(state.view.Stores))}
 	return &wire.Reply{Which: schema.Reply_Which_change, Change: answer}, nil
 }
 
@@ -110,13 +114,15 @@
 	}
 }
 
-// pushStores gives the newest view to every store that has not synced it.
+// pushStores gives the newest view to every store that is not known to have synced the
+// newest order. Stores follow the feed themselves, and tell so how far they are.
 func (node *Node) pushStores() {
-	view := node.View()
+	state := node.machine.state()
+	view, ordered := state.view, state.ordered
 	var told sync.WaitGroup
 	for _, store := range view.Stores {
 		node.mutex.Lock()
-		behind := node.acked[store.Name] < view.Number
+		behind := node.acked[store.Name] < ordered
 		node.mutex.Unlock()
 		if !behind {
 			continue
@@ -131,30 +137,43 @@
 				}
 				return
 			}
-			node.mutex.Lock()
-			if node.acked[store.Name] < view.Number {
-				node.acked[store.Name] = view.Number
-				close(node.changed)
-				node.changed = make(chan struct{})
-			}
-			node.mutex.Unlock()
+			node.noteSynced(store.Name, view.Number)
 		})
 	}
 	told.Wait()
 }
 
-// steer is what the control leader does for the fleet.
-func (node *Node) steer() {
+// noteSynced remembers up to which number a store has synced what was ordered.
+func (node *Node) noteSynced(store string, number uint64) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if node.acked[store] < number {
+		node.acked[store] = number
+		close(node.changed)
+		node.changed = make(chan struct{})
+	}
+}
+
+// steer is what the control leader does for the fleet. It tells when it is due again:
+// soon, while something is being changed.
+func (node *Node) steer() time.Duration {
 	if !node.Leading() {
-		return
+		return steerInterval
 	}
 	ctx, cancel := context.WithTimeout(node.context, callPatience)
 	defer cancel()
-	node.enrolControls(ctx)
+	busy := node.enrolControls(ctx)
 	node.foundStores(ctx)
 	node.replaceStores(ctx)
+	if node.settings.AutoEnrol {
+		node.tendStores(ctx)
+	}
 	node.followAddresses(ctx)
 	node.pushStores()
+	if busy {
+		return busyInterval
+	}
+	return steerInterval
 }
 
 func (node *Node) propose(ctx context.Context, change feed.Change) {
@@ -186,44 +205,95 @@
 }
 
 // enrolControls takes live control nodes in: first as learners, then, once they
-// hold the log, as voters; one step at a time. A voter that is lost goes
-// as long as enough are left; if it comes back it is taken in again.
-func (node *Node) enrolControls(ctx context.Context) {
+// hold the log, as voters; one step at a time. A voter that is lost goes as long as
+// enough are left, or when a learner is ready to take its place; if it comes back it is
+// taken in again. It goes before the learner votes, so that it is never counted beside it.
+// It tells whether a change is under way.
+func (node *Node) enrolControls(ctx context.Context) bool {
 	status := node.host.Statuses()[controlGroup]
 	if !status.Leading || status.Changing {
-		return
+		return status.Leading
 	}
 	voters, learners := status.Replicas.Voters, status.Replicas.Learners
 	live := node.Live()
-	lost := slices.DeleteFunc(slices.Clone(voters), func(name string) bool { return !node.lost(name) })
+	change := func(event, name string, next agreement.Replicas) bool {
+		log.WithFields(log.Fields{"node": node.Name(), "control": name}).Info(event)
+		return node.host.ChangeReplicas(controlGroup, next)
+	}
+	if gone := node.goneVoter(voters, learners, status); gone != "" {
+		return change("control_removed", gone, agreement.Replicas{Voters: agreement.Without(voters, gone), Learners: learners})
+	}
+	doubtful := slices.ContainsFunc(voters, func(name string) bool { return node.silent(name, doubtPatience) })
 	for _, learner := range learners {
-		if status.Matched[learner]+agreement.CaughtUp >= status.Commit {
-			node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: append(slices.Clone(voters), learner), Learners: agreement.Without(learners, learner)})
-			return
+		if status.Matched[learner]+agreement.CaughtUp >= status.Commit && !doubtful && !node.silent(learner, silencePatience) {
+			return change("control_votes", learner, agreement.Replicas{Voters: append(slices.Clone(voters), learner), Learners: agreement.Without(learners, learner)})
 		}
 	}
-	if len(lost) > 0 && len(voters) > fewestControls {
-		log.WithFields(log.Fields{"node": node.Name(), "lost": lost[0]}).Info("control_removed")
-		node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: agreement.Without(voters, lost[0]), Learners: learners})
-		return
+	for _, learner := range learners {
+		if node.silent(learner, silencePatience) {
+			return change("control_removed", learner, agreement.Replicas{Voters: voters, Learners: agreement.Without(learners, learner)})
+		}
 	}
 	members := slices.Concat(voters, learners)
+	silent := slices.DeleteFunc(slices.Clone(voters), func(name string) bool { return !node.silent(name, silencePatience) })
 	for _, member := range live {
-		if member.Role == feed.RoleControl && !slices.Contains(members, member.Name) && len(members)-len(lost) < node.settings.MostControls {
-			log.WithFields(log.Fields{"node": node.Name(), "control": member.Name}).Info("control_enrolled")
-			node.host.ChangeReplicas(controlGroup, agreement.Replicas{Voters: voters, Learners: append(slices.Clone(learners), member.Name)})
-			return
+		if member.Role == feed.RoleControl && !slices.Contains(members, member.Name) && !node.succeeded(member) && len(members)-len(silent) < node.settings.MostControls {
+			return change("control_enrolled", member.Name, agreement.Replicas{Voters: voters, Learners: append(slices.Clone(learners), member.Name)})
 		}
 	}
 	node.listControls(ctx, voters, live)
+	return len(learners) > 0
 }
 
-// lost tells that a node has had no session for so long that it is not waited for.
-func (node *Node) lost(name string) bool {
+// goneVoter finds a voter to let go: one whose place a caught-up learner is ready to take,
+// one that makes the voters an even number, which bears no more losses than one less, or
+// one that is lost while enough are left.
+func (node *Node) goneVoter(voters, learners []string, status agreement.Status) string {
+	ready := slices.ContainsFunc(learners, func(name string) bool {
+		return status.Matched[name]+agreement.CaughtUp >= status.Commit && !node.silent(name, silencePatience)
+	})
+	for _, name := range voters {
+		if node.silent(name, silencePatience) && (ready || (len(voters) > fewestControls && (len(voters)%2 == 0 || node.silent(name, lostPatience)))) {
+			return name
+		}
+	}
+	return ""
+}
+
+// silent tells that a node has had no session for so long, or that another has its
+// address now: its disk was lost, and nobody will be heard under its name any more.
+func (node *Node) silent(name string, patience time.Duration) bool {
+	if name == node.Name() {
+		return false
+	}
 	node.mutex.Lock()
-	defer node.mutex.Unlock()
 	known, found := node.sessions[name]
-	return name != node.Name() && time.Since(node.began) > lostPatience && (!found || time.Since(known.heard) > lostPatience)
+	node.mutex.Unlock()
+	if found && node.succeeded(known.member) {
+		return true
+	}
+	if !found {
+		for member := range node.View().Members() {
+			if member.Name == name && node.succeeded(member) {
+				return true
+			}
+		}
+	}
+	return time.Since(node.began) > patience && (!found || time.Since(known.heard) > patience)
+}
+
+// succeeded tells that another node of the same role was heard at a node's address later
+// than that node itself.
+func (node *Node) succeeded(member feed.Member) bool {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	last := node.sessions[member.Name].heard
+	for name, other := range node.sessions {
+		if name != member.Name && other.member.Role == member.Role && other.member.Address == member.Address && other.since.After(last) {
+			return true
+		}
+	}
+	return member.Name != node.Name() && member.Address == node.settings.Address && member.Role == feed.RoleControl
 }
 
 // listControls carries the voters of the control group into the feed.
--- a/system/controlplane/duties.go
+++ b/system/controlplane/duties.go
@@ -1,49 +1,54 @@
 package controlplane
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
-	"io"
-	"net"
-	"net/http"
 	"slices"
-	"strconv"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"yardrock.example/system/charter"
 	"yardrock.example/system/feed"
-	"yardrock.example/system/placement"
+	"yardrock.example/system/mishap"
 )
 
 // RosterDuty is the key of the duty that polls the platform's runner list.
 const RosterDuty = "roster"
 
-const rosterPatience = 3 * time.Second
+const (
+	rosterPatience = 3 * time.Second
+	rosterInterval = 500 * time.Millisecond
+	dutyInterval   = 100 * time.Millisecond // how soon a new leader takes the duties
+	// coldSlack is how much longer than told before a runner may stay cold until the
+	// feed tells it again.
+	coldSlack = 250 * time.Millisecond
+)
+
+// RosterSource gives the platform's whole list of runners, in any order. It gives no
+// part of a list: where a page is missing, it fails. A failure with RetryAfter tells
+// when to ask again. ColdFor counts from the reading.
+type RosterSource interface {
+	List(ctx context.Context) ([]feed.Runner, error)
+}
 
 type rosterState struct {
-	once   sync.Once
-	client *http.Client
+	source RosterSource
 	due    time.Time
 	// serving is since when this node, while it has held the duty under this fence,
-	// has seen each runner serve, by its steady clock.
+	// has seen each runner serve, by its steady clock; cold is until when the feed
+	// says that each is cold.
 	serving map[string]time.Time
+	cold    map[string]time.Time
 	fence   uint64
 }
 
-// runDuties takes the duties that the live control nodes' ranking gives this
-// node, under the next fence, and does those that it holds.
+// runDuties takes the duties, under the next fence, while this node leads the control
+// group, and does those that it holds. So the loss of another node moves no duty, and
+// that of the leader moves them as soon as there is another.
 func (node *Node) runDuties() {
-	places := []placement.Place{}
-	for _, member := range node.Live() {
-		if member.Role == feed.RoleControl {
-			places = append(places, placement.Place{Name: member.Name, Domain: member.Domain})
-		}
-	}
 	view := node.View()
-	if view.Number == 0 || placement.Ranked(RosterDuty, places)[0].Name != node.Name() {
+	if view.Number == 0 || !node.host.Statuses()[controlGroup].Confirmed {
 		return
 	}
 	ctx, cancel := context.WithTimeout(node.context, callPatience+rosterPatience)
@@ -51,87 +56,115 @@
 	held := view.DutyOf(RosterDuty)
 	if held.Owner != node.Name() {
 		node.propose(ctx, feed.Change{Kind: feed.ChangeDuty, By: node.Name(), Duty: feed.Duty{Key: RosterDuty, Owner: node.Name(), Fence: held.Fence + 1}})
-		return
+		view = node.View()
+		if held = view.DutyOf(RosterDuty); held.Owner != node.Name() {
+			return
+		}
 	}
 	node.pollRoster(ctx, view, held)
 }
 
-type rosterList struct {
-	Runners []struct {
-		Address string `json:"address"`
-		Group   string `json:"group"`
-		Domain  string `json:"domain"`
-		State   string `json:"state"`
-	} `json:"runners"`
-}
-
 // pollRoster asks the platform's list, keeps away as long as it says so, and
 // puts what changed on the feed under the duty's fence.
 func (node *Node) pollRoster(ctx context.Context, view *feed.View, held feed.Duty) {
-	made, err := charter.Decode(view.Compiled)
-	if err != nil || made.Platform.RunnerList == "" || time.Now().Before(node.roster.due) {
+	if time.Now().Before(node.roster.due) {
 		return
 	}
-	node.roster.once.Do(func() {
-		node.roster.client = &http.Client{Timeout: rosterPatience, Transport: &http.Transport{
-			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return node.network.Dial(ctx, address) },
-		}}
-	})
-	node.roster.due = time.Now().Add(time.Duration(made.Platform.Poll))
-	query, err := http.NewRequestWithContext(ctx, http.MethodGet, made.Platform.RunnerList, nil)
-	if err != nil {
-		return
+	// A source that was given knows itself when a runner is warm.
+	source, groups, interval := node.settings.Roster, map[string]charter.Group(nil), rosterInterval
+	if source == nil {
+		made, err := charter.Decode(view.Compiled)
+		if err != nil || made.Platform.RunnerList == "" {
+			return
+		}
+		node.charterRoster.url = made.Platform.RunnerList
+		source, groups, interval = &node.charterRoster, made.Groups, time.Duration(made.Platform.Poll)
 	}
-	answer, err := node.roster.client.Do(query)
+	asked := time.Now()
+	node.roster.due = asked.Add(interval)
+	limited, cancel := context.WithTimeout(ctx, rosterPatience)
+	defer cancel()
+	listed, err := source.List(limited)
 	if err != nil {
-		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("roster_unreachable")
-		return
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		if seconds, err := strconv.Atoi(answer.Header.Get("Retry-After")); err == nil {
-			node.roster.due = time.Now().Add(time.Duration(seconds) * time.Second)
+		if later := mishap.Of(err).RetryAfter; later > 0 {
+			node.roster.due = time.Now().Add(later)
 		}
-		log.WithFields(log.Fields{"node": node.Name(), "status": answer.StatusCode}).Warn("roster_throttled")
+		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("roster_unread")
 		return
 	}
-	var list rosterList
-	if err := json.NewDecoder(io.LimitReader(answer.Body, 4<<20)).Decode(&list); err != nil {
-		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("roster_unreadable")
+	if node.roster.fence != held.Fence {
+		node.roster.fence, node.roster.serving, node.roster.cold = held.Fence, map[string]time.Time{}, map[string]time.Time{}
+	}
+	runners, changed := node.roster.merge(view.Runners, listed, groups, asked)
+	if !changed {
 		return
 	}
-	if node.roster.fence != held.Fence {
-		node.roster.fence, node.roster.serving = held.Fence, map[string]time.Time{}
+	if _, err := node.Change(ctx, feed.Change{Kind: feed.ChangeRoster, By: node.Name(), Duty: held, Runners: runners}); err != nil {
+		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("roster_refused")
+		return
 	}
-	runners := node.roster.merge(view.Runners, list, made.Groups, time.Now())
-	if !slices.Equal(runners, view.Runners) {
-		node.propose(ctx, feed.Change{Kind: feed.ChangeRoster, By: node.Name(), Duty: held, Runners: runners})
+	clear(node.roster.cold)
+	for _, runner := range runners {
+		if runner.State == feed.Cold {
+			node.roster.cold[identity(runner)] = asked.Add(runner.ColdFor)
+		}
 	}
 }
 
+// identity is what a runner is known by: its life, or its address if lives are not told.
+func identity(runner feed.Runner) string { return cmp.Or(runner.Life, runner.Address) }
+
 // merge keeps since when each runner is in its state, and tells which have served
-// for their group's ramp.
-func (roster *rosterState) merge(before []feed.Runner, list rosterList, groups map[string]charter.Group, now time.Time) []feed.Runner {
-	known := map[string]feed.Runner{}
+// for their group's ramp. It tells whether anything changed but that time went by.
+func (roster *rosterState) merge(before, listed []feed.Runner, groups map[string]charter.Group, now time.Time) ([]feed.Runner, bool) {
+	known := make(map[string]feed.Runner, len(before))
 	for _, runner := range before {
-		known[runner.Address] = runner
+		known[identity(runner)] = runner
 	}
-	runners := []feed.Runner{}
-	for _, listed := range list.Runners {
-		runner := feed.Runner{Address: listed.Address, Group: listed.Group, Domain: listed.Domain, State: listed.State, Since: now.UnixNano()}
-		if old, found := known[runner.Address]; found && old.State == runner.State {
+	runners, changed := make([]feed.Runner, 0, len(listed)), false
+	seen := make(map[string]bool, len(listed))
+	for _, runner := range listed {
+		name := identity(runner)
+		if seen[name] {
+			continue
+		}
+		seen[name] = true
+		old, found := known[name]
+		runner.Since, runner.Warmed = now.UnixNano(), false
+		if found && old.State == runner.State {
 			runner.Since, runner.Warmed = old.Since, old.Warmed
 		}
-		since, seen := roster.serving[runner.Address]
+		since, served := roster.serving[name]
 		switch {
 		case runner.State != feed.Serving:
-			delete(roster.serving, runner.Address)
-		case !seen:
-			roster.serving[runner.Address] = now
+			delete(roster.serving, name)
+		case !served:
+			roster.serving[name] = now
+			runner.Warmed = runner.Warmed || groups == nil
 		default:
 			runner.Warmed = runner.Warmed || now.Sub(since) >= time.Duration(groups[runner.Group].Ramp)
 		}
+		changed = changed || !found || roster.differs(old, runner, now)
 		runners = append(runners, runner)
 	}
-	return runners
+	for name := range roster.serving {
+		if !seen[name] {
+			delete(roster.serving, name)
+		}
+	}
+	slices.SortFunc(runners, func(left, right feed.Runner) int {
+		return cmp.Or(cmp.Compare(left.Address, right.Address), cmp.Compare(left.Life, right.Life))
+	})
+	return runners, changed || len(runners) != len(before)
+}
+
+// differs compares a runner with what the feed says of it; that it has less long to
+// stay cold than before is no difference.
+func (roster *rosterState) differs(old, runner feed.Runner, now time.Time) bool {
+	colder := runner.ColdFor > old.ColdFor+coldSlack
+	if until, told := roster.cold[identity(runner)]; told {
+		colder = now.Add(runner.ColdFor).After(until.Add(coldSlack))
+	}
+	old.ColdFor = runner.ColdFor
+	return colder || old != runner
 }
--- a/system/controlplane/machine.go
+++ b/system/controlplane/machine.go
@@ -29,6 +29,21 @@
 type feedState struct {
 	view    *feed.View
 	changes []feed.Change
+	// ordered is the number of the newest change that stores must have synced.
+	ordered uint64
+}
+
+// newestOrder finds the newest change of a checkpoint that stores must have synced.
+func newestOrder(view *feed.View, changes []feed.Change) uint64 {
+	for _, change := range slices.Backward(changes) {
+		if !change.Kind.Observed() {
+			return change.Number
+		}
+	}
+	if len(changes) > 0 {
+		return changes[0].Number - 1
+	}
+	return view.Number
 }
 
 // feedMachine folds committed changes into the view, and gives them their
@@ -93,7 +108,13 @@
 	}
 	view := feed.Fold(*state.view, change)
 	change.View = feed.View{}
-	next := &feedState{view: &view, changes: append(slices.Clip(state.changes), change)}
+	next := &feedState{view: &view, changes: append(slices.Clip(state.changes), change), ordered: state.ordered}
+	if !change.Kind.Observed() {
+		next.ordered = change.Number
+	}
+	if change.Kind == feed.ChangeRoster {
+		forgetRosters(next.changes[:len(next.changes)-1])
+	}
 	if change.Kind == feed.ChangeRecovered || change.Kind == feed.ChangeFounded {
 		next.changes = nil
 	}
@@ -104,6 +125,17 @@
 	return changeOutcome{number: change.Number}
 }
 
+// forgetRosters drops the newest list of runners from earlier changes: who follows takes
+// all changes up to the newest at once, and only the last list counts.
+func forgetRosters(changes []feed.Change) {
+	for position := range slices.Backward(changes) {
+		if changes[position].Kind == feed.ChangeRoster {
+			changes[position].Runners = nil
+			return
+		}
+	}
+}
+
 // since gives the changes after a number, or false if a view is needed.
 func (state *feedState) since(number uint64) ([]feed.Change, bool) {
 	if number == state.view.Number {
@@ -133,6 +165,6 @@
 	if image.Version > controlImageFormat {
 		return mishap.New(mishap.FormatTooNew, fmt.Sprintf("control checkpoint of format %d", image.Version), "run the newer version of the program")
 	}
-	machine.published.Store(&feedState{view: &image.View, changes: image.Changes})
+	machine.published.Store(&feedState{view: &image.View, changes: image.Changes, ordered: newestOrder(&image.View, image.Changes)})
 	return nil
 }
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -23,11 +24,20 @@
 )
 
 const (
-	sessionPatience  = 3 * time.Second
-	lostPatience     = 10 * time.Second
-	fewestControls   = 3
-	gossipInterval   = 500 * time.Millisecond
-	steerInterval    = 500 * time.Millisecond
+	sessionPatience = 3 * time.Second
+	// lostPatience is how long a node may be silent before it is no longer waited for;
+	// silencePatience, if another is ready to take its place. One that is given up and
+	// comes back is taken in again, so the shorter time risks copying for nothing only.
+	lostPatience    = 10 * time.Second
+	silencePatience = 2 * time.Second
+	// doubtPatience is how long a voter may be silent while another becomes one.
+	doubtPatience  = 1200 * time.Millisecond
+	fewestControls = 3
+	gossipInterval = 500 * time.Millisecond
+	steerInterval  = 300 * time.Millisecond
+	busyInterval   = 50 * time.Millisecond // while the fleet is being steered
+	// foundingSettle is how long no other store may have come before the list is made.
+	foundingSettle   = 700 * time.Millisecond
 	foundingInterval = 500 * time.Millisecond
 	callPatience     = 2 * time.Second
 	// controlsPin is the number under which the disk keeps where the control nodes are.
@@ -44,10 +54,21 @@
 	Groups         uint32
 	MostControls   int
 	Replica        replica.Settings
+	// Machine is what the operator calls this machine; it may be empty.
+	Machine string
+	// Joins tells that the fleet has started before: with an empty disk, this node
+	// joins it and never founds another.
+	Joins bool
+	// AutoEnrol lets live stores into the store list, and lost ones out of it, without
+	// an operator's command.
+	AutoEnrol bool
+	// Roster gives the list of runners; nil reads the list that the charter names.
+	Roster RosterSource
 }
 
 type session struct {
 	member feed.Member
+	since  time.Time // when it was first heard of
 	heard  time.Time
 	direct bool
 }
@@ -75,6 +96,8 @@
 	tasks   sync.WaitGroup
 	roster  rosterState
 	decoded atomic.Pointer[decodedCharter]
+	// charterRoster is the source that is used if none is given.
+	charterRoster charterRoster
 }
 
 // Start opens the data folder and runs a control node until Close.
@@ -88,7 +111,7 @@
 	}
 	node := &Node{
 		settings: settings, network: network, caller: link.NewCaller(network), machine: newFeedMachine(), began: time.Now(),
-		sessions: map[string]session{}, acked: map[string]uint64{}, changed: make(chan struct{}),
+		sessions: map[string]session{}, acked: map[string]uint64{}, changed: make(chan struct{}), charterRoster: newCharterRoster(network),
 	}
 	node.SetSeeds(settings.Seeds)
 	node.context, node.stop = context.WithCancel(context.Background())
@@ -111,21 +134,18 @@
 		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "use an address of this machine that is free")
 	}
 	node.server = link.Serve(listener, node.Answer)
-	for _, task := range []struct {
-		interval time.Duration
-		run      func()
-	}{
-		{foundingInterval, node.found}, {gossipInterval, node.gossip}, {steerInterval, node.steer}, {steerInterval, node.runDuties}, {steerInterval, node.finishRetiring},
-	} {
-		node.tasks.Add(1)
-		go node.repeat(task.interval, task.run)
+	every := func(interval time.Duration, task func()) func() time.Duration {
+		return func() time.Duration { task(); return interval }
+	}
+	for _, task := range []func() time.Duration{every(foundingInterval, node.found), every(gossipInterval, node.gossip), node.steer, every(dutyInterval, node.runDuties), every(steerInterval, node.finishRetiring)} {
+		node.tasks.Go(func() { node.repeat(task) })
 	}
 	log.WithFields(log.Fields{"node": node.Name(), "address": settings.Address}).Info("control_started")
 	return node, nil
 }
 
-func (node *Node) repeat(interval time.Duration, task func()) {
-	defer node.tasks.Done()
+// repeat does a task until the node stops; the task tells when it is due again.
+func (node *Node) repeat(task func() time.Duration) {
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
@@ -133,8 +153,7 @@
 		case <-node.context.Done():
 			return
 		case <-tick.C:
-			task()
-			tick.Reset(interval)
+			tick.Reset(task())
 		}
 	}
 }
@@ -184,7 +203,7 @@
 func (node *Node) Drain() { node.host.HandOverAll() }
 
 func (node *Node) self() feed.Member {
-	return feed.Member{Name: node.Name(), Role: feed.RoleControl, Address: node.settings.Address, Domain: node.settings.Domain, Administration: node.settings.Administration}
+	return feed.Member{Name: node.Name(), Role: feed.RoleControl, Address: node.settings.Address, Domain: node.settings.Domain, Administration: node.settings.Administration, Machine: node.settings.Machine}
 }
 
 func (node *Node) addressOf(name string) string {
@@ -256,8 +275,8 @@
 	return &wire.Reply{}, nil
 }
 
-// found founds the fleet when all three seeds answer and all are empty, or takes
-// its part when another seed has founded it with this disk's name in it.
+// found founds the fleet when all seeds answer and all are empty, unless it has started
+// before, or takes its part when another seed has founded it with this disk's name in it.
 func (node *Node) found() {
 	if !node.empty() || !slices.Contains(*node.seeds.Load(), node.settings.Address) {
 		return
@@ -278,7 +297,7 @@
 			statuses = append(statuses, reply.Status)
 		}
 	}
-	if len(statuses) < 3 || len(statuses) != len(*node.seeds.Load()) {
+	if node.settings.Joins || len(statuses) != len(*node.seeds.Load()) {
 		return
 	}
 	members, names := []feed.Member{}, []string{}
@@ -340,6 +359,9 @@
 	if !node.Leading() {
 		forwarded := *follow
 		forwarded.SessionOnly = true
+		if query.Fleet != node.View().Fleet {
+			forwarded.Member = feed.Member{} // its numbers are not this fleet's
+		}
 		reply, err := node.viaLeader(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &forwarded})
 		if err == nil && reply.Follow != nil {
 			reply.Follow.Members = node.Live()
@@ -350,6 +372,9 @@
 		return nil, err
 	}
 	state := node.machine.state()
+	if follow.Member.Role == feed.RoleStore && query.Fleet == state.view.Fleet {
+		node.noteSynced(follow.Member.Name, follow.After)
+	}
 	answer := &wire.FollowReply{Newest: state.view.Number, Members: node.Live()}
 	changes, complete := state.since(follow.After)
 	if follow.After == 0 || !complete {
@@ -367,12 +392,17 @@
 	heard := time.Now().Add(-age)
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	if known, found := node.sessions[member.Name]; !found || heard.After(known.heard) {
-		node.sessions[member.Name] = session{member: member, heard: heard, direct: direct}
+	known, found := node.sessions[member.Name]
+	if !found {
+		known.since = heard
+	}
+	if !found || heard.After(known.heard) {
+		node.sessions[member.Name] = session{member: member, since: known.since, heard: heard, direct: direct}
 	}
 }
 
-// Live gives the members whose sessions stand, by name.
+// Live gives the members whose sessions stand, by name; of those that were heard at one
+// address one after another, the last.
 //
 //	for _, member := range node.Live() { ... }
 func (node *Node) Live() []feed.Member {
@@ -387,6 +417,12 @@
 			live = append(live, known.member)
 		}
 	}
+	slices.SortFunc(live, func(left, right feed.Member) int {
+		return cmp.Or(strings.Compare(left.Address, right.Address), strings.Compare(left.Role, right.Role), node.sessions[right.Name].since.Compare(node.sessions[left.Name].since))
+	})
+	live = slices.CompactFunc(live, func(last, earlier feed.Member) bool {
+		return last.Address == earlier.Address && last.Role == earlier.Role && node.sessions[last.Name].since.After(node.sessions[earlier.Name].heard)
+	})
 	slices.SortFunc(live, func(left, right feed.Member) int { return strings.Compare(left.Name, right.Name) })
 	return live
 }
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -40,6 +40,9 @@
 		node.recover(ctx, held, answered)
 		return
 	}
+	if node.settings.AutoEnrol && !node.settled(stores) {
+		return
+	}
 	if len(stores) >= node.settings.FoundingStores && len(answered) == len(stores) {
 		node.propose(ctx, feed.Change{Kind: feed.ChangeStores, By: node.Name(), Expects: true, Expected: view.Number, Members: stores})
 	}
@@ -74,14 +77,14 @@
 }
 
 func (node *Node) recover(ctx context.Context, held feed.View, answered []string) {
-	heard := 0
-	for _, store := range held.Stores {
+	heard, keepers := 0, feed.Keepers(held.Stores)
+	for _, store := range keepers {
 		if slices.Contains(answered, store.Name) {
 			heard++
 		}
 	}
-	if heard < len(held.Stores)/2+1 {
-		log.WithFields(log.Fields{"node": node.Name(), "number": held.Number, "heard": heard, "of": len(held.Stores)}).Warn("recovery_waits_for_stores")
+	if heard < len(keepers)/2+1 {
+		log.WithFields(log.Fields{"node": node.Name(), "number": held.Number, "heard": heard, "of": len(keepers)}).Warn("recovery_waits_for_stores")
 		return
 	}
 	view := node.View()
@@ -100,25 +103,92 @@
 	return nil
 }
 
+// settled tells that no store has come lately, so that a list that is made now need not be
+// changed at once.
+func (node *Node) settled(stores []feed.Member) bool {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return !slices.ContainsFunc(stores, func(store feed.Member) bool {
+		return time.Since(node.sessions[store.Name].since) < foundingSettle
+	})
+}
+
+// newStores gives the live stores that are not in the list.
+func (node *Node) newStores(view *feed.View) []feed.Member {
+	return slices.DeleteFunc(node.Live(), func(member feed.Member) bool {
+		listed := slices.ContainsFunc(view.Stores, func(store feed.Member) bool { return store.Name == member.Name })
+		return member.Role != feed.RoleStore || listed || view.WasRetired(member.Name) || node.succeeded(member)
+	})
+}
+
 // replaceStores puts a wiped machine's new identity into the place of its lost
 // one: same address, another disk.
 func (node *Node) replaceStores(ctx context.Context) {
 	view := node.View()
-	live := node.Live()
-	for _, fresh := range live {
-		if fresh.Role != feed.RoleStore || slices.ContainsFunc(view.Stores, func(store feed.Member) bool { return store.Name == fresh.Name }) {
-			continue
-		}
-		at := slices.IndexFunc(view.Stores, func(store feed.Member) bool { return store.Address == fresh.Address })
-		if at < 0 || slices.ContainsFunc(live, func(member feed.Member) bool { return member.Name == view.Stores[at].Name }) {
-			continue
+	next := slices.Clone(view.Stores)
+	for _, fresh := range node.newStores(view) {
+		at := slices.IndexFunc(next, func(store feed.Member) bool { return store.Address == fresh.Address })
+		if at >= 0 && node.silent(next[at].Name, sessionPatience) {
+			node.replaceStore(next, at, fresh)
 		}
-		next := slices.Clone(view.Stores)
-		log.WithFields(log.Fields{"node": node.Name(), "lost": next[at].Name, "store": fresh.Name}).Info("store_replaced")
-		next[at] = fresh
+	}
+	node.listStores(ctx, view, next)
+}
+
+func (node *Node) replaceStore(stores []feed.Member, at int, fresh feed.Member) {
+	log.WithFields(log.Fields{"node": node.Name(), "lost": stores[at].Name, "store": fresh.Name}).Info("store_replaced")
+	stores[at] = fresh
+}
+
+func (node *Node) listStores(ctx context.Context, view *feed.View, next []feed.Member) {
+	if !slices.Equal(next, view.Stores) {
 		node.propose(ctx, feed.Change{Kind: feed.ChangeStores, By: node.Name(), Expects: true, Expected: view.Number, Members: next})
+	}
+}
+
+// tendStores keeps the store list by itself: a new store takes the place of one of its
+// domain that is silent, or is added; one that is lost goes, as long as enough others are
+// there. Groups then move by their own leaders, who give nothing up before they have made
+// up for it; so a store that was given up too early has cost no more than some copying.
+func (node *Node) tendStores(ctx context.Context) {
+	view := node.View()
+	if len(view.Stores) == 0 {
 		return
 	}
+	next := slices.Clone(view.Stores)
+	for _, fresh := range node.newStores(view) {
+		if slices.ContainsFunc(next, func(store feed.Member) bool { return store.Address == fresh.Address }) {
+			continue // replaceStores decides
+		}
+		at := slices.IndexFunc(next, func(store feed.Member) bool {
+			return store.Domain == fresh.Domain && store.State != feed.Retiring && node.silent(store.Name, silencePatience)
+		})
+		if at >= 0 {
+			node.replaceStore(next, at, fresh)
+		} else {
+			log.WithFields(log.Fields{"node": node.Name(), "store": fresh.Name}).Info("store_enrolled")
+			next = append(next, fresh)
+		}
+	}
+	next = slices.DeleteFunc(next, func(store feed.Member) bool {
+		return store.State == feed.Retired && node.silent(store.Name, silencePatience)
+	})
+	there := 0
+	for _, place := range feed.Places(next) {
+		if !node.silent(place.Name, silencePatience) {
+			there++
+		}
+	}
+	if there >= placement.Factor {
+		next = slices.DeleteFunc(next, func(store feed.Member) bool {
+			lost := node.silent(store.Name, lostPatience)
+			if lost {
+				log.WithFields(log.Fields{"node": node.Name(), "store": store.Name}).Info("store_removed")
+			}
+			return lost
+		})
+	}
+	node.listStores(ctx, view, next)
 }
 
 // EnrolStore puts a live store that has a session into the store list.
--- a/system/feed/feed.go
+++ b/system/feed/feed.go
@@ -4,6 +4,7 @@
 package feed
 
 import (
+	"bytes"
 	"iter"
 	"slices"
 	"time"
@@ -177,6 +178,21 @@
 	return view
 }
 
+// Observed tells whether a kind of change only tells what was seen, as against what was
+// ordered: it is not acknowledged to anyone, and can be seen again after any loss.
+//
+//	if change.Kind.Observed() { ... }
+func (kind ChangeKind) Observed() bool { return kind == ChangeRoster || kind == ChangeDuty }
+
+// SameOrders tells whether two views differ at most in what observed changes bring.
+//
+//	if view.SameOrders(held) { ... }
+func (view *View) SameOrders(other *View) bool {
+	return view.Fleet == other.Fleet && view.CharterNumber == other.CharterNumber && view.Groups == other.Groups && view.Source == other.Source &&
+		bytes.Equal(view.Compiled, other.Compiled) && slices.Equal(view.Domains, other.Domains) && slices.Equal(view.Founding, other.Founding) &&
+		slices.Equal(view.Retired, other.Retired) && slices.Equal(view.FoundingStores, other.FoundingStores) && slices.Equal(view.Stores, other.Stores) && slices.Equal(view.Controls, other.Controls)
+}
+
 // DomainEmptied tells whether a domain takes no new work.
 //
 //	if view.DomainEmptied(runner.Domain) { continue }
@@ -231,14 +247,19 @@
 //	places := feed.Places(view.FoundingStores)
 func Places(members []Member) []placement.Place {
 	places := []placement.Place{}
-	for _, member := range members {
-		if member.State != Retiring && member.State != Retired {
-			places = append(places, placement.Place{Name: member.Name, Domain: member.Domain})
-		}
+	for _, member := range Keepers(members) {
+		places = append(places, placement.Place{Name: member.Name, Domain: member.Domain})
 	}
 	return places
 }
 
+// Keepers are the stores of which a majority keeps what was ordered: those that stay.
+//
+//	majority := len(feed.Keepers(view.Stores))/2 + 1
+func Keepers(stores []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(stores), func(store Member) bool { return store.State == Retiring || store.State == Retired })
+}
+
 // AddressOf finds a store's or control node's address.
 //
 //	address := view.AddressOf(name)
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -32,7 +32,7 @@
 type Follower struct {
 	caller     *link.Caller
 	member     feed.Member
-	onView     func(*feed.View)
+	onView     func(*feed.View) error
 	began      time.Time
 	seeds      atomic.Pointer[[]string]
 	view       atomic.Pointer[feed.View]
@@ -50,10 +50,11 @@
 }
 
 // Start begins to follow. The view given, if any, is what the node's disk held;
-// onView is called with every newer one, in order, before it is shown.
+// onView is called with every newer one, in order, before it is shown; what it refuses
+// is not shown, and is offered again.
 //
-//	following := follower.Start(caller, member, seeds, held, func(view *feed.View) { ... })
-func Start(caller *link.Caller, member feed.Member, seeds []string, held *feed.View, onView func(*feed.View)) *Follower {
+//	following := follower.Start(caller, member, seeds, held, func(view *feed.View) error { ... })
+func Start(caller *link.Caller, member feed.Member, seeds []string, held *feed.View, onView func(*feed.View) error) *Follower {
 	follower := &Follower{caller: caller, member: member, onView: onView, began: time.Now(), foreign: make(chan error, 1), adopting: make(chan struct{}, 1), done: make(chan struct{})}
 	if held == nil {
 		held = &feed.View{}
@@ -105,22 +106,30 @@
 	return last > 0 && time.Since(follower.began)-last < age
 }
 
-// Adopt takes a view if it is newer, whoever brought it.
+// Adopt takes a view if it is newer, whoever brought it, and tells whether this node now
+// holds it or a newer one.
 //
-//	following.Adopt(view)
-func (follower *Follower) Adopt(view *feed.View) {
+//	if !following.Adopt(view) { ... }
+func (follower *Follower) Adopt(view *feed.View) bool {
 	select {
 	case <-follower.adopting:
 		defer func() { follower.adopting <- struct{}{} }()
 	case <-follower.context.Done():
-		return
+		return false
 	}
 	held := follower.view.Load()
-	if view.Number <= held.Number || (held.Bound() != "" && held.Bound() != view.Fleet) {
-		return
+	if held.Bound() != "" && held.Bound() != view.Fleet {
+		return false
+	}
+	if view.Number <= held.Number {
+		return true
+	}
+	if err := follower.onView(view); err != nil {
+		log.WithFields(log.Fields{"node": follower.member.Name, "number": view.Number, "error": err.Error()}).Error("view_not_taken")
+		return false
 	}
-	follower.onView(view)
 	follower.view.Store(view)
+	return true
 }
 
 func (follower *Follower) confirm(asked time.Time) {
@@ -205,9 +214,11 @@
 	if next.Number < reply.Follow.Newest {
 		return false
 	}
-	follower.Adopt(&next)
-	follower.confirm(asked)
 	follower.controlled.Store(int64(asked.Sub(follower.began)))
+	if !follower.Adopt(&next) {
+		return false
+	}
+	follower.confirm(asked)
 	return true
 }
 
@@ -277,7 +288,7 @@
 // one that a change was acknowledged by.
 func (follower *Follower) askStores(asked time.Time) {
 	view := follower.view.Load()
-	stores := view.Stores
+	stores := feed.Keepers(view.Stores)
 	if len(stores) == 0 {
 		return
 	}
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -31,6 +31,8 @@
 	Public  string // for callers
 	Domain  string
 	Seeds   []string
+	// Machine is what the operator calls this machine; it may be empty.
+	Machine string
 }
 
 // inForce is a view with its decoded charter. It is replaced whole.
@@ -79,7 +81,7 @@
 		linkListener.Close()
 		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Public+": "+err.Error(), "use an address of this machine that is free")
 	}
-	member := feed.Member{Name: node.name, Role: feed.RoleFront, Address: settings.Address, Domain: settings.Domain}
+	member := feed.Member{Name: node.name, Role: feed.RoleFront, Address: settings.Address, Domain: settings.Domain, Machine: settings.Machine}
 	node.follow = follower.Start(node.caller, member, settings.Seeds, nil, node.take)
 	go node.greet()
 	node.linked = link.Serve(linkListener, node.answer)
@@ -91,14 +93,14 @@
 }
 
 // take decodes a newer view's charter and puts both in force.
-func (node *Node) take(view *feed.View) {
+func (node *Node) take(view *feed.View) error {
 	made, err := charter.Decode(view.Compiled)
 	if err != nil {
-		log.WithFields(log.Fields{"node": node.name, "number": view.Number, "error": err.Error()}).Error("charter_unreadable")
-		return
+		return err
 	}
 	node.rules.Store(&inForce{view: view, charter: made})
 	log.WithFields(log.Fields{"node": node.name, "number": view.Number, "charter": view.CharterNumber}).Info("view_taken")
+	return nil
 }
 
 // boardState tells the board which fronts share the runners. This one counts only
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -1,8 +1,10 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -17,63 +19,124 @@
 
 const (
 	moveInterval   = time.Second
+	busyInterval   = 50 * time.Millisecond // while groups led here are moving
 	repairInterval = 10 * time.Second
 	// movesAtOnce bounds the groups that one leader lets catch up at a time.
 	movesAtOnce = 4
 )
 
+// runMoves moves groups whenever the view changes, and goes on while any is moving.
+func (node *Node) runMoves() {
+	tick := time.NewTimer(moveInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-node.context.Done():
+			return
+		case <-node.viewed:
+		case <-tick.C:
+		}
+		next := moveInterval
+		if node.moveAll() {
+			next = busyInterval
+		}
+		tick.Reset(next)
+	}
+}
+
 // moveAll brings the groups led here one step nearer to where the store list
-// wants them. The leader of a group does this alone; its term is the fence.
-func (node *Node) moveAll() {
+// wants them, and tells whether any is under way. The leader of a group does this
+// alone; its term is the fence.
+func (node *Node) moveAll() bool {
 	view := node.held.Load()
 	if len(view.Stores) == 0 {
-		return
+		return false
 	}
-	moving := 0
+	places, moving := view.StorePlaces(), 0
+	var steps sync.WaitGroup
 	for group, status := range node.host.Statuses() {
-		target := placement.ReplicasOf(group, view.StorePlaces())
+		target := placement.ReplicasOf(group, places)
 		if !status.Confirmed {
 			node.leaveIfRemoved(group, status, target)
 			continue
 		}
-		if moving < movesAtOnce && node.moveOne(group, status, target, view) {
+		if moving < movesAtOnce && node.movable(status, target) {
 			moving++
+			steps.Go(func() { node.moveOne(group, status, target, view) })
 		}
 	}
+	steps.Wait()
+	return moving > 0
+}
+
+// movable tells that a group is not where it should be, and that a step towards there can
+// be taken now.
+func (node *Node) movable(status agreement.Status, target []string) bool {
+	voters, learners := status.Replicas.Voters, status.Replicas.Learners
+	if status.Changing || len(voters) > len(target) {
+		return true
+	}
+	if len(learners) > 0 {
+		return slices.ContainsFunc(learners, func(name string) bool { return !slices.Contains(target, name) || node.live(name) })
+	}
+	return slices.ContainsFunc(target, func(name string) bool { return !slices.Contains(voters, name) && node.live(name) })
 }
 
 // moveOne takes one step for a group: enrol a missing replica as learner, make a
-// learner that holds everything a voter, or let a voter go that is not wanted.
-func (node *Node) moveOne(group uint32, status agreement.Status, target []string, view *feed.View) bool {
+// learner that holds everything a voter, or let a voter go that is not wanted. One whose
+// store is gone goes before the learner votes, so that it is never counted beside it.
+func (node *Node) moveOne(group uint32, status agreement.Status, target []string, view *feed.View) {
 	replicas := status.Replicas
+	if status.Changing {
+		return
+	}
+	change := func(event, name string, next agreement.Replicas) {
+		log.WithFields(log.Fields{"node": node.Name(), "group": group, "replica": name}).Info(event)
+		node.host.ChangeReplicas(group, next)
+	}
+	unwanted := slices.DeleteFunc(slices.Clone(replicas.Voters), func(voter string) bool { return slices.Contains(target, voter) })
 	for _, learner := range replicas.Learners {
+		without := agreement.Without(replicas.Learners, learner)
 		if !slices.Contains(target, learner) {
-			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: replicas.Voters, Learners: agreement.Without(replicas.Learners, learner)})
+			change("replica_removed", learner, agreement.Replicas{Voters: replicas.Voters, Learners: without})
+			return
 		}
-		if status.Matched[learner]+agreement.CaughtUp >= status.Commit && node.mend(group, learner) {
-			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: append(slices.Clone(replicas.Voters), learner), Learners: agreement.Without(replicas.Learners, learner)})
+		if status.Matched[learner]+agreement.CaughtUp < status.Commit || !node.mend(group, learner) {
+			return
 		}
-		return true
+		if at := slices.IndexFunc(unwanted, node.gone); at >= 0 && len(replicas.Voters) >= len(target) {
+			change("replica_removed", unwanted[at], agreement.Replicas{Voters: agreement.Without(replicas.Voters, unwanted[at]), Learners: replicas.Learners})
+			return
+		}
+		change("replica_votes", learner, agreement.Replicas{Voters: append(slices.Clone(replicas.Voters), learner), Learners: without})
+		return
 	}
 	for _, wanted := range target {
-		if !slices.Contains(replicas.Voters, wanted) && view.AddressOf(wanted) != "" {
-			log.WithFields(log.Fields{"node": node.Name(), "group": group, "learner": wanted}).Info("replica_enrolled")
-			return node.host.ChangeReplicas(group, agreement.Replicas{Voters: replicas.Voters, Learners: append(slices.Clone(replicas.Learners), wanted)})
+		if !slices.Contains(replicas.Voters, wanted) && view.AddressOf(wanted) != "" && node.live(wanted) {
+			change("replica_enrolled", wanted, agreement.Replicas{Voters: replicas.Voters, Learners: append(slices.Clone(replicas.Learners), wanted)})
+			return
 		}
 	}
-	for _, voter := range replicas.Voters {
-		if slices.Contains(target, voter) || len(replicas.Voters) <= len(target) {
-			continue
-		}
-		if voter == node.Name() {
-			best := slices.MaxFunc(target, func(left, right string) int { return int(status.Matched[left]) - int(status.Matched[right]) })
-			node.host.HandOver(group, best)
-			return true
-		}
-		log.WithFields(log.Fields{"node": node.Name(), "group": group, "voter": voter}).Info("replica_removed")
-		return node.host.ChangeReplicas(group, agreement.Replicas{Voters: agreement.Without(replicas.Voters, voter), Learners: replicas.Learners})
+	if len(unwanted) == 0 || len(replicas.Voters) <= len(target) {
+		return
+	}
+	voter := unwanted[0]
+	if voter == node.Name() {
+		best := slices.MaxFunc(target, func(left, right string) int { return cmp.Compare(status.Matched[left], status.Matched[right]) })
+		node.host.HandOver(group, best)
+		return
 	}
-	return false
+	change("replica_removed", voter, agreement.Replicas{Voters: agreement.Without(replicas.Voters, voter), Learners: replicas.Learners})
+}
+
+// gone tells that a store has left the list and has no session.
+func (node *Node) gone(name string) bool {
+	return !slices.ContainsFunc(node.held.Load().Stores, func(member feed.Member) bool { return member.Name == name }) && !node.live(name)
+}
+
+// live tells that a store has a session.
+func (node *Node) live(name string) bool {
+	return name == node.Name() || slices.ContainsFunc(node.members(), func(member feed.Member) bool { return member.Name == name })
 }
 
 // leaveIfRemoved forgets a replica that its group has let go: it hears of no
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -48,6 +48,8 @@
 	Replica replica.Settings
 	// Wall is the machine's clock, which may be wrong; nil is the real one.
 	Wall func() time.Time
+	// Machine is what the operator calls this machine; it may be empty.
+	Machine string
 }
 
 // Node is a running store node.
@@ -58,10 +60,13 @@
 	cold     *coldstore.Store
 	server   *link.Server
 	follow   *follower.Follower
-	machines sync.Map // group number to *lineMachine
-	clocks   sync.Map // group number to clockAnchor
-	lines    *storeorigin.Origin
-	held     atomic.Pointer[feed.View]
+	// following is follow, for those who ask while the node still starts.
+	following atomic.Pointer[follower.Follower]
+	machines  sync.Map // group number to *lineMachine
+	clocks    sync.Map // group number to clockAnchor
+	lines     *storeorigin.Origin
+	held      atomic.Pointer[feed.View]
+	viewed    chan struct{} // holds one token after a view with other orders was taken
 
 	mutex   sync.Mutex
 	waiters map[string]chan struct{}
@@ -128,7 +133,7 @@
 	if settings.Wall == nil {
 		settings.Wall = time.Now
 	}
-	node := &Node{settings: settings, caller: link.NewCaller(network), cold: cold, waiters: map[string]chan struct{}{}}
+	node := &Node{settings: settings, caller: link.NewCaller(network), cold: cold, viewed: make(chan struct{}, 1), waiters: map[string]chan struct{}{}}
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.held.Store(&feed.View{})
 	node.lines = storeorigin.New(node.caller, node.held.Load)
@@ -150,13 +155,14 @@
 		node.host.Close()
 		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "use an address of this machine that is free")
 	}
-	member := feed.Member{Name: node.Name(), Role: feed.RoleStore, Address: settings.Address, Domain: settings.Domain}
+	member := feed.Member{Name: node.Name(), Role: feed.RoleStore, Address: settings.Address, Domain: settings.Domain, Machine: settings.Machine}
 	node.follow = follower.Start(node.caller, member, settings.Seeds, held, node.take)
+	node.following.Store(node.follow)
 	node.server = link.Serve(listener, node.Answer)
 	node.foundGroups(held)
 	node.tasks.Go(func() { node.repeat(archiveInterval, node.archiveAll) })
 	node.tasks.Go(func() { node.repeat(archiveInterval, node.settler()) })
-	node.tasks.Go(func() { node.repeat(moveInterval, node.moveAll) })
+	node.tasks.Go(node.runMoves)
 	node.tasks.Go(func() { node.repeat(repairInterval, node.repairAll) })
 	log.WithFields(log.Fields{"node": node.Name(), "address": settings.Address}).Info("store_started")
 	return node, nil
@@ -227,18 +233,47 @@
 	node.host.Close()
 }
 
-func (node *Node) addressOf(name string) string { return node.held.Load().AddressOf(name) }
+// addressOf finds a sibling: by the store list, or, as groups move off a store that has
+// left the list, by the sessions.
+func (node *Node) addressOf(name string) string {
+	if address := node.held.Load().AddressOf(name); address != "" {
+		return address
+	}
+	for _, member := range node.members() {
+		if member.Name == name {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// members gives the nodes that have sessions.
+func (node *Node) members() []feed.Member {
+	if following := node.following.Load(); following != nil {
+		return following.Members()
+	}
+	return nil
+}
 
 // take syncs a newer view before anyone may count on it, then founds the groups
-// that belong here.
-func (node *Node) take(view *feed.View) {
+// that belong here. What was only observed is not worth a sync.
+func (node *Node) take(view *feed.View) error {
+	if view.SameOrders(node.held.Load()) {
+		node.held.Store(view)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(node.context, pinPatience)
 	defer cancel()
 	if err := node.host.Pin(ctx, feedPin, wire.MustEncode(schema.View_TypeID, view)); err != nil {
-		return
+		return err
 	}
 	node.held.Store(view)
 	node.foundGroups(view)
+	select {
+	case node.viewed <- struct{}{}:
+	default:
+	}
+	return nil
 }
 
 func (node *Node) foundGroups(view *feed.View) {
@@ -303,8 +338,7 @@
 // answerHold returns only once the view, or a newer one, is synced here.
 func (node *Node) answerHold(_ context.Context, query *wire.Query) (*wire.Reply, error) {
 	view := query.Hold.View
-	node.follow.Adopt(&view)
-	if node.held.Load().Number < view.Number {
+	if !node.follow.Adopt(&view) {
 		return nil, mishap.Later(mishap.DiskUnavailable, "the view was not synced here", "ask again", time.Second)
 	}
 	return &wire.Reply{}, nil
