--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -67,10 +67,11 @@
 }
 
 // take notes that a view came into force here.
-func (node *Hollow) take(view *feed.View) {
+func (node *Hollow) take(view *feed.View) error {
 	node.mutex.Lock()
+	defer node.mutex.Unlock()
 	node.taken = append(node.taken, taking{view.Number, time.Now()})
-	node.mutex.Unlock()
+	return nil
 }
 
 // View is the newest view that the node holds.
--- a/proof/simulator/turns_test.go
+++ b/proof/simulator/turns_test.go
@@ -19,7 +19,7 @@
 // origin asks the stores from a host of its own, until closed.
 func (cluster *Cluster) origin(host string) (origin *storeorigin.Origin, end func()) {
 	caller := link.NewCaller(cluster.Network.At(host))
-	following := follower.Start(caller, feed.Member{Name: host, Role: "client", Address: host + ":1"}, cluster.seeds, nil, func(*feed.View) {})
+	following := follower.Start(caller, feed.Member{Name: host, Role: "client", Address: host + ":1"}, cluster.seeds, nil, func(*feed.View) error { return nil })
 	for following.View().Groups == 0 || len(following.View().Stores) == 0 {
 		<-time.After(50 * time.Millisecond)
 	}
