--- a/system/runnerpool/events_test.go
+++ b/system/runnerpool/events_test.go
@@ -56,7 +56,7 @@
 	"many data lines":   {"data: a\ndata:b\ndata\ndata:  c\n\n", []Event{{[]byte("data: a\ndata:b\ndata\ndata:  c\n\n"), "", []byte("a\nb\n\n c"), true}}},
 	"empty data":        {"data\n\ndata:\n\n", []Event{{[]byte("data\n\n"), "", nil, true}, {[]byte("data:\n\n"), "", nil, true}}},
 	"comment":           {": ping\n\ndata: a\n\n", []Event{{[]byte(": ping\n\n"), "", nil, false}, {[]byte("data: a\n\n"), "", []byte("a"), true}}},
-	"other fields":      {"weight-versions: 4\nevent: x\nretry: 3\nDATA: n\nid : 7\ndata: a\n\n", []Event{{[]byte("weight-versions: 4\nevent: x\nretry: 3\nDATA: n\nid : 7\ndata: a\n\n"), "", []byte("a"), true}}},
+	"other fields":      {"weights: 4\nevent: x\nretry: 3\nDATA: n\nid : 7\ndata: a\n\n", []Event{{[]byte("weights: 4\nevent: x\nretry: 3\nDATA: n\nid : 7\ndata: a\n\n"), "", []byte("a"), true}}},
 	"the last id":       {"id: 1\nid: 2\ndata: a\n\n", []Event{{[]byte("id: 1\nid: 2\ndata: a\n\n"), "2", []byte("a"), true}}},
 	"id with a zero":    {"id: 1\x00\ndata: a\n\n", []Event{{[]byte("id: 1\x00\ndata: a\n\n"), "", []byte("a"), true}}},
 	"blank lines":       {"\n\ndata: a\n\n\n", []Event{{Raw: []byte("\n")}, {Raw: []byte("\n")}, {[]byte("data: a\n\n"), "", []byte("a"), true}, {Raw: []byte("\n")}}},
