Connections to runners: what a look finds, real sockets, benchmarks

A runner that tells no idle time shows it by closing; a reset shows trouble and teaches nothing. An answer that bears a name is foreign to a query that has none. A caller who gives up while a connection is dialled keeps the query back.

--- a/system/link/link.go
+++ b/system/link/link.go
@@ -47,14 +47,13 @@
 	return net.KeepAliveConfig{Enable: true, Idle: max(network.Silence/2, time.Second), Interval: time.Second, Count: max(1, int(network.Silence/time.Second))}
 }
 
-// control sets how long what was sent may stay unanswered.
+// control sets how long what was sent may stay unanswered. Like the options of
+// keep-alive it is no reason not to connect, if the system lacks it.
 func (network TCP) control(_, _ string, socket syscall.RawConn) error {
 	if network.Silence <= 0 {
 		return nil
 	}
-	var failed error
-	err := socket.Control(func(descriptor uintptr) { failed = setSilence(int(descriptor), network.Silence) })
-	return errors.Join(err, failed)
+	return socket.Control(func(descriptor uintptr) { setSilence(int(descriptor), network.Silence) })
 }
 
 // Dial connects by IP and port.
--- a/system/link/silence_linux.go
+++ b/system/link/silence_linux.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"os"
 	"syscall"
 	"time"
 )
@@ -10,5 +9,5 @@
 const userTimeout = 18
 
 func setSilence(descriptor int, silence time.Duration) error {
-	return os.NewSyscallError("setsockopt", syscall.SetsockoptInt(descriptor, syscall.IPPROTO_TCP, userTimeout, int(silence.Milliseconds())))
+	return syscall.SetsockoptInt(descriptor, syscall.IPPROTO_TCP, userTimeout, int(silence.Milliseconds()))
 }
--- a/system/runnerpool/connection.go
+++ b/system/runnerpool/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -29,7 +30,8 @@
 	runner    *runner
 	raw       syscall.RawConn
 	look      func(descriptor uintptr) bool
-	silent    bool
+	silent    bool // the look found nothing
+	ended     bool // it found the end
 	one       [1]byte
 	reused    bool // it has borne an answer before
 	told      bool // the runner told how long it keeps the connection idle
@@ -38,8 +40,7 @@
 	expires   time.Time
 
 	work     *workspace
-	headLeft int  // bytes that the head of an answer may still have; -1: no head is read
-	received bool // a byte of an answer has come since the query was sent
+	headLeft int // bytes that the head of an answer may still have; -1: no head is read
 }
 
 // workspace is what a connection needs only while it bears a query.
@@ -67,36 +68,41 @@
 // unfit, so that a byte that is taken away here is not missed.
 func (connection *connection) lookAt(descriptor uintptr) bool {
 	for {
-		_, err := syscall.Read(int(descriptor), connection.one[:])
+		count, err := syscall.Read(int(descriptor), connection.one[:])
 		if err != syscall.EINTR {
-			connection.silent = err == syscall.EAGAIN
+			connection.silent, connection.ended = err == syscall.EAGAIN, count == 0 && err == nil
 			return true
 		}
 	}
 }
 
-// quiet tells that nothing has arrived on an idle connection and nothing was closed.
+// quiet tells that nothing has arrived on an idle connection and nothing was closed; if
+// not, ended tells that the runner closed it and said nothing.
 func (connection *connection) quiet() bool {
+	connection.silent, connection.ended = false, false
 	if connection.raw != nil {
-		connection.silent = false
 		return connection.raw.Read(connection.look) == nil && connection.silent
 	}
-	if able, found := connection.Conn.(quieter); found {
-		return able.Quiet()
+	able, found := connection.Conn.(quieter)
+	if !found || able.Quiet() {
+		return true
 	}
-	return true
+	_, err := connection.Conn.Read(connection.one[:])
+	connection.ended = err == io.EOF
+	return false
 }
 
-// foundClosed heeds that the runner ended a connection that was idle since a time: a
-// runner that doesn't tell its time shows it so.
-func (connection *connection) foundClosed(now time.Time) {
-	if connection.told || connection.idleSince.IsZero() {
+// heed learns from an idle connection that was not quiet: a runner that doesn't tell
+// how long it keeps connections shows it by closing them.
+func (connection *connection) heed(now time.Time) {
+	idle := now.Sub(connection.idleSince)
+	if connection.told || !connection.ended || idle < shortestIdle {
 		return
 	}
-	shorter := max(now.Sub(connection.idleSince)/2, shortestIdle)
+	shorter := int64(max(idle/2, shortestIdle))
 	for {
 		known := connection.runner.patience.Load()
-		if int64(shorter) >= known || connection.runner.patience.CompareAndSwap(known, int64(shorter)) {
+		if shorter >= known || connection.runner.patience.CompareAndSwap(known, shorter) {
 			return
 		}
 	}
@@ -111,11 +117,8 @@
 		target = target[:connection.headLeft]
 	}
 	count, err := connection.Conn.Read(target)
-	if count > 0 {
-		connection.received = true
-		if connection.headLeft > 0 {
-			connection.headLeft -= count
-		}
+	if connection.headLeft > 0 {
+		connection.headLeft -= count
 	}
 	return count, err
 }
@@ -125,7 +128,6 @@
 	connection.work = workspaces.Get().(*workspace)
 	connection.work.reader.Reset(connection)
 	connection.work.writes = connection.work.writes[:0]
-	connection.received = false
 }
 
 // strip takes it back.
@@ -134,7 +136,7 @@
 		return
 	}
 	connection.work.reader.Reset(nil)
-	if cap(connection.work.writes) <= directBytes+headBytes {
+	if cap(connection.work.writes) <= 2*directBytes {
 		workspaces.Put(connection.work)
 	}
 	connection.work = nil
--- a/system/runnerpool/head.go
+++ b/system/runnerpool/head.go
@@ -117,7 +117,8 @@
 	}
 	connection := dispatch.Header["Connection"]
 	for name, values := range dispatch.Header {
-		if name == "Host" || name == "Content-Length" || oneHop[name] || pool.replaces(name, dispatch) || namedBy(connection, name) {
+		canonical := textproto.CanonicalMIMEHeaderKey(name)
+		if canonical == "Host" || canonical == "Content-Length" || oneHop[canonical] || pool.replaces(canonical, dispatch) || namedBy(connection, name) {
 			continue
 		}
 		for _, value := range values {
--- a/system/runnerpool/pool.go
+++ b/system/runnerpool/pool.go
@@ -20,8 +20,9 @@
 	// it keeps one: a little less than the five seconds that many HTTP servers use. What
 	// is found closed before that shortens it for the runner.
 	untoldIdle = 4 * time.Second
-	// shortestIdle is as far as the idle time of a runner is shortened.
-	shortestIdle = 100 * time.Millisecond
+	// shortestIdle is as far as the idle time of a runner is shortened; what closes sooner
+	// shows trouble and not a time.
+	shortestIdle = 250 * time.Millisecond
 	// sweepPause is the least time between two looks for connections to retire.
 	sweepPause = time.Second
 )
@@ -214,7 +215,7 @@
 		if taken.quiet() {
 			return taken, nil
 		}
-		taken.foundClosed(now)
+		taken.heed(now)
 		pool.drop(taken)
 		if ctx.Err() != nil {
 			return nil, cancelled(address, true)
--- a/system/runnerpool/pool_test.go
+++ b/system/runnerpool/pool_test.go
@@ -210,12 +210,25 @@
 		if runner.dials != 3 || !runner.made[1].closed() {
 			t.Errorf("%d dials: a connection was kept too long", runner.dials)
 		}
-		// A connection that ends at once tells no idle time below the bound.
+		// What ends at once or is reset shows trouble and no time.
+		time.Sleep(shortestIdle - 1)
 		runner.made[2].Close()
 		must(t, pool, "q5")
-		time.Sleep(shortestIdle - 1)
+		time.Sleep(shortestIdle)
+		runner.made[3].reset()
 		must(t, pool, "q6")
-		if runner.dials != 4 {
+		time.Sleep(299 * time.Millisecond)
+		must(t, pool, "q7")
+		if runner.dials != 5 {
+			t.Errorf("%d dials", runner.dials)
+		}
+		// And the time never becomes too short to be of use.
+		time.Sleep(299 * time.Millisecond)
+		runner.made[4].Close()
+		must(t, pool, "q8")
+		time.Sleep(shortestIdle - 1)
+		must(t, pool, "q9")
+		if runner.dials != 6 {
 			t.Errorf("%d dials", runner.dials)
 		}
 	})
--- a/system/runnerpool/send.go
+++ b/system/runnerpool/send.go
@@ -53,7 +53,8 @@
 }
 
 // Send has a runner asked, and returns once the head of its answer is there. The reply
-// must be closed. The errors are of type *mishap.Mishap:
+// must be closed, and until then the body's parts must stay as they are: a runner may
+// answer before it has read them. The errors are of type *mishap.Mishap:
 //
 //   - NeverSent: no byte of the query left, or nobody took the connection. Without Lost
 //     it tells nothing of the runner: the connections are all out (Unavailable), the look
@@ -112,6 +113,10 @@
 		return nil, false, err
 	}
 	taken.work.writes = head
+	if sending.ctx.Err() != nil {
+		sending.giveBack()
+		return nil, false, cancelled(dispatch.Runner.Address, true)
+	}
 	if sending.ctx.Done() != nil {
 		sending.stop = context.AfterFunc(sending.ctx, func() { taken.SetDeadline(longAgo) })
 	}
@@ -127,7 +132,6 @@
 	if sending.written.err != nil && sending.written.count == 0 {
 		failed := sending.failure(sending.written.err)
 		if failed.Lost && taken.reused {
-			taken.foundClosed(time.Now())
 			sending.drop()
 			return nil, true, nil
 		}
@@ -181,13 +185,9 @@
 	response, err := sending.head()
 	if err != nil {
 		failed := sending.failure(err)
-		reused := sending.connection.reused
-		if failed.Lost && reused && !sending.connection.received {
-			sending.connection.foundClosed(time.Now())
-		}
 		sending.drop()
 		failed.NeverSent = sending.written.err != nil && sending.written.count == 0
-		return nil, failed.NeverSent && failed.Lost && reused, failed
+		return nil, failed.NeverSent && failed.Lost && sending.connection.reused, failed
 	}
 	address := sending.dispatch.Runner.Address
 	reply = &Reply{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, sending: sending, body: response.Body}
@@ -287,15 +287,20 @@
 
 // whose tells whether an answer is to this query, by the name that it bears.
 func (sending *exchange) whose(header http.Header) owner {
-	if sending.pool.dialect.Query == "" || sending.dispatch.Name == "" {
+	key := sending.pool.dialect.Query
+	if key == "" {
 		return ours
 	}
-	names := header[sending.pool.dialect.Query]
-	if len(names) == 0 {
+	asked := sending.dispatch.Name
+	if asked == "" {
+		asked = sending.dispatch.Header.Get(key)
+	}
+	names := header[key]
+	if len(names) == 0 && asked != "" {
 		return unnamed
 	}
 	for _, name := range names {
-		if name != sending.dispatch.Name {
+		if name != asked {
 			return foreign
 		}
 	}
--- a/system/runnerpool/send_test.go
+++ b/system/runnerpool/send_test.go
@@ -39,6 +39,9 @@
 			dispatch.Header = http.Header{"Connection": {"keep-alive, X-Mine", "x-other"}, "X-Mine": {"1"}, "X-Other": {"1"}, "X-Third": {"1"}, "Keep-Alive": {"5"}, "Te": {"trailers"}, "Trailer": {"X"},
 				"Transfer-Encoding": {"chunked"}, "Upgrade": {"websocket"}, "Proxy-Authorization": {"x"}, "Proxy-Connection": {"x"}, "Proxy-Authenticate": {"x"}}
 		}, map[string][]string{"X-Third": {"1"}, "Content-Length": {"6"}}, []string{"Connection", "X-Mine", "X-Other", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Authorization", "Proxy-Connection", "Proxy-Authenticate"}},
+		"names in any case": {func(dispatch *Dispatch) {
+			dispatch.Header = http.Header{"connection": {"close"}, "transfer-encoding": {"chunked"}, "content-length": {"0"}, "host": {"evil"}, "query-name": {"q9"}, "x-mine": {"1"}}
+		}, map[string][]string{"X-Mine": {"1"}, "Query-Name": {"q1"}, "Content-Length": {"6"}}, []string{"Connection", "Transfer-Encoding"}},
 		"no body": {func(dispatch *Dispatch) { dispatch.Method, dispatch.Body = "GET", nil }, map[string][]string{"Content-Length": {"0"}}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/system/runnerpool/tcp_test.go
@@ -0,0 +1,233 @@
+package runnerpool
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+)
+
+// listen serves each connection on the real network until the test ends.
+func listen(t testing.TB, serve func(connection *net.TCPConn)) string {
+	listener, err := link.TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			made, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(made.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestALookAtARealConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		do    func(connection *net.TCPConn)
+		quiet bool
+		ended bool
+	}{
+		"nothing came": {nil, true, false},
+		"a byte came":  {func(connection *net.TCPConn) { connection.Write([]byte("x")) }, false, false},
+		"it was ended": {func(connection *net.TCPConn) { connection.Close() }, false, true},
+		"half ended":   {func(connection *net.TCPConn) { connection.CloseWrite() }, false, true},
+		"it was reset": {func(connection *net.TCPConn) { connection.SetLinger(0); connection.Close() }, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dialled, over := make(chan struct{}), make(chan struct{})
+			defer close(over)
+			address := listen(t, func(connection *net.TCPConn) {
+				<-dialled
+				if test.do != nil {
+					test.do(connection)
+				}
+				<-over
+				connection.Close()
+			})
+			stream, err := link.TCP{}.Dial(t.Context(), address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			close(dialled)
+			made := newConnection(stream, &runner{})
+			defer made.Close()
+			made.SetDeadline(time.Now().Add(time.Minute))
+			quiet := made.quiet()
+			for quiet && !test.quiet {
+				runtime.Gosched() // until it arrives; a look at nothing takes nothing away
+				quiet = made.quiet()
+			}
+			if quiet != test.quiet || made.ended != test.ended {
+				t.Errorf("quiet %v, ended %v", quiet, made.ended)
+			}
+		})
+	}
+}
+
+// TestARefusalOfALongQueryOverTCP has the runner close with unread bytes, which resets
+// the connection behind the refusal.
+func TestARefusalOfALongQueryOverTCP(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nQuery-Name: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	read := make(chan struct{})
+	for name, serve := range map[string]func(connection *net.TCPConn){
+		"stays open": func(connection *net.TCPConn) {
+			io.WriteString(connection, refusal)
+			<-read
+			connection.Close()
+		},
+		"half closed": func(connection *net.TCPConn) {
+			io.ReadFull(connection, make([]byte, 100))
+			io.WriteString(connection, refusal)
+			connection.CloseWrite()
+			<-read
+			connection.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := New(link.TCP{}, testDialect)
+			defer pool.Close()
+			dispatch := query("q1", func(dispatch *Dispatch) {
+				dispatch.Runner.Address = listen(t, serve)
+				dispatch.Body = [][]byte{make([]byte, 8<<20), make([]byte, 8<<20)}
+			})
+			if _, err := pool.Send(t.Context(), dispatch); !mishap.Is(err, mishap.NotRun) {
+				t.Errorf("got %v", err)
+			}
+			read <- struct{}{}
+		})
+	}
+}
+
+func TestALongQueryOverTCP(t *testing.T) {
+	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+	address := listen(t, func(connection *net.TCPConn) {
+		defer connection.Close()
+		reader := bufio.NewReader(connection)
+		for {
+			query, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			read, err := io.ReadAll(query.Body)
+			if err != nil {
+				return
+			}
+			io.WriteString(connection, strings.ReplaceAll(ok(string(read)), "NAME", query.Header.Get("Query-Name")))
+		}
+	})
+	pool := New(link.TCP{Silence: time.Minute}, testDialect)
+	defer pool.Close()
+	for _, name := range []string{"q1", "q2", "q3"} {
+		_, got, err := ask(t, pool, query(name, func(dispatch *Dispatch) {
+			dispatch.Runner.Address = address
+			dispatch.Body = parts(string(body), 300_001)
+		}))
+		if err != nil || got != string(body) {
+			t.Fatalf("%s: %d bytes of %d, %v", name, len(got), len(body), err)
+		}
+	}
+	if stats := pool.Stats(); stats.Dials != 1 || stats.Reuses != 2 {
+		t.Errorf("stats %+v", stats)
+	}
+}
+
+func TestNobodyListens(t *testing.T) {
+	listener, err := link.TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	pool := New(link.TCP{Silence: time.Second}, testDialect)
+	defer pool.Close()
+	_, err = pool.Send(t.Context(), query("q1", func(dispatch *Dispatch) { dispatch.Runner.Address = address }))
+	if got := failureOf(err); got != (failure{kind: mishap.Unavailable, neverSent: true, lost: true, nobodyThere: true}) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// BenchmarkSend asks a runner on the real network that costs next to nothing itself.
+func BenchmarkSend(b *testing.B) {
+	for name, way := range map[string]func(context.Context) (context.Context, context.CancelFunc){
+		"plain": func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.Background(), func() {}
+		},
+		"cancellable": context.WithCancel,
+	} {
+		b.Run(name, func(b *testing.B) {
+			end := []byte("say it")
+			answer := []byte(strings.ReplaceAll(okWith("Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nLoad: 1,2,3\r\nKeep-Alive: timeout=30", "fine"), "NAME", "q1"))
+			address := listen(b, func(connection *net.TCPConn) {
+				defer connection.Close()
+				buffer := make([]byte, 4096)
+				for length := 0; ; {
+					count, err := connection.Read(buffer[length:])
+					if err != nil {
+						return
+					}
+					if length += count; bytes.HasSuffix(buffer[:length], end) {
+						connection.Write(answer)
+						length = 0
+					}
+				}
+			})
+			pool := New(link.TCP{}, testDialect)
+			defer pool.Close()
+			dispatch := Dispatch{Runner: feed.Runner{Address: address, Life: "life-1"}, Most: 4, Method: "POST", Target: "/turn/2f?x=1", Host: "agents.example",
+				Header: http.Header{"Program": {"3fa81c"}, "Session": {"77d20b"}, "Accept": {"*/*"}, "Query-Name": {"q1"}}, Body: [][]byte{[]byte("say "), []byte("it")}, Name: "q1", Urgency: "4"}
+			buffer := make([]byte, 512)
+			b.ReportAllocs()
+			for b.Loop() {
+				ctx, cancel := way(context.Background())
+				dispatch.Deadline = time.Now().Add(10 * time.Second)
+				reply, err := pool.Send(ctx, dispatch)
+				if err != nil {
+					b.Fatal(err)
+				}
+				for err == nil {
+					_, err = reply.Read(buffer)
+				}
+				if err != io.EOF {
+					b.Fatal(err)
+				}
+				reply.Close()
+				cancel()
+			}
+			if stats := pool.Stats(); stats.Dials != 1 {
+				b.Errorf("stats %+v", stats)
+			}
+		})
+	}
+}
+
+// BenchmarkEvents splits a stream that comes in pieces of two events.
+func BenchmarkEvents(b *testing.B) {
+	one := []byte("id: 17\ndata: " + strings.Repeat("x", 120) + "\n\nid: 18\ndata: " + strings.Repeat("y", 120) + "\n\n")
+	events := NewEvents(sameAgain(one))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := events.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// sameAgain is a reader that gives the same bytes with each read, for ever.
+type sameAgain []byte
+
+func (same sameAgain) Read(target []byte) (int, error) { return copy(target, same), nil }
