--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -36,6 +36,9 @@
 	Controls, Stores, Fronts, Models, Applications int
 	// Groups of lines; 0 means 8.
 	Groups uint32
+	// Engines and Tools answer forwarded queries; with any, the control nodes are given
+	// the list of runners.
+	Engines, Tools int
 }
 
 // Small is the shape that most tests need.
@@ -71,6 +74,8 @@
 	Stores   []*Machine
 	Fronts   []*Machine
 	Runners  []*RunnerMachine
+	Engines  []*EngineMachine
+	Roster   *Roster
 	Platform *standin.Platform
 	seeds    []string
 	platform *http.Server
@@ -87,6 +92,9 @@
 //	defer cluster.Stop()
 func Start(seed uint64, shape Shape, rules string) (*Cluster, error) {
 	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), Platform: &standin.Platform{}}
+	if shape.Engines+shape.Tools > 0 {
+		cluster.Roster = &Roster{}
+	}
 	cluster.caller = cluster.Network.At("10.9.9.9")
 	for index := range 3 {
 		cluster.seeds = append(cluster.seeds, fmt.Sprintf("10.0.0.%d:7000", index+1))
@@ -94,6 +102,9 @@
 	if err := cluster.startRunners(shape); err != nil {
 		return nil, err
 	}
+	if err := cluster.startEngines(shape); err != nil {
+		return nil, err
+	}
 	for index := range shape.Controls {
 		cluster.Controls = append(cluster.Controls, cluster.AddControl(index))
 	}
@@ -142,7 +153,12 @@
 func (cluster *Cluster) AddControl(index int) *Machine {
 	machine := &Machine{Host: fmt.Sprintf("10.0.0.%d", index+1), Domain: domain(index), Disk: NewDisk(cluster.Seed + uint64(index))}
 	machine.start = func() (err error) {
+		var roster controlplane.RosterSource
+		if cluster.Roster != nil {
+			roster = cluster.Roster
+		}
 		machine.Control, err = controlplane.Start(controlplane.Settings{
+			Roster:  roster,
 			Address: machine.Host + ":7000", Administration: machine.Host + ":7200", Domain: machine.Domain, Seeds: cluster.seeds,
 			FoundingStores: 3, Groups: cluster.groups, MostControls: 5, Replica: cluster.pace(index),
 		}, machine.Disk, cluster.Network.At(machine.Host))
@@ -171,7 +187,7 @@
 func (cluster *Cluster) addFront(index int) *Machine {
 	machine := &Machine{Host: fmt.Sprintf("10.0.2.%d", index+1), Domain: domain(index)}
 	machine.start = func() (err error) {
-		machine.Front, err = front.Start(front.Settings{Address: machine.Host + ":7000", Public: machine.Host + ":7100", Domain: machine.Domain, Seeds: cluster.seeds}, cluster.Network.At(machine.Host))
+		machine.Front, err = front.Start(front.Settings{Address: machine.Host + ":7000", Public: machine.Host + ":7100", Domain: machine.Domain, Seeds: cluster.seeds, Dialect: standin.Dialect}, cluster.Network.At(machine.Host))
 		return err
 	}
 	return machine
@@ -289,6 +305,9 @@
 	for _, runner := range cluster.Runners {
 		runner.server.Close()
 	}
+	for _, engine := range cluster.Engines {
+		engine.server.Close()
+	}
 	cluster.platform.Close()
 }
 
--- /dev/null
+++ b/proof/standin/engine.go
@@ -0,0 +1,200 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"yardrock.example/system/runnerpool"
+)
+
+// Dialect is how stand-in engines name their headers.
+var Dialect = runnerpool.Dialect{
+	Query: "Query-Name", NotRun: "Not-Run", Expected: "Expected-Runner", TimeLeft: "Time-Left", Load: "Runner-Load",
+	Urgency: "Urgency", Resume: "Last-Event-ID", Runner: "Runner", ColdFor: "Cold-For",
+}
+
+// Fault is what goes wrong with one query at an engine.
+type Fault string
+
+// The faults.
+const (
+	NoFault Fault = ""
+	// Refuses vouches that the query did not run.
+	Refuses Fault = "refuses"
+	// Loses runs the query and closes the connection.
+	Loses Fault = "loses"
+	// Breaks breaks a stream off after its second event.
+	Breaks Fault = "breaks"
+	// Fails answers 500.
+	Fails Fault = "fails"
+	// Unvouched answers 503 without vouching for anything.
+	Unvouched Fault = "unvouched"
+	// Foreign answers under another query's name.
+	Foreign Fault = "foreign"
+)
+
+// Ran is one run of a query at an engine.
+type Ran struct {
+	Query  string
+	Method string
+	Target string
+	Body   string
+	At     time.Time
+	Header http.Header
+}
+
+// Engine is a stand-in runner that queries are forwarded to unchanged.
+type Engine struct {
+	Life string
+	Pace Pace
+	// Events is how many events a stream has.
+	Events int
+
+	mutex  sync.Mutex
+	faults []Fault
+	always Fault
+	ran    []Ran
+	turned int // away as meant for another runner
+}
+
+// NewEngine makes an engine.
+//
+//	http.Serve(listener, standin.NewEngine("life-1", standin.Pace{Piece: time.Millisecond}))
+func NewEngine(life string, pace Pace) *Engine { return &Engine{Life: life, Pace: pace, Events: 5} }
+
+// Next makes the next queries go wrong, one after the other.
+//
+//	engine.Next(standin.Loses)
+func (engine *Engine) Next(faults ...Fault) {
+	engine.mutex.Lock()
+	engine.faults = append(engine.faults, faults...)
+	engine.mutex.Unlock()
+}
+
+// Always makes all queries go wrong from now on.
+//
+//	engine.Always(standin.Fails)
+func (engine *Engine) Always(fault Fault) {
+	engine.mutex.Lock()
+	engine.always = fault
+	engine.mutex.Unlock()
+}
+
+// Ran gives what ran here.
+//
+//	for _, one := range engine.Ran() { ... }
+func (engine *Engine) Ran() []Ran {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return append([]Ran{}, engine.ran...)
+}
+
+// Turned tells how many queries were turned away as meant for another runner.
+//
+//	count := engine.Turned()
+func (engine *Engine) Turned() int {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.turned
+}
+
+func (engine *Engine) next() Fault {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if len(engine.faults) == 0 {
+		return engine.always
+	}
+	fault := engine.faults[0]
+	engine.faults = engine.faults[1:]
+	return fault
+}
+
+func (engine *Engine) run(query *http.Request, body string) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.ran = append(engine.ran, Ran{Query: query.Header.Get(Dialect.Query), Method: query.Method, Target: query.URL.RequestURI(), Body: body, At: time.Now(), Header: query.Header.Clone()})
+}
+
+// EventData is what an engine puts into one event of a stream. It depends on the whole
+// prompt, so that any difference shows.
+//
+//	data := standin.EventData(prompt, 3)
+func EventData(prompt string, number int) string {
+	sum := sha256.Sum256([]byte(prompt))
+	return fmt.Sprintf("%d of %s", number, hex.EncodeToString(sum[:6]))
+}
+
+// ServeHTTP answers GET /health, streams on paths that begin with /talk/, and answers
+// plainly on all others.
+func (engine *Engine) ServeHTTP(writer http.ResponseWriter, query *http.Request) {
+	header := writer.Header()
+	header.Set(Dialect.Runner, engine.Life)
+	if query.URL.Path == "/health" {
+		return
+	}
+	body, err := io.ReadAll(query.Body)
+	if err != nil {
+		return
+	}
+	name := query.Header.Get(Dialect.Query)
+	header.Set(Dialect.Query, name)
+	if expected := query.Header.Get(Dialect.Expected); expected != "" && expected != engine.Life {
+		engine.mutex.Lock()
+		engine.turned++
+		engine.mutex.Unlock()
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	fault := engine.next()
+	switch fault {
+	case Refuses:
+		header.Set(Dialect.NotRun, "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Unvouched:
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Foreign:
+		header.Set(Dialect.Query, "another")
+	}
+	engine.run(query, string(body))
+	header.Set("Seal", engine.Life+"/"+name)
+	switch {
+	case fault == Loses:
+		time.Sleep(engine.Pace.Plain)
+		panic(http.ErrAbortHandler)
+	case fault == Fails:
+		writer.WriteHeader(http.StatusInternalServerError)
+	case strings.HasPrefix(query.URL.Path, "/talk/"):
+		engine.stream(writer, query, string(body), fault)
+	default:
+		time.Sleep(engine.Pace.Plain)
+		fmt.Fprintf(writer, "done %s", name)
+	}
+}
+
+func (engine *Engine) stream(writer http.ResponseWriter, query *http.Request, prompt string, fault Fault) {
+	first, _ := strconv.Atoi(query.Header.Get(Dialect.Resume))
+	writer.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(writer)
+	time.Sleep(engine.Pace.First)
+	for number := first + 1; number <= engine.Events; number++ {
+		if fault == Breaks && number > first+2 {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, EventData(prompt, number))
+		controller.Flush()
+		select {
+		case <-time.After(engine.Pace.Piece):
+		case <-query.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/system/forwarding/dispatch.go
@@ -0,0 +1,329 @@
+package forwarding
+
+import (
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"yardrock.example/system/balancer"
+	"yardrock.example/system/charter"
+	"yardrock.example/system/line"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/runnerpool"
+)
+
+const (
+	// mostUnsent bounds how often another runner is taken though nothing was sent.
+	mostUnsent = 6
+	// wholeBytes is the longest plain answer that is read whole before it is passed on.
+	wholeBytes = 256 << 10
+	retrySoon  = 200 * time.Millisecond
+	// leastLeft is the time that must be left for another runner to be worth trying.
+	leastLeft = 50 * time.Millisecond
+)
+
+// streamed is what has been passed on of a stream.
+type streamed struct {
+	begun  bool
+	last   string // id of the last event
+	number int64  // the same as a number
+	output []byte // data of the events, each with a line feed, if history is kept
+	tokens uint64
+}
+
+// dispatch sends the query to a runner, and to another where that can't make it run
+// twice.
+func dispatch(forwarder *Forwarder, ctx context.Context, going *passage) (bool, error) {
+	ctx, cancel := context.WithDeadline(ctx, going.deadline)
+	defer cancel()
+	unsent := 0
+	for {
+		failed, again := forwarder.dispatchOnce(ctx, going)
+		if failed == nil {
+			return true, nil
+		}
+		if mishap.Of(failed).NeverSent {
+			unsent++
+		}
+		more := again && unsent < mostUnsent && going.sent < max(going.route.Tries, 1) && time.Until(going.deadline) > leastLeft && ctx.Err() == nil
+		if !more {
+			forwarder.giveUp(going, failed)
+			return true, failed
+		}
+	}
+}
+
+// giveUp books the end of a turn that has no whole answer.
+func (forwarder *Forwarder) giveUp(going *passage, failed error) {
+	outcome := line.OutcomeCut
+	if mishap.Is(failed, mishap.NotRun) && !going.stream.begun {
+		outcome = line.OutcomeNotRun
+	}
+	forwarder.book(going, outcome)
+}
+
+// repeatable tells whether the query may run more than once.
+func (going *passage) repeatable() bool {
+	return going.route.Kind == charter.Repeatable || (going.route.Kind == charter.Streaming && going.route.Resumable)
+}
+
+// dispatchOnce sends the query to one runner and passes its answer on. It tells whether
+// another runner may be tried.
+func (forwarder *Forwarder) dispatchOnce(ctx context.Context, going *passage) (failed error, again bool) {
+	lease, err := forwarder.settings.Balancer.Acquire(ctx, balancer.Need{
+		Route: going.route, Parts: going.Parts, Program: going.Program, Session: going.Session, Subject: going.Subject,
+		TokensIn: going.TokensIn, TokensOut: going.TokensOut, Deadline: going.deadline, Finish: going.Finish, Avoid: going.tried,
+	})
+	if err != nil {
+		return going.refusal(err), false
+	}
+	ending, load := balancer.Unused, (*runnerpool.Load)(nil)
+	defer func() { lease.Release(ending, load) }()
+	began := time.Now()
+	reply, err := forwarder.settings.Pool.Send(ctx, runnerpool.Dispatch{
+		Runner: lease.Runner, Most: lease.Connections, Method: going.Method, Target: going.Target, Host: going.Host, Header: going.Header,
+		Body: going.body, Name: going.Name, Deadline: going.deadline, Resume: going.stream.last,
+		Look: func() error { return forwarder.look(going, lease) },
+	})
+	if err != nil {
+		told := mishap.Of(err)
+		if !told.NeverSent {
+			going.sent++
+			going.tried = append(going.tried, lease.Runner.Life)
+		} else if told.Lost || told.NobodyThere {
+			going.tried = append(going.tried, lease.Runner.Life)
+		}
+		ending = endingOf(ctx, told)
+		return going.refusal(err), going.mayGoOn(told)
+	}
+	going.sent++
+	going.tried = append(going.tried, lease.Runner.Life)
+	load = reply.Load
+	defer reply.Close()
+	if going.streams(reply) {
+		ending, err = forwarder.passStream(ctx, going, reply, func() { lease.First(time.Since(began)) })
+	} else {
+		ending, err = forwarder.passWhole(ctx, going, reply, lease, began)
+	}
+	if err != nil && ctx.Err() != nil {
+		ending = balancer.Abandoned
+	}
+	return err, err != nil && going.repeatable() && !errors.Is(err, errCaller)
+}
+
+// look is the last look before the first byte leaves.
+func (forwarder *Forwarder) look(going *passage, lease *balancer.Lease) error {
+	if err := forwarder.settings.Fresh(); err != nil {
+		return err
+	}
+	changed := mishap.Later(mishap.NotRun, "what is in force changed before anything was sent", "ask again", retrySoon)
+	rules := forwarder.settings.Rules()
+	if rules.Routing != going.rules.Routing {
+		route, found := rules.Routing.Match(going.Host, going.Path)
+		if !found || route.Kind != going.route.Kind || route.KeepsHistory != going.route.KeepsHistory {
+			return changed
+		}
+		going.rules, going.route = rules, route
+	}
+	if !lease.Stands() {
+		return changed
+	}
+	return nil
+}
+
+// mayGoOn tells whether another runner may get the query after a failed try.
+func (going *passage) mayGoOn(told *mishap.Mishap) bool {
+	return told.NeverSent || told.Kind == mishap.NotRun || going.repeatable()
+}
+
+// refusal is what the caller is told of a failed try: "not run" is a promise, so it is
+// told only if no earlier try may have run either.
+func (going *passage) refusal(err error) error {
+	told := *mishap.Of(err)
+	vouched := told.NeverSent || told.Kind == mishap.NotRun
+	switch {
+	case going.stream.begun:
+		return err
+	case !vouched:
+		going.unsure = true
+		if told.Kind != mishap.RunnerMishap {
+			told.Kind = mishap.Unknown
+		}
+	case going.unsure:
+		told.Kind = mishap.Unknown
+	default:
+		told.Kind = mishap.NotRun
+		if told.RetryAfter == 0 {
+			told.RetryAfter = retrySoon
+		}
+	}
+	return &told
+}
+
+var errCaller = errors.New("the caller left")
+
+// endings by what a failure tells of the runner.
+func endingOf(ctx context.Context, told *mishap.Mishap) balancer.Ending {
+	switch {
+	case told.Misdirected:
+		return balancer.Misdirected
+	case told.Kind == mishap.NotRun && !told.NeverSent:
+		return balancer.Refused
+	case told.Lost || told.NobodyThere:
+		return balancer.Lost
+	case told.NeverSent:
+		return balancer.Unused
+	case ctx.Err() != nil:
+		return balancer.Abandoned
+	}
+	return balancer.Failed
+}
+
+// streams tells whether an answer is a stream of events.
+func (going *passage) streams(reply *runnerpool.Reply) bool {
+	if going.route.Kind != charter.Streaming || reply.Status != http.StatusOK {
+		return false
+	}
+	kind, _, err := mime.ParseMediaType(reply.Header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
+// passWhole reads a plain answer whole, if it is not too long, and passes it on.
+func (forwarder *Forwarder) passWhole(ctx context.Context, going *passage, reply *runnerpool.Reply, lease *balancer.Lease, began time.Time) (balancer.Ending, error) {
+	if going.stream.begun {
+		return balancer.Failed, broken("a stream was to go on, but the runner answered " + strconv.Itoa(reply.Status))
+	}
+	ending := balancer.Answered
+	if reply.Status >= http.StatusInternalServerError {
+		ending = balancer.Failed
+	}
+	if promises[reply.Status] {
+		// The runner did not vouch for it, so it can't be passed on as a promise.
+		going.unsure = true
+		return ending, broken("the runner answered " + strconv.Itoa(reply.Status) + " without a vouch")
+	}
+	data, err := io.ReadAll(io.LimitReader(reply, wholeBytes))
+	if err != nil {
+		going.unsure = true
+		return balancer.Lost, err
+	}
+	if ending == balancer.Failed && going.repeatable() && going.sent < max(going.route.Tries, 1) && time.Until(going.deadline) > leastLeft {
+		going.unsure = true
+		return ending, broken("the runner answered " + strconv.Itoa(reply.Status))
+	}
+	if err := going.answer.Begin(reply.Status, reply.Header); err != nil {
+		return balancer.Abandoned, errors.Join(errCaller, err)
+	}
+	going.stream.begun = true
+	if err := going.answer.Write(data); err != nil {
+		return balancer.Abandoned, errors.Join(errCaller, err)
+	}
+	if len(data) == wholeBytes {
+		if _, err := io.Copy(writer{going.answer}, reply); err != nil {
+			return balancer.Lost, errors.Join(errCaller, err)
+		}
+	}
+	if ctx.Err() == nil {
+		lease.First(time.Since(began))
+	}
+	forwarder.book(going, line.OutcomeCut)
+	return ending, nil
+}
+
+// promises are the statuses by which a front tells that a query did not run and never
+// will.
+var promises = map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true}
+
+// writer lets an answer be copied to.
+type writer struct{ answer Answer }
+
+// Write passes data on.
+func (target writer) Write(data []byte) (int, error) { return len(data), target.answer.Write(data) }
+
+func broken(message string) error {
+	return &mishap.Mishap{Kind: mishap.RunnerMishap, Message: message, Remedy: "see the runner's own log", Lost: true}
+}
+
+// passStream passes events on as they come. The end is passed on only once a turn that
+// is kept is committed whole.
+func (forwarder *Forwarder) passStream(ctx context.Context, going *passage, reply *runnerpool.Reply, first func()) (balancer.Ending, error) {
+	going.unsure = true
+	events := runnerpool.NewEvents(reply)
+	perEvent := forwarder.tokensPerEvent(going)
+	if !going.stream.begun {
+		if err := going.answer.Begin(reply.Status, reply.Header); err != nil {
+			return balancer.Abandoned, errors.Join(errCaller, err)
+		}
+		going.stream.begun = true
+	}
+	resumed := going.stream.last != ""
+	for fresh := true; ; fresh = false {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return balancer.Answered, forwarder.endStream(ctx, going)
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return balancer.Abandoned, err
+			}
+			return balancer.Lost, err
+		}
+		if fresh {
+			first()
+		}
+		number, numbered := numberOf(event.ID)
+		if resumed && numbered && number <= going.stream.number {
+			continue
+		}
+		// A token counts as put out from here on, whether or not the caller gets it.
+		if event.HasData {
+			going.stream.tokens += perEvent
+			if going.route.KeepsHistory {
+				going.stream.output = append(append(going.stream.output, event.Data...), '\n')
+			}
+		}
+		if event.ID != "" {
+			going.stream.last, going.stream.number = event.ID, number
+		}
+		if err := going.answer.Write(event.Raw); err != nil {
+			return balancer.Abandoned, errors.Join(errCaller, err)
+		}
+	}
+}
+
+func numberOf(text string) (int64, bool) {
+	number, err := strconv.ParseInt(text, 10, 64)
+	return number, err == nil
+}
+
+func (forwarder *Forwarder) tokensPerEvent(going *passage) uint64 {
+	for _, share := range going.route.Shares {
+		if service, found := going.rules.Routing.Service(share.Service); found && service.Engine != nil {
+			return max(service.Engine.TokensPerEvent, 1)
+		}
+	}
+	return 1
+}
+
+// endStream commits the end of a turn. What is not kept is booked behind the caller's
+// back: until then it counts at its most.
+func (forwarder *Forwarder) endStream(ctx context.Context, going *passage) error {
+	if going.begun == nil {
+		return nil
+	}
+	if !going.route.KeepsHistory {
+		forwarder.book(going, line.OutcomeComplete)
+		return nil
+	}
+	if err := forwarder.end(ctx, going, line.OutcomeComplete); err != nil {
+		log.WithFields(log.Fields{"node": forwarder.settings.Node, "line": going.line, "query": going.Name, "error": err.Error()}).Warn("turn_not_committed")
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/system/forwarding/forwarder.go
@@ -0,0 +1,230 @@
+package forwarding
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"yardrock.example/system/balancer"
+	"yardrock.example/system/charter"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/runnerpool"
+	"yardrock.example/system/storeorigin"
+)
+
+// Records keep what programs' turns say and spend.
+type Records interface {
+	BeginTurn(ctx context.Context, turn storeorigin.Turn) (*storeorigin.Begun, error)
+	EndTurn(ctx context.Context, end storeorigin.TurnEnd) error
+}
+
+// Rules are the routes in force with the view that they came with.
+type Rules struct {
+	View    *feed.View
+	Routing *charter.Routing
+}
+
+// Settings join a forwarder to the rest of its front.
+type Settings struct {
+	// Node names this start of the front.
+	Node string
+	// Fresh tells whether the view held may be acted on.
+	Fresh func() error
+	// Rules gives what is in force; Routing is nil while nothing is.
+	Rules    func() Rules
+	Balancer *balancer.Balancer
+	Pool     *runnerpool.Pool
+	Records  Records
+}
+
+// Forwarder carries queries to runners for one front.
+type Forwarder struct {
+	settings Settings
+	context  context.Context
+	stop     context.CancelFunc
+	work     sync.WaitGroup
+}
+
+// New makes a forwarder.
+//
+//	forwarder := forwarding.New(forwarding.Settings{Node: "front-1", Fresh: fresh, Rules: rules, Balancer: balancing, Pool: pool, Records: stores})
+//	err := forwarder.Serve(ctx, query, answer)
+func New(settings Settings) *Forwarder {
+	forwarder := &Forwarder{settings: settings}
+	forwarder.context, forwarder.stop = context.WithCancel(context.Background())
+	return forwarder
+}
+
+// Close breaks off what goes on in the background and waits for its end.
+//
+//	forwarder.Close()
+func (forwarder *Forwarder) Close() {
+	forwarder.stop()
+	forwarder.work.Wait()
+}
+
+// Settled waits until the turns that ended are booked, or the context ends.
+//
+//	forwarder.Settled(ctx)
+func (forwarder *Forwarder) Settled(ctx context.Context) {
+	booked := make(chan struct{})
+	go func() {
+		forwarder.work.Wait()
+		close(booked)
+	}()
+	select {
+	case <-booked:
+	case <-ctx.Done():
+	}
+}
+
+// passage is one query on its way through the filters.
+type passage struct {
+	*Query
+	answer   Answer
+	rules    Rules
+	route    *charter.Route
+	deadline time.Time
+	tried    []string // lives of the runners that it was sent to
+	sent     int      // how often it was sent
+	begun    *storeorigin.Begun
+	line     string
+	body     [][]byte
+	stream   streamed
+	unsure   bool // some try may have run
+}
+
+// filter looks at a query and may answer it: done ends the chain.
+type filter func(forwarder *Forwarder, ctx context.Context, passage *passage) (done bool, err error)
+
+var filters = []filter{requireFresh, findRoute, boundTime, beginTurn, dispatch}
+
+// Serve carries one query to a runner and its answer back. An error before the answer
+// has begun tells why there is none: NotRun promises that the query did not run and
+// never will, NotFound that there is no route or no such turn, Exhausted that the
+// program's allowance is spent. An error after it has begun means that the answer must be
+// broken off.
+//
+//	err := forwarder.Serve(ctx, &forwarding.Query{Name: "9c41", Method: "GET", Host: "a.example", Path: "/x/1", Target: "/x/1", Received: time.Now(), Deadline: until}, answer)
+func (forwarder *Forwarder) Serve(ctx context.Context, query *Query, answer Answer) error {
+	going := &passage{Query: query, answer: answer}
+	for _, step := range filters {
+		if done, err := step(forwarder, ctx, going); done || err != nil {
+			return err
+		}
+	}
+	return mishap.New(mishap.Unavailable, "no filter answered", "report this")
+}
+
+func requireFresh(forwarder *Forwarder, _ context.Context, going *passage) (bool, error) {
+	if err := forwarder.settings.Fresh(); err != nil {
+		return false, err
+	}
+	going.rules = forwarder.settings.Rules()
+	if going.rules.Routing == nil {
+		return false, mishap.Later(mishap.NotRun, "no routes are in force yet", "ask again; operators: put a charter with routes", time.Second)
+	}
+	return false, nil
+}
+
+func findRoute(_ *Forwarder, _ context.Context, going *passage) (bool, error) {
+	route, found := going.rules.Routing.Match(going.Host, going.Path)
+	if !found {
+		return false, mishap.New(mishap.NotFound, "no route is for "+going.Host+going.Path, "ask for a host and a path that the charter has a route for")
+	}
+	going.route = route
+	return false, nil
+}
+
+func boundTime(_ *Forwarder, _ context.Context, going *passage) (bool, error) {
+	going.deadline = going.Received.Add(time.Duration(going.route.Patience))
+	if !going.Deadline.IsZero() && going.Deadline.Before(going.deadline) {
+		going.deadline = going.Deadline
+	}
+	if !time.Now().Before(going.deadline) {
+		return false, mishap.Later(mishap.NotRun, "the time for this query is over", "ask again with more time", time.Second)
+	}
+	return false, nil
+}
+
+const (
+	// beginShare is the part of the time left that a turn may wait for its record.
+	beginShare = 0.6
+	beginMost  = 2500 * time.Millisecond
+	// bookPatience is how long an end is tried to be booked behind the caller's back;
+	// what stays unbooked goes on counting at its most.
+	bookPatience = 20 * time.Second
+	bookPause    = 100 * time.Millisecond
+	// turnMargin is how much longer than its query a turn may be open.
+	turnMargin = 10 * time.Second
+)
+
+// recorded tells whether a query is a turn that spends an allowance or is remembered.
+func (going *passage) recorded() bool {
+	return going.route.Kind == charter.Streaming && (going.Budgeted || going.route.KeepsHistory)
+}
+
+// beginTurn reserves the most that the turn may put out and records its beginning, in
+// one commit; for turns that bring only their new input, it brings what was said before.
+func beginTurn(forwarder *Forwarder, ctx context.Context, going *passage) (bool, error) {
+	going.body = [][]byte{going.Body}
+	if !going.recorded() {
+		return false, nil
+	}
+	going.line = lineOf(going.Query)
+	left := time.Until(going.deadline)
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(float64(left)*beginShare), beginMost))
+	defer cancel()
+	begun, err := forwarder.settings.Records.BeginTurn(ctx, storeorigin.Turn{
+		Line: going.line, Name: going.Name, Follows: going.Follows, Input: going.Body,
+		Keeps: going.route.KeepsHistory, Keep: time.Duration(going.route.Keep),
+		Budgeted: going.Budgeted, Most: going.TokensOut, Allowance: going.Budget,
+		Dispatch: forwarder.settings.Node, Life: left + turnMargin,
+	})
+	if err != nil {
+		return false, err
+	}
+	going.begun = begun
+	if len(begun.History) > 0 {
+		going.body = [][]byte{begun.History, going.Body}
+	}
+	return false, nil
+}
+
+// lineOf names the line of record of a query's program; turns of no program have lines
+// of their own.
+func lineOf(query *Query) string {
+	switch {
+	case query.Program != "":
+		return "program/" + query.Program
+	case query.Session != "":
+		return "session/" + query.Session
+	}
+	return "query/" + query.Name
+}
+
+// end books how the turn ended. It returns once that is committed.
+func (forwarder *Forwarder) end(ctx context.Context, going *passage, outcome string) error {
+	return forwarder.settings.Records.EndTurn(ctx, storeorigin.TurnEnd{
+		Line: going.line, Name: going.Name, Seq: going.begun.Seq, Kept: going.route.KeepsHistory,
+		Output: going.stream.output, Tokens: going.stream.tokens, Outcome: outcome,
+	})
+}
+
+// book books an end behind the caller's back, until it lasts or patience is over.
+func (forwarder *Forwarder) book(going *passage, outcome string) {
+	if going.begun == nil {
+		return
+	}
+	forwarder.work.Go(func() {
+		ctx, cancel := context.WithTimeout(forwarder.context, bookPatience)
+		defer cancel()
+		for forwarder.end(ctx, going, outcome) != nil && ctx.Err() == nil {
+			select {
+			case <-time.After(bookPause):
+			case <-ctx.Done():
+			}
+		}
+	})
+}
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -11,14 +13,17 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 
+	"yardrock.example/system/balancer"
 	"yardrock.example/system/charter"
 	"yardrock.example/system/feed"
 	"yardrock.example/system/follower"
+	"yardrock.example/system/forwarding"
 	"yardrock.example/system/httpface"
 	"yardrock.example/system/link"
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/placement"
 	"yardrock.example/system/runnerorigin"
+	"yardrock.example/system/runnerpool"
 	"yardrock.example/system/scheduling"
 	"yardrock.example/system/storeorigin"
 	"yardrock.example/system/wire"
@@ -28,11 +33,13 @@
 // Settings place a front node.
 type Settings struct {
 	Address string // for other processes
-	Public  string // for callers
+	Public  string // for callers of the own interface; "" serves none
 	Domain  string
 	Seeds   []string
-	// Machine is what the operator calls this machine; it may be empty.
+	// Machine is what the operators call this machine; it may be empty.
 	Machine string
+	// Dialect names the headers of runners that queries are forwarded to.
+	Dialect runnerpool.Dialect
 }
 
 // inForce is a view with its decoded charter. It is replaced whole.
@@ -50,12 +57,17 @@
 	stores   *storeorigin.Origin
 	runners  *runnerorigin.Origin
 	board    *scheduling.Board
+	pool     *runnerpool.Pool
+	balancer *balancer.Balancer
+	forward  *forwarding.Forwarder
 	linked   *link.Server
 	public   *httpface.Server
 	rules    atomic.Pointer[inForce]
 	draining atomic.Bool
 	// listedSince is since when this node's own session has been in the list.
 	listedSince atomic.Pointer[time.Time]
+	// fronts is how many live fronts share the runners, this one included.
+	fronts atomic.Int64
 
 	context context.Context
 	stop    context.CancelFunc
@@ -72,37 +84,89 @@
 	node.rules.Store(&inForce{view: &feed.View{}, charter: &charter.Charter{}})
 	node.stores = storeorigin.New(node.caller, func() *feed.View { return node.rules.Load().view })
 	node.board = scheduling.NewBoard(node.name, settings.Domain, node.boardState, node.tellOfRunner)
+	node.pool = runnerpool.New(network, settings.Dialect)
+	node.balancer = balancer.New(settings.Domain, rand.Uint64(), nil)
+	node.forward = forwarding.New(forwarding.Settings{Node: node.name, Fresh: node.fresh, Rules: node.routes, Balancer: node.balancer, Pool: node.pool, Records: node.stores})
 	linkListener, err := network.Listen(settings.Address)
 	if err != nil {
 		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "use an address of this machine that is free")
 	}
-	publicListener, err := network.Listen(settings.Public)
-	if err != nil {
-		linkListener.Close()
-		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Public+": "+err.Error(), "use an address of this machine that is free")
+	var publicListener net.Listener
+	if settings.Public != "" {
+		if publicListener, err = network.Listen(settings.Public); err != nil {
+			linkListener.Close()
+			return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Public+": "+err.Error(), "use an address of this machine that is free")
+		}
 	}
 	member := feed.Member{Name: node.name, Role: feed.RoleFront, Address: settings.Address, Domain: settings.Domain, Machine: settings.Machine}
 	node.follow = follower.Start(node.caller, member, settings.Seeds, nil, node.take)
 	go node.greet()
 	node.linked = link.Serve(linkListener, node.answer)
-	node.public = httpface.Serve(publicListener, node.handler(), func() int64 {
-		return max(node.rules.Load().charter.Limits.BodyBytes, 1024)
-	})
+	if publicListener != nil {
+		node.public = httpface.Serve(publicListener, node.handler(), func() int64 {
+			return max(node.rules.Load().charter.Limits.BodyBytes, 1024)
+		})
+	}
 	log.WithFields(log.Fields{"node": node.name, "address": settings.Address, "public": settings.Public}).Info("front_started")
 	return node, nil
 }
 
 // take decodes a newer view's charter and puts both in force.
 func (node *Node) take(view *feed.View) error {
-	made, err := charter.Decode(view.Compiled)
-	if err != nil {
-		return err
+	made := node.rules.Load().charter
+	if view.CharterNumber != node.rules.Load().view.CharterNumber || view.Fleet != node.rules.Load().view.Fleet {
+		var err error
+		if made, err = charter.Decode(view.Compiled); err != nil {
+			log.WithFields(log.Fields{"node": node.name, "number": view.Number, "error": err.Error()}).Error("charter_unreadable")
+			return err
+		}
 	}
 	node.rules.Store(&inForce{view: view, charter: made})
+	node.balance()
 	log.WithFields(log.Fields{"node": node.name, "number": view.Number, "charter": view.CharterNumber}).Info("view_taken")
 	return nil
 }
 
+// fresh tells whether the view held may be acted on.
+func (node *Node) fresh() error {
+	_, err := node.follow.Fresh()
+	return err
+}
+
+// routes gives the routes in force.
+func (node *Node) routes() forwarding.Rules {
+	rules := node.rules.Load()
+	return forwarding.Rules{View: rules.view, Routing: rules.charter.Routing}
+}
+
+// balance tells the balancer what is in force and how many fronts share the runners.
+func (node *Node) balance() {
+	rules := node.rules.Load()
+	if rules.charter.Routing == nil {
+		return
+	}
+	node.balancer.Update(balancer.State{View: rules.view, Routes: rules.charter.Routing, Fronts: max(int(node.fronts.Load()), 1)})
+	node.pool.Retain(rules.view.Runners)
+}
+
+// Forward carries a query to a runner by the routes in force, and its answer back.
+//
+//	err := node.Forward(ctx, query, answer)
+func (node *Node) Forward(ctx context.Context, query *forwarding.Query, answer forwarding.Answer) error {
+	return node.forward.Serve(ctx, query, answer)
+}
+
+// Bounds tells what callers of forwarded queries may send; all is 0 while no routes are
+// in force.
+//
+//	longest := node.Bounds().BodyBytes
+func (node *Node) Bounds() charter.Bounds {
+	if routing := node.rules.Load().charter.Routing; routing != nil {
+		return routing.Bounds
+	}
+	return charter.Bounds{}
+}
+
 // boardState tells the board which fronts share the runners. This one counts only
 // once it has been listed for a while, so that the others have heard of it too.
 func (node *Node) boardState() scheduling.State {
@@ -170,6 +234,9 @@
 				node.tell(member, wire.RunnerNote{Address: address, Cooled: true})
 			}
 		}
+		if fronts := int64(len(now) + 1); node.fronts.Swap(fronts) != fronts {
+			node.balance()
+		}
 		known = now
 	}
 }
@@ -219,6 +286,7 @@
 //	node.Drain(ctx)
 func (node *Node) Drain(ctx context.Context) {
 	node.draining.Store(true)
+	node.forward.Settled(ctx)
 	ended := make(chan struct{})
 	go func() {
 		node.runs.wait()
@@ -228,6 +296,9 @@
 	case <-ended:
 	case <-ctx.Done():
 	}
+	if node.public == nil {
+		return
+	}
 	if err := node.public.Drain(ctx); err != nil {
 		log.WithFields(log.Fields{"node": node.name, "error": err.Error()}).Warn("drain_cut_short")
 	}
@@ -239,7 +310,11 @@
 func (node *Node) Close() {
 	node.draining.Store(true)
 	node.stop()
-	node.public.Close()
+	if node.public != nil {
+		node.public.Close()
+	}
+	node.forward.Close()
+	node.pool.Close()
 	node.follow.Stop()
 	node.linked.Close()
 	node.runs.close()
