--- a/system/balancer/balancer.go
+++ b/system/balancer/balancer.go
@@ -76,6 +76,7 @@
 type groupState struct {
 	known    bool // it has had runners
 	out      int
+	load     smoothed   // of out
 	reading  regression // milliseconds to the first event by tokens to read
 	duration average    // milliseconds
 	routes   map[string]*average
@@ -89,7 +90,8 @@
 	seen        time.Duration // when it was last on the list
 	listed      bool
 	out         int
-	unread      float64 // tokens of prompts whose first event has not come
+	load        smoothed // of out
+	unread      float64  // tokens of prompts whose first event has not come
 	arrivals    counter
 	cold        coldness
 	health      health
@@ -328,8 +330,10 @@
 	}
 	lease.fromCold = state.cold.take(now)
 	lease.trial = state.health.take(now)
+	state.load.now(float64(state.out), now)
 	state.out++
 	state.unread += toRead
+	from.state.load.now(float64(from.state.out), now)
 	from.state.out++
 	state.arrivals.add(1, now)
 	from.state.arrivals.add(1, now)
@@ -404,7 +408,9 @@
 		lease.read()
 	}
 	lease.released = true
+	state.load.now(float64(state.out), now)
 	state.out--
+	lease.group.load.now(float64(lease.group.out), now)
 	lease.group.out--
 	if !lease.partsKept {
 		state.unread = math.Max(0, state.unread-lease.toRead)
--- a/system/balancer/choosing.go
+++ b/system/balancer/choosing.go
@@ -11,12 +11,12 @@
 const (
 	// distanceModel and distancePlain are what the way to another domain costs, in
 	// milliseconds; prompts are long, and bytes between domains cost too.
-	distanceModel = 6
+	distanceModel = 10
 	distancePlain = 2
 	// runningPart is how much slower a model runner gets with each query that it runs.
-	runningPart = 0.03
+	runningPart = 0.02
 	// fullPart is how much slower a plain runner is when its slots are all taken.
-	fullPart = 0.4
+	fullPart = 1
 	// agreedLeast and agreedPart are what it is worth, in milliseconds and as a part of
 	// the time to read the prompt, to go where the other fronts send a program's turns.
 	agreedLeast = 6
@@ -30,7 +30,7 @@
 	// Above this part of what a cold runner would bear, more queries cost: it may have
 	// become cold without having been noticed.
 	spreadFrom = 0.6
-	spreadCost = 40 // milliseconds at the bound
+	spreadCost = 120 // milliseconds at the bound
 	// toldHalf is how fast a told load loses its weight.
 	toldHalf = 300 * time.Millisecond
 	// What the rules bear of a cold runner, over all fronts.
@@ -106,7 +106,7 @@
 		}
 		cold, ill := one.state.cold.opens(now), one.state.health.opens(now)
 		cost := weigh.cost(one)
-		if weigh.load(one) >= queueFactor*float64(one.slots) || one.state.out >= one.connections {
+		if weigh.full(one) {
 			room := time.Duration(weigh.duration / float64(one.slots) * float64(time.Millisecond))
 			opens = min(opens, max(cold, ill, room))
 			continue
@@ -142,6 +142,7 @@
 	tokens   float64
 	rate     float64 // tokens read in a millisecond
 	duration float64 // milliseconds
+	fronts   float64
 	others   float64 // what the other fronts have out at a runner, if they are like this one
 	arrivals float64 // what they sent to it in the last second
 	bound    float64
@@ -151,8 +152,8 @@
 
 func (balancer *Balancer) weighing(from *group, need *Need, now time.Duration) weighing {
 	runners, fronts := float64(len(from.candidates)), float64(balancer.table.Load().fronts)
-	weigh := weighing{balancer: balancer, from: from, now: now, engine: from.service.Engine != nil, bound: math.Inf(1)}
-	weigh.others = (fronts - 1) * float64(from.state.out) / runners
+	weigh := weighing{balancer: balancer, from: from, now: now, engine: from.service.Engine != nil, fronts: fronts, bound: math.Inf(1)}
+	weigh.others = (fronts - 1) * from.state.load.now(float64(from.state.out), now) / runners
 	if from.service.ColdRate > 0 {
 		weigh.bound = coldExcess*from.service.ColdRate + coldSlack
 		weigh.arrivals = (fronts - 1) * from.state.arrivals.now(now) / runners
@@ -194,6 +195,10 @@
 // load is how many queries a runner is thought to have, running and waiting.
 func (weigh *weighing) load(one *candidate) float64 {
 	state, others := one.state, weigh.others
+	if !weigh.engine {
+		// Any front sends plain work as this one does; turns go where their parts are.
+		others = (weigh.fronts - 1) * state.load.now(float64(state.out), weigh.now)
+	}
 	if state.toldEver {
 		told := math.Max(0, float64(state.told.Running+state.told.Waiting-state.toldOut))
 		others += (told - others) * fading(weigh.now-state.toldAt, toldHalf)
@@ -201,6 +206,14 @@
 	return float64(state.out) + others
 }
 
+// full tells whether a runner would turn one more query away or has no connection for
+// it. What other fronts may have out is not counted: the runner says so itself at once.
+func (weigh *weighing) full(one *candidate) bool {
+	state, most := one.state, queueFactor*one.slots
+	told := state.toldEver && weigh.now-state.toldAt < toldHalf && state.told.Running+state.told.Waiting+state.out-state.toldOut >= most
+	return told || state.out >= min(most, one.connections)
+}
+
 // cost is how many milliseconds a query is expected to take at a runner, beside what
 // it takes at all of them.
 func (weigh *weighing) cost(one *candidate) float64 {
@@ -216,7 +229,7 @@
 		}
 	} else {
 		full := math.Min(1, load/float64(one.slots))
-		cost += weigh.duration * (1 + state.slowness.now(now) + fullPart*full)
+		cost += weigh.duration * (1 + state.slowness.now(now) + fullPart*full*full)
 		cost += weigh.balancer.random.Float64() * 0.05 * weigh.duration
 		if !one.near {
 			cost += distancePlain
--- a/system/balancer/health.go
+++ b/system/balancer/health.go
@@ -27,6 +27,12 @@
 	trialsNeeded = 3
 	// failureCost is what a failure costs beside time, in milliseconds.
 	failureCost = 400
+	// failureDoubt is how many answers must have come before few failures count much.
+	failureDoubt = 10
+	// How much one answer counts for the slowness of a runner: plain work varies more
+	// than what is said of first events.
+	slownessWeight = 0.05
+	firstWeight    = 0.2
 	// Silence is counted against a runner once it is this many times what is usual.
 	silenceFactor = 4
 	silenceLeast  = 500 * time.Millisecond
@@ -52,8 +58,11 @@
 
 // chance is how likely the next query fails.
 func (state *health) chance(now time.Duration) float64 {
+	if state.failed == 0 {
+		return 0
+	}
 	left := fading(now-state.at, failureHalf)
-	return state.failed * left / (state.ended*left + 2)
+	return state.failed * left / (state.ended*left + failureDoubt)
 }
 
 func (state *health) ejected(now time.Duration) bool { return now < state.until }
@@ -114,7 +123,7 @@
 		return
 	}
 	span := lostOnce
-	if state.losses > 0 || state.chance(now) > ejectPart {
+	if state.losses > 0 || state.failed > ejectPart*(state.ended+1) {
 		span = min(lostAvoidMost, lostAvoid<<min(state.losses, 4))
 	}
 	state.losses++
@@ -151,10 +160,7 @@
 			state.cold.giveBack()
 		}
 	case Abandoned:
-		usual := time.Duration(lease.usual() * float64(time.Millisecond))
-		if !lease.first && now-lease.taken >= max(silenceLeast, silenceFactor*usual) {
-			lease.ill(0.5, now)
-		}
+		lease.learnSilence(now)
 	}
 }
 
@@ -182,7 +188,7 @@
 			slots += one.slots
 		}
 	}
-	demand := float64(from.state.out * current.fronts)
+	demand := from.state.load.now(float64(from.state.out), now) * float64(current.fronts)
 	return float64(ejected) <= ejectedMost*float64(len(from.candidates)) && demand <= ejectFill*float64(slots)
 }
 
@@ -217,10 +223,25 @@
 	return lease.group.usual(lease.need.Route.Name)
 }
 
+// learnSilence counts it against a runner that it was given up without having said
+// anything for much longer than usual.
+func (lease *Lease) learnSilence(now time.Duration) {
+	usual, silent := lease.usual(), milliseconds(now-lease.taken)
+	if lease.first || silent < max(milliseconds(silenceLeast), silenceFactor*usual) {
+		return
+	}
+	lease.ill(0.5, now)
+	if lease.Service.Engine != nil {
+		lease.state.slowness.add(silent-usual, firstWeight, now)
+	} else {
+		lease.state.slowness.add(math.Min(8, silent/usual)-1, slownessWeight, now)
+	}
+}
+
 // learnFirst takes the time to a first event into account.
 func (lease *Lease) learnFirst(took float64, now time.Duration) {
 	over := took - lease.usual()
-	lease.state.slowness.add(over, 0.2, now)
+	lease.state.slowness.add(over, firstWeight, now)
 	lease.group.reading.add(lease.toRead, took)
 }
 
@@ -237,7 +258,7 @@
 		lease.group.routes[name] = mean
 	}
 	mean.add(took)
-	lease.state.slowness.add(math.Min(8, took/math.Max(1, mean.value))-1, 0.1, now)
+	lease.state.slowness.add(math.Min(8, took/math.Max(1, mean.value))-1, slownessWeight, now)
 }
 
 // usual is how many milliseconds queries of a route take at a service.
--- a/system/balancer/learning.go
+++ b/system/balancer/learning.go
@@ -46,12 +46,31 @@
 	return mean.value
 }
 
+const (
+	halvesMost  = 16 // after so many half-lives nothing is left
+	halvesSteps = 16 // points of the curve in one half-life
+)
+
+// halves are points of the curve of halving, between which fading goes straight: it is
+// asked for several times for each runner and query.
+var halves = func() (points [halvesMost*halvesSteps + 2]float64) {
+	for at := range points {
+		points[at] = math.Exp2(-float64(at) / halvesSteps)
+	}
+	return points
+}()
+
 // fading is what is left of a value after a while, by its half-life.
 func fading(since, half time.Duration) float64 {
 	if since <= 0 {
 		return 1
 	}
-	return math.Exp2(-float64(since) / float64(half))
+	steps := float64(since) / float64(half) * halvesSteps
+	if steps >= halvesMost*halvesSteps {
+		return 0
+	}
+	at := int(steps)
+	return halves[at] + (halves[at+1]-halves[at])*(steps-float64(at))
 }
 
 // counter counts what came in about the last second.
@@ -69,9 +88,28 @@
 }
 
 func (count *counter) now(now time.Duration) float64 {
+	if count.value == 0 {
+		return 0
+	}
 	return count.value * fading(now-count.at, counterHalf)
 }
 
+// smoothed is the mean of a number over the last while, each value weighed by how long
+// it held.
+type smoothed struct {
+	value float64
+	at    time.Duration
+}
+
+const smoothedHalf = 500 * time.Millisecond
+
+// now gives the mean, if the number was the same since the last time.
+func (mean *smoothed) now(number float64, now time.Duration) float64 {
+	mean.value += (number - mean.value) * (1 - fading(now-mean.at, smoothedHalf))
+	mean.at = now
+	return mean.value
+}
+
 // decaying is a value that fades to nothing unless it is renewed.
 type decaying struct {
 	value float64
@@ -87,6 +125,9 @@
 }
 
 func (value *decaying) now(now time.Duration) float64 {
+	if value.value == 0 {
+		return 0
+	}
 	return value.value * fading(now-value.at, decayingHalf)
 }
 
