Scale run: folders go once the processes have, and the machine's load is told

A step's folder was removed while its stores still wrote. Others share the machine, so a step tells how busy it was; memory of hollow nodes is read after the collector ran.

--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -51,7 +52,7 @@
 	fleet    *fleet.Fleet
 	caller   *link.Caller
 	herd     *Herd
-	notes    *link.Server
+	notes    []*link.Server
 	told     Measured
 }
 
@@ -59,20 +60,28 @@
 //
 //	measured, err := scale.Run(ctx, settings, step)
 func Run(ctx context.Context, settings Settings, step Step) (Measured, error) {
-	deployment := settings.Real
-	deployment.Groups = step.Groups
 	folder := filepath.Join(settings.Folder, fmt.Sprintf("nodes-%d-runners-%d-routes-%d-groups-%d", step.Nodes, step.Runners, step.Routes, step.Groups))
 	if err := os.MkdirAll(folder, 0o750); err != nil {
 		return Measured{}, err
 	}
+	told, err := measure(ctx, settings, step, folder)
+	if err != nil {
+		return told, fmt.Errorf("%w (logs are in %s)", err, folder)
+	}
+	return told, os.RemoveAll(folder)
+}
+
+func measure(ctx context.Context, settings Settings, step Step, folder string) (Measured, error) {
+	deployment := settings.Real
+	deployment.Groups = step.Groups
 	running, err := fleet.Start(ctx, deployment, settings.Programs, folder, standin.Pace{}, false)
 	if err != nil {
-		return Measured{}, fmt.Errorf("%w (logs are in %s)", err, folder)
+		return Measured{}, err
 	}
 	defer running.Stop()
 	trial := &trial{settings: settings, step: step, fleet: running, caller: link.NewCaller(link.TCP{}), herd: &Herd{}, told: Measured{Step: step, Figures: map[string]float64{}}}
 	defer trial.caller.Close()
-	defer trial.herd.Stop()
+	defer trial.end()
 	for _, phase := range []struct {
 		name string
 		run  func(context.Context) error
@@ -81,16 +90,20 @@
 		{"charters", trial.charters}, {"runner leaves", trial.runnerLeaves}, {"fail-over", trial.failOver},
 	} {
 		if err := phase.run(ctx); err != nil {
-			return trial.told, fmt.Errorf("%s at %+v: %w (logs are in %s)", phase.name, step, err, folder)
+			return trial.told, fmt.Errorf("%s at %+v: %w", phase.name, step, err)
 		}
 		if err := trial.withinMemory(ctx); err != nil {
 			return trial.told, err
 		}
 	}
-	if trial.notes != nil {
-		trial.notes.Close()
+	return trial.told, nil
+}
+
+func (trial *trial) end() {
+	trial.herd.Stop()
+	for _, notes := range trial.notes {
+		notes.Close()
 	}
-	return trial.told, os.RemoveAll(folder)
 }
 
 func (trial *trial) controls() []string {
@@ -154,7 +167,8 @@
 	if err != nil {
 		return err
 	}
-	trial.notes = link.Serve(listener, func(context.Context, *wire.Query) *wire.Reply { return &wire.Reply{} })
+	trial.notes = append(trial.notes, link.Serve(listener, func(context.Context, *wire.Query) *wire.Reply { return &wire.Reply{} }))
+	debug.FreeOSMemory() // so that what is resident is what is held
 	self, err := UsageOf(os.Getpid())
 	if err != nil {
 		return err
@@ -174,6 +188,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	debug.FreeOSMemory()
 	after, err := UsageOf(os.Getpid())
 	trial.told.Figures["hollow.memory_mib"] = (after.Memory - self.Memory) / float64(trial.step.Nodes)
 	return err
@@ -184,6 +199,7 @@
 	processes     map[string]Usage
 	hollow        Usage
 	written, read int64
+	machine       machineTime
 }
 
 func (trial *trial) now(ctx context.Context) (moment, error) {
@@ -208,6 +224,9 @@
 		return taken, err
 	}
 	taken.hollow.Traffic = link.Traffic()
+	if taken.machine, err = machineTimeNow(); err != nil {
+		return taken, err
+	}
 	taken.written, taken.read = trial.herd.Volume.Written.Load(), trial.herd.Volume.Read.Load()
 	return taken, nil
 }
@@ -276,6 +295,7 @@
 	figures["hollow.messages_per_s"] = hollow.Messages / nodes
 	figures["hollow.bytes_out_per_s"] = float64(after.written-before.written) / seconds / nodes
 	figures["hollow.bytes_in_per_s"] = float64(after.read-before.read) / seconds / nodes
+	figures["machine.busy_share"] = after.machine.busySince(before.machine)
 	figures["hollow.most_stale_share"] = float64(stale) / nodes
 	return nil
 }
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -131,6 +131,12 @@
 	if rate.Cores != 0.5 || rate.Memory != 64 || rate.Messages != 6 || rate.BytesOut != 1000 || rate.BytesIn != 200 || rate.Kinds["follow"] != 1100 || rate.Kinds["hold"] != 100 {
 		t.Errorf("made %+v", rate)
 	}
+	if share := (machineTime{busy: 30, whole: 100}).busySince(machineTime{busy: 10, whole: 60}); share != 0.5 {
+		t.Errorf("the machine was busy for %f", share)
+	}
+	if now, err := machineTimeNow(); err != nil || now.busy <= 0 || now.busySince(now) != 0 {
+		t.Errorf("read %+v, %v", now, err)
+	}
 	if memory, err := machineMemory(); err != nil || memory < before.Memory {
 		t.Errorf("the machine has %f MiB, %v", memory, err)
 	}
--- a/proof/scale/usage.go
+++ b/proof/scale/usage.go
@@ -85,3 +85,29 @@
 	}
 	return float64(*told.MemTotal) / 1024, nil
 }
+
+// machineTime is how long all processors of the machine were busy, and in all, in
+// seconds. Others may use it too: a busy machine makes every figure of time larger.
+type machineTime struct{ busy, whole float64 }
+
+func machineTimeNow() (machineTime, error) {
+	system, err := procfs.NewDefaultFS()
+	if err != nil {
+		return machineTime{}, err
+	}
+	told, err := system.Stat()
+	if err != nil {
+		return machineTime{}, err
+	}
+	all := told.CPUTotal
+	busy := all.User + all.Nice + all.System + all.IRQ + all.SoftIRQ + all.Steal
+	return machineTime{busy: busy, whole: busy + all.Idle + all.Iowait}, nil
+}
+
+// busySince is the share of the processors' time that was used since an earlier moment.
+func (now machineTime) busySince(before machineTime) float64 {
+	if now.whole <= before.whole {
+		return 0
+	}
+	return (now.busy - before.busy) / (now.whole - before.whole)
+}
