Retiring is finished only once every group is whole without the machine

A group that names a store which is no longer listed has not healed yet and may need what the retiring one holds. A machine that dies, or loses its disk, while it is retired keeps being retired; the store list kept by itself would have forgotten it. Four stores, leaders killed, machines taken away at the end.

--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -39,6 +39,8 @@
 	// Engines and Tools answer forwarded queries; with any, the control nodes are given
 	// the list of runners.
 	Engines, Tools int
+	// AutoEnrol has the control nodes keep the store list by themselves.
+	AutoEnrol bool
 }
 
 // Small is the shape that most tests need.
@@ -81,6 +83,7 @@
 	platform *http.Server
 	Seed     uint64
 	groups   uint32
+	enrols   bool
 	caller   *Host
 }
 
@@ -91,7 +94,7 @@
 //	cluster, err := simulator.Start(7, simulator.Small, charterSource)
 //	defer cluster.Stop()
 func Start(seed uint64, shape Shape, rules string) (*Cluster, error) {
-	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), Platform: &standin.Platform{}}
+	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), enrols: shape.AutoEnrol, Platform: &standin.Platform{}}
 	if shape.Engines+shape.Tools > 0 {
 		cluster.Roster = &Roster{}
 	}
@@ -160,7 +163,7 @@
 		machine.Control, err = controlplane.Start(controlplane.Settings{
 			Roster:  roster,
 			Address: machine.Host + ":7000", Administration: machine.Host + ":7200", Domain: machine.Domain, Seeds: cluster.seeds,
-			FoundingStores: 3, Groups: cluster.groups, MostControls: 5, Replica: cluster.pace(index),
+			FoundingStores: 3, Groups: cluster.groups, MostControls: 5, Replica: cluster.pace(index), AutoEnrol: cluster.enrols,
 		}, machine.Disk, cluster.Network.At(machine.Host))
 		if err != nil {
 			return err
@@ -177,7 +180,7 @@
 func (cluster *Cluster) AddStore(index int) *Machine {
 	machine := &Machine{Host: fmt.Sprintf("10.0.1.%d", index+1), Domain: domain(index), Disk: NewDisk(cluster.Seed + 100 + uint64(index)), Cold: NewDisk(cluster.Seed + 200 + uint64(index))}
 	machine.start = func() (err error) {
-		machine.Store, err = store.Start(store.Settings{Address: machine.Host + ":7000", Domain: machine.Domain, Seeds: cluster.seeds, Replica: cluster.pace(100 + index), Wall: machine.wall},
+		machine.Store, err = store.Start(store.Settings{Address: machine.Host + ":7000", Domain: machine.Domain, Machine: "storage " + machine.Host, Seeds: cluster.seeds, Replica: cluster.pace(100 + index), Wall: machine.wall},
 			machine.Disk, machine.Cold, cluster.Network.At(machine.Host))
 		return err
 	}
--- /dev/null
+++ b/proof/simulator/retire_test.go
@@ -0,0 +1,160 @@
+package simulator
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"yardrock.example/system/controlplane"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+)
+
+// fourStores keep themselves, so that one may go.
+var fourStores = Shape{Controls: 3, Stores: 4, Fronts: 2, Models: 2, Applications: 2, AutoEnrol: true}
+
+func (cluster *Cluster) beginRetire(from int, machine string) error {
+	return cluster.order(from, ackPatience, func(ctx context.Context, node *controlplane.Node) error {
+		return node.BeginRetire(ctx, "root", machine, 10*time.Second)
+	})
+}
+
+func (cluster *Cluster) retireState(from int, machine string) (state string, err error) {
+	err = cluster.order(from, ackPatience, func(ctx context.Context, node *controlplane.Node) (err error) {
+		state, err = node.RetireState(ctx, machine)
+		return err
+	})
+	return state, err
+}
+
+// awaitStores waits until that many stores are listed and no group waits to be healed.
+func (cluster *Cluster) awaitStores(t *testing.T, count int) {
+	t.Helper()
+	err := cluster.Await(30*time.Second, "all stores listed", func() error {
+		told, err := cluster.fleet()
+		if err == nil && (len(told.Stores) != count || told.Unhealed > 0) {
+			err = errors.New("not yet")
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (cluster *Cluster) awaitRetired(t *testing.T, machine string) {
+	t.Helper()
+	began := time.Now()
+	err := cluster.Await(30*time.Second, "retired machine", func() error {
+		state, err := cluster.retireState(int(time.Since(began)/time.Second), machine)
+		if err == nil && state != feed.Retired {
+			err = errors.New(state)
+		}
+		if mishap.Is(err, mishap.NotFound) {
+			t.Fatal(err)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("retired in %s", time.Since(began))
+}
+
+// TestAMachineIsRetiredThoughItsOrdersLeaderDies has the leader that took the order killed,
+// then takes the machine away the moment it is told finished, and another store with it.
+func TestAMachineIsRetiredThoughItsOrdersLeaderDies(t *testing.T) {
+	simulate(t, fourStores, func(t *testing.T, cluster *Cluster) {
+		cluster.awaitStores(t, 4)
+		said := cluster.dialogues(t, 6)
+		stop := cluster.callers(100 * time.Millisecond)
+		defer stop()
+		if err := cluster.beginRetire(0, "storage unknown"); !mishap.Is(err, mishap.NotFound) {
+			t.Fatalf("an unknown machine: %v", err)
+		}
+		at := cluster.Random(13).IntN(4)
+		old := cluster.Stores[at]
+		machine := "storage " + old.Host
+		if _, err := cluster.retireState(1, machine); !mishap.Is(err, mishap.NotFound) {
+			t.Fatalf("a machine that nobody retires: %v", err)
+		}
+		if err := cluster.beginRetire(0, machine); err != nil {
+			t.Fatal(err)
+		}
+		killed := cluster.leader()
+		killed.Kill()
+		for from := range cluster.Controls {
+			if err := cluster.beginRetire(from, machine); err != nil {
+				t.Fatalf("the same order again: %v", err)
+			}
+		}
+		others := slices.Delete(slices.Clone(cluster.Stores), at, at+1)
+		if err := cluster.beginRetire(1, "storage "+others[0].Host); !mishap.Is(err, mishap.Conflict) {
+			t.Fatalf("one of the last three: %v", err)
+		}
+		cluster.awaitRetired(t, machine)
+		if cluster.Seed%2 == 0 {
+			<-time.After(5 * time.Second) // it is not enrolled again though it runs
+		}
+		old.Kill()
+		old.Wipe()
+		others[1].LosePower()
+		if err := killed.Start(); err != nil {
+			t.Fatal(err)
+		}
+		cluster.Stores = others
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		cluster.followUp(t, said)
+		if err := cluster.beginRetire(2, machine); err != nil {
+			t.Fatalf("the same order after its end: %v", err)
+		}
+		if state, err := cluster.retireState(0, machine); err != nil || state != feed.Retired {
+			t.Fatalf("at the end: %s %v", state, err)
+		}
+		if err := others[1].Start(); err != nil {
+			t.Fatal(err)
+		}
+		told, err := cluster.fleet()
+		if err != nil || len(told.Stores) != 3 {
+			t.Fatalf("%+v %v", told, err)
+		}
+	})
+}
+
+// TestAMachineThatDiesWhileItIsRetiredStillEndsRetired loses the machine, or only its disk,
+// in the midst of it: what it held is made up for from the others before it is finished.
+func TestAMachineThatDiesWhileItIsRetiredStillEndsRetired(t *testing.T) {
+	for name, comesBack := range map[string]bool{"machine": false, "disk": true} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, fourStores, func(t *testing.T, cluster *Cluster) {
+				cluster.awaitStores(t, 4)
+				said := cluster.dialogues(t, 6)
+				at := cluster.Random(14).IntN(4)
+				old := cluster.Stores[at]
+				machine := "storage " + old.Host
+				if err := cluster.beginRetire(0, machine); err != nil {
+					t.Fatal(err)
+				}
+				old.Kill()
+				old.Wipe()
+				if comesBack {
+					if err := old.Start(); err != nil {
+						t.Fatal(err)
+					}
+				}
+				cluster.awaitRetired(t, machine)
+				old.Kill()
+				cluster.Stores = slices.Delete(slices.Clone(cluster.Stores), at, at+1)
+				cluster.Stores[cluster.Random(15).IntN(3)].Kill()
+				if err := cluster.AwaitServing(12 * time.Second); err != nil {
+					t.Fatal(err)
+				}
+				cluster.followUp(t, said)
+			})
+		})
+	}
+}
--- a/system/controlplane/retire.go
+++ b/system/controlplane/retire.go
@@ -113,7 +113,7 @@
 		if store.State != feed.Retiring {
 			continue
 		}
-		if left, known := node.groupsOn(ctx, view, store.Name); !known || left > 0 {
+		if !node.isEmpty(ctx, view, store.Name) {
 			continue
 		}
 		log.WithFields(log.Fields{"node": node.Name(), "store": store.Name, "machine": store.Machine}).Info("store_retired")
@@ -123,3 +123,22 @@
 		return
 	}
 }
+
+// isEmpty tells whether the confirmed leaders of all groups say that none has a replica on
+// a store. One that names a store which is no longer listed is not healed yet, and so may
+// need what this one holds.
+func (node *Node) isEmpty(ctx context.Context, view *feed.View, name string) bool {
+	listed := map[string]bool{}
+	for _, store := range view.Stores {
+		listed[store.Name] = store.Name != name
+	}
+	leaders := node.groupLeaders(ctx, view)
+	for _, status := range leaders {
+		for _, replica := range slices.Concat(status.Voters, status.Learners) {
+			if !listed[replica] {
+				return false
+			}
+		}
+	}
+	return len(leaders) == int(view.Groups)
+}
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -137,6 +137,7 @@
 
 func (node *Node) replaceStore(stores []feed.Member, at int, fresh feed.Member) {
 	log.WithFields(log.Fields{"node": node.Name(), "lost": stores[at].Name, "store": fresh.Name}).Info("store_replaced")
+	fresh.State = stores[at].State // it is emptied whatever disk it has
 	stores[at] = fresh
 }
 
@@ -170,9 +171,6 @@
 			next = append(next, fresh)
 		}
 	}
-	next = slices.DeleteFunc(next, func(store feed.Member) bool {
-		return store.State == feed.Retired && node.silent(store.Name, silencePatience)
-	})
 	there := 0
 	for _, place := range feed.Places(next) {
 		if !node.silent(place.Name, silencePatience) {
@@ -181,7 +179,7 @@
 	}
 	if there >= placement.Factor {
 		next = slices.DeleteFunc(next, func(store feed.Member) bool {
-			lost := node.silent(store.Name, lostPatience)
+			lost := store.State != feed.Retiring && node.silent(store.Name, lostPatience)
 			if lost {
 				log.WithFields(log.Fields{"node": node.Name(), "store": store.Name}).Info("store_removed")
 			}
@@ -221,19 +219,6 @@
 	return nil, mishap.New(mishap.NotFound, "no store named "+name+" has a session", "start it with the seeds of this fleet; the fleet query lists who is there")
 }
 
-// groupsOn counts the groups whose confirmed leaders name a store; false tells
-// that some group has no leader who says.
-func (node *Node) groupsOn(ctx context.Context, view *feed.View, name string) (int, bool) {
-	leaders := node.groupLeaders(ctx, view)
-	count := 0
-	for _, status := range leaders {
-		if slices.Contains(status.Voters, name) || slices.Contains(status.Learners, name) {
-			count++
-		}
-	}
-	return count, len(leaders) == int(view.Groups)
-}
-
 // unhealed counts the groups that have no leader, or not the replica set that the
 // store list wants.
 func (node *Node) unhealed(ctx context.Context, view *feed.View) int {
