A retired machine is not enrolled by itself under a new disk either

Its store was wiped while it was retired, came back under another name after the end, and was taken for a new one: the retiring was forgotten. An operator's enrol command ends it.

--- a/system/controlplane/retire.go
+++ b/system/controlplane/retire.go
@@ -90,7 +90,7 @@
 		return nil, err
 	}
 	for {
-		if view := node.View(); view.WasRetired(name) && !slices.ContainsFunc(view.Stores, is) {
+		if view := node.View(); slices.ContainsFunc(view.Retired, is) && !slices.ContainsFunc(view.Stores, is) {
 			return node.Await(ctx, view.Number)
 		}
 		select {
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -117,7 +117,7 @@
 func (node *Node) newStores(view *feed.View) []feed.Member {
 	return slices.DeleteFunc(node.Live(), func(member feed.Member) bool {
 		listed := slices.ContainsFunc(view.Stores, func(store feed.Member) bool { return store.Name == member.Name })
-		return member.Role != feed.RoleStore || listed || view.WasRetired(member.Name) || node.succeeded(member)
+		return member.Role != feed.RoleStore || listed || view.WasRetired(member) || node.succeeded(member)
 	})
 }
 
--- a/system/feed/feed.go
+++ b/system/feed/feed.go
@@ -145,10 +145,14 @@
 			view.FoundingStores = change.Members
 		}
 		view.Stores = change.Members
+		// One that an operator enrols again is not retired any more.
+		retired := slices.DeleteFunc(slices.Clone(view.Retired), func(store Member) bool {
+			return slices.ContainsFunc(change.Members, func(listed Member) bool { return listed.succeeds(store) })
+		})
 		if change.Member.Name != "" {
-			view.Retired = append(slices.Clone(view.Retired), change.Member)
-			view.Retired = view.Retired[max(0, len(view.Retired)-retiredKept):]
+			retired = append(retired, change.Member)
 		}
+		view.Retired = retired[max(0, len(retired)-retiredKept):]
 	},
 	ChangeControls: func(view *View, change Change) { view.Controls = change.Members },
 	ChangeDuty: func(view *View, change Change) {
@@ -205,12 +209,17 @@
 	return false
 }
 
-// WasRetired tells whether a store was emptied and has left the list: it may be switched
-// off, and is not to be enrolled again by itself.
+// WasRetired tells whether a store, or another one of its machine, was emptied and has left
+// the list: its machine may be switched off, and is not to be enrolled again by itself.
 //
-//	if view.WasRetired(member.Name) { continue }
-func (view *View) WasRetired(name string) bool {
-	return slices.ContainsFunc(view.Retired, func(store Member) bool { return store.Name == name })
+//	if view.WasRetired(member) { continue }
+func (view *View) WasRetired(store Member) bool {
+	return slices.ContainsFunc(view.Retired, store.succeeds)
+}
+
+// succeeds tells whether a store is the same as another, or on the same machine.
+func (member Member) succeeds(earlier Member) bool {
+	return member.Name == earlier.Name || (member.Machine != "" && member.Machine == earlier.Machine)
 }
 
 // Bound names the fleet that a node with this view belongs to for good. Until there
