--- a/system/balancer/balancer.go
+++ b/system/balancer/balancer.go
@@ -60,6 +60,8 @@
 	state      *groupState
 	candidates []candidate
 	slots      int
+	domains    int  // in which they are
+	near       int  // how many are in this front's domain
 	nearby     bool // whether the nearby runners are enough to be agreed on alone
 }
 
@@ -91,7 +93,8 @@
 	listed      bool
 	out         int
 	load        smoothed // of out
-	unread      float64  // tokens of prompts whose first event has not come
+	open        connections
+	unread      float64 // tokens of prompts whose first event has not come
 	arrivals    counter
 	cold        coldness
 	health      health
@@ -227,6 +230,7 @@
 				near++
 			}
 		}
+		one.domains, one.near = len(domains), near
 		one.nearby = 2*near*len(domains) >= len(one.candidates) && near > 0
 	}
 }
@@ -326,12 +330,13 @@
 	toRead := math.Max(0, tokensOf(need)-float64(kept))
 	lease := &Lease{
 		Runner: one.runner, Service: from.service, Connections: one.connections,
-		balancer: balancer, group: from.state, state: state, need: *need, line: lineOf(need), taken: now, toRead: toRead,
+		balancer: balancer, group: from.state, state: state, need: *need, line: lineOf(need, from.service.Engine != nil), taken: now, toRead: toRead,
 	}
 	lease.fromCold = state.cold.take(now)
 	lease.trial = state.health.take(now)
 	state.load.now(float64(state.out), now)
 	state.out++
+	state.open.note(state.out, now)
 	state.unread += toRead
 	from.state.load.now(float64(from.state.out), now)
 	from.state.out++
--- a/system/balancer/choosing.go
+++ b/system/balancer/choosing.go
@@ -10,9 +10,13 @@
 
 const (
 	// distanceModel and distancePlain are what the way to another domain costs, in
-	// milliseconds; prompts are long, and bytes between domains cost too.
+	// milliseconds and as a part of the time that plain work takes: bytes between domains
+	// and connections to many runners cost beside time.
 	distanceModel = 10
-	distancePlain = 2
+	distancePlain = 0.15
+	// connecting is what a new connection costs, in milliseconds, with what it costs
+	// beside time.
+	connecting = 8
 	// runningPart is how much slower a model runner gets with each query that it runs.
 	runningPart = 0.02
 	// fullPart is how much slower a plain runner is when its slots are all taken.
@@ -21,8 +25,10 @@
 	// the time to read the prompt, to go where the other fronts send a program's turns.
 	agreedLeast = 6
 	agreedPart  = 0.25
-	// stickyPart is what a runner that has seen the subject saves.
-	stickyPart = 0.25
+	// stickyPart is what a runner saves that has seen the subject, and stickyHope what
+	// the one may save that other fronts send it to.
+	stickyPart = 0.3
+	stickyHope = 0.1
 	// unreadPart is how much of others' reading is waited for.
 	unreadPart = 0.7
 	// queueFactor is how many times its slots a runner is thought to take at most.
@@ -143,11 +149,15 @@
 	rate     float64 // tokens read in a millisecond
 	duration float64 // milliseconds
 	fronts   float64
-	others   float64 // what the other fronts have out at a runner, if they are like this one
-	arrivals float64 // what they sent to it in the last second
-	bound    float64
-	agreed   *runnerState
-	bonus    float64
+	domains  float64
+	// domainLoad is what the fronts of another domain have out at each of its runners,
+	// if they are like this one; less than 0: this front has too few runners near.
+	domainLoad float64
+	others     float64 // what the other fronts have out at a runner, if they are like this one
+	arrivals   float64 // what they sent to it in the last second
+	bound      float64
+	agreed     *runnerState
+	bonus      float64
 }
 
 func (balancer *Balancer) weighing(from *group, need *Need, now time.Duration) weighing {
@@ -158,15 +168,20 @@
 		weigh.bound = coldExcess*from.service.ColdRate + coldSlack
 		weigh.arrivals = (fronts - 1) * from.state.arrivals.now(now) / runners
 	}
-	line := lineOf(need)
+	weigh.domains, weigh.domainLoad = float64(from.domains), -1
+	if from.nearby {
+		weigh.domainLoad = fronts / weigh.domains * from.state.load.now(float64(from.state.out), now) / float64(from.near)
+	}
+	line := lineOf(need, weigh.engine)
 	if weigh.engine {
 		weigh.tokens, weigh.rate, weigh.duration = tokensOf(need), from.state.reading.rate(), from.state.duration.or(200)
 		weigh.bonus = agreedLeast + agreedPart*weigh.tokens/weigh.rate
 	} else {
 		weigh.duration = from.state.usual(need.Route.Name)
-		weigh.bonus = stickyPart * weigh.duration
-		if line = 0; need.Route.Sticky && need.Subject != "" {
-			line = hashOf(need.Subject)
+		weigh.bonus = stickyHope * weigh.duration
+		if last, found := balancer.places.get(line); found && line != 0 && last.listed {
+			weigh.agreed, weigh.bonus = last, stickyPart*weigh.duration
+			return weigh
 		}
 	}
 	if line != 0 {
@@ -196,8 +211,16 @@
 func (weigh *weighing) load(one *candidate) float64 {
 	state, others := one.state, weigh.others
 	if !weigh.engine {
-		// Any front sends plain work as this one does; turns go where their parts are.
+		// Any front sends plain work as this one does, and each prefers its own domain;
+		// turns go where their parts are.
 		others = (weigh.fronts - 1) * state.load.now(float64(state.out), weigh.now)
+		switch {
+		case weigh.domainLoad < 0:
+		case one.near:
+			others /= weigh.domains
+		default:
+			others = weigh.domainLoad
+		}
 	}
 	if state.toldEver {
 		told := math.Max(0, float64(state.told.Running+state.told.Waiting-state.toldOut))
@@ -232,9 +255,12 @@
 		cost += weigh.duration * (1 + state.slowness.now(now) + fullPart*full*full)
 		cost += weigh.balancer.random.Float64() * 0.05 * weigh.duration
 		if !one.near {
-			cost += distancePlain
+			cost += distancePlain * weigh.duration
 		}
 	}
+	if state.out >= state.open.now(now) {
+		cost += connecting
+	}
 	if over := (state.arrivals.now(now)+weigh.arrivals)/weigh.bound - spreadFrom; over > 0 {
 		cost += spreadCost * over / (1 - spreadFrom)
 	}
--- a/system/balancer/health_test.go
+++ b/system/balancer/health_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -246,7 +247,20 @@
 	waited, bad, worstFirst float64 // bounds: mean over work, part that went wrong, part of the first runner
 }
 
-func playPlain(seed uint64, setup plainDeployment) (tooks []float64, bad, asked int, servers []*server) {
+type plainOutcome struct {
+	tooks                   []float64
+	bad, asked, far, opened int
+	servers                 []*server
+}
+
+func (result plainOutcome) String() string {
+	asked := float64(result.asked)
+	return fmt.Sprintf("%d asked, wrong %.4f, mean %.1f ms, p99 %.0f ms, far %.2f, %d connections, the first runner did %.3f", result.asked,
+		float64(result.bad)/asked, mean(result.tooks), quantile(result.tooks, 0.99), float64(result.far)/asked, result.opened, float64(result.servers[0].completed)/asked)
+}
+
+func playPlain(seed uint64, setup plainDeployment) plainOutcome {
+	result := plainOutcome{}
 	world := &world{random: rand.New(rand.NewPCG(seed, 4))}
 	began := time.Unix(1_000_000, 0)
 	clock := func() time.Time { return began.Add(time.Duration(world.now * float64(time.Millisecond))) }
@@ -257,8 +271,9 @@
 	for _, runner := range listed {
 		one := &server{world: world, speed: 0.8 + 0.4*world.random.Float64()}
 		byLife[runner.Life] = one
-		servers = append(servers, one)
+		result.servers = append(result.servers, one)
 	}
+	servers := result.servers
 	servers[0].speed *= max(1, setup.slow)
 	servers[0].fails = setup.fails
 	if setup.down {
@@ -275,37 +290,49 @@
 		choices.Update(state)
 		balancers = append(balancers, choices)
 	}
+	idle := map[string][]float64{} // since when connections are, by front and runner
 	var arrive func()
 	arrive = func() {
 		world.after(world.random.ExpFloat64()*1000/setup.rate, arrive)
 		work, at := min(4*setup.work, world.spread(setup.work, 1)), world.random.IntN(setup.fronts)
 		began := world.now
-		asked++
+		result.asked++
 		lease, err := balancers[at].Acquire(context.Background(), Need{Route: &route, Deadline: clock()})
 		if err != nil {
-			bad++
+			result.bad++
 			return
 		}
 		chosen := byLife[lease.Runner.Life]
 		if setup.random {
 			chosen = servers[world.random.IntN(len(servers))]
 		}
+		if number := slices.Index(servers, chosen); number%3 != at%3 {
+			result.far++
+		}
+		way := fmt.Sprint(at, slices.Index(servers, chosen))
+		if last := len(idle[way]) - 1; last >= 0 && world.now-idle[way][last] < 10_000 {
+			idle[way] = idle[way][:last]
+		} else {
+			result.opened++
+			idle[way] = nil
+		}
 		world.after(0.5, func() {
 			chosen.take(work, func(ending Ending) {
 				world.after(0.5, func() {
 					lease.Release(ending, nil)
+					idle[way] = append(idle[way], world.now)
 					if ending != Answered {
-						bad++
+						result.bad++
 						return
 					}
-					tooks = append(tooks, world.now-began)
+					result.tooks = append(result.tooks, world.now-began)
 				})
 			})
 		})
 	}
 	arrive()
 	world.run(30_000)
-	return tooks, bad, asked, servers
+	return result
 }
 
 var plainDeployments = []plainDeployment{
@@ -321,13 +348,13 @@
 func TestPlainWorkGoesWhereItIsDoneSoon(t *testing.T) {
 	for _, setup := range plainDeployments {
 		t.Run(setup.name, func(t *testing.T) {
-			tooks, bad, asked, servers := playPlain(3, setup)
+			chosen := playPlain(3, setup)
 			setup.random = true
-			chance, badByChance, askedByChance, _ := playPlain(3, setup)
-			waited, part := mean(tooks)/setup.work, float64(servers[0].completed)/float64(asked)
-			t.Logf("%d asked, %.4f went wrong (by chance %.4f), mean over work %.2f (%.2f), p99 %.0f ms (%.0f), the first runner did %.3f", asked,
-				float64(bad)/float64(asked), float64(badByChance)/float64(askedByChance), waited, mean(chance)/setup.work, quantile(tooks, 0.99), quantile(chance, 0.99), part)
-			if waited > setup.waited || float64(bad) > setup.bad*float64(asked) || part > setup.worstFirst {
+			chance := playPlain(3, setup)
+			waited, part := mean(chosen.tooks)/setup.work, float64(chosen.servers[0].completed)/float64(chosen.asked)
+			t.Logf("chosen:    %v", chosen)
+			t.Logf("by chance: %v", chance)
+			if waited > setup.waited || float64(chosen.bad) > setup.bad*float64(chosen.asked) || part > setup.worstFirst || chosen.opened > chance.opened {
 				t.Error("worse than it should be")
 			}
 		})
--- a/system/balancer/kept.go
+++ b/system/balancer/kept.go
@@ -96,7 +96,7 @@
 	if len(need.Parts) > 0 {
 		return
 	}
-	if last, found := balancer.places.get(lineOf(need)); found {
+	if last, found := balancer.places.get(lineOf(need, true)); found {
 		last.epoch, last.depth, last.kept = balancer.epoch, 0, int(0.8*tokensOf(need))
 	}
 }
@@ -132,15 +132,16 @@
 	return max(float64(tokens), float64(need.TokensIn))
 }
 
-// lineOf is what the turns of a program, and its helpers', have in common; 0: nothing.
-func lineOf(need *Need) uint64 {
+// lineOf is what queries have in common that should go to the same runner: the program
+// of turns, or the subject of plain work; 0: nothing.
+func lineOf(need *Need, engine bool) uint64 {
 	switch {
-	case need.Program != "":
+	case engine && need.Program != "":
 		return hashOf(need.Program)
-	case need.Session != "":
+	case engine && need.Session != "":
 		return hashOf(need.Session)
 	case need.Route.Sticky && need.Subject != "":
-		return hashOf(need.Subject)
+		return mixed(hashOf(need.Subject) + 1)
 	}
 	return 0
 }
--- a/system/balancer/learning.go
+++ b/system/balancer/learning.go
@@ -94,6 +94,25 @@
 	return count.value * fading(now-count.at, counterHalf)
 }
 
+// connections is how many connections to a runner this front is thought to have open:
+// as many as it used at a time, but one less for each while that they were not needed.
+type connections struct {
+	most int
+	at   time.Duration
+}
+
+const connectionIdle = 4 * time.Second
+
+func (open *connections) now(now time.Duration) int {
+	return open.most - int((now-open.at)/connectionIdle)
+}
+
+func (open *connections) note(used int, now time.Duration) {
+	if used >= open.now(now) {
+		open.most, open.at = used, now
+	}
+}
+
 // smoothed is the mean of a number over the last while, each value weighed by how long
 // it held.
 type smoothed struct {
