--- a/proof/cmd/measure/main.go
+++ b/proof/cmd/measure/main.go
@@ -1,5 +1,6 @@
 // Command measure counts what a turn costs on a simulated cluster in real time,
-// for several numbers of groups, and compares streaming through the cluster with
+// for several numbers of groups, or what turns of programs cost at a pace on real
+// stores on loopback. It compares streaming through the cluster with
 // asking the stand-in runner directly, in pairs.
 package main
 
@@ -8,6 +9,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
@@ -28,6 +30,19 @@
 
 func main() {
 	log.SetHandler(discard.New())
+	pace := flag.Int("turns-per-second", 0, "measure turns of programs at this pace instead")
+	number := flag.Int("turns", 1000, "how many of them")
+	size := flag.Int("size", 1000, "bytes of each input and of each output")
+	takes := flag.Duration("sync", 5*time.Millisecond, "how long each sync takes at least")
+	profile := flag.String("profile", "", "write a processor profile of them to this file")
+	flag.Parse()
+	if *pace > 0 {
+		if err := turnCosts(*pace, *number, *size, *takes, *profile); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	for _, groups := range []uint32{8, 32, 128, 256} {
 		if err := count(groups); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/proof/cmd/measure/turns.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime/pprof"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"yardrock.example/system/controlplane"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/files"
+	"yardrock.example/system/follower"
+	"yardrock.example/system/line"
+	"yardrock.example/system/link"
+	"yardrock.example/system/replica"
+	"yardrock.example/system/store"
+	"yardrock.example/system/storeorigin"
+)
+
+// counted is the real network, with what is written to it counted.
+type counted struct {
+	link.TCP
+	messages, bytes atomic.Int64
+}
+
+type countedStream struct {
+	net.Conn
+	network *counted
+}
+
+// Write counts and writes.
+func (stream countedStream) Write(data []byte) (int, error) {
+	stream.network.messages.Add(1)
+	stream.network.bytes.Add(int64(len(data)))
+	return stream.Conn.Write(data)
+}
+
+// Dial connects.
+func (network *counted) Dial(ctx context.Context, address string) (net.Conn, error) {
+	stream, err := network.TCP.Dial(ctx, address)
+	return countedStream{stream, network}, err
+}
+
+type countedListener struct {
+	net.Listener
+	network *counted
+}
+
+// Accept takes a connection.
+func (listener countedListener) Accept() (net.Conn, error) {
+	stream, err := listener.Listener.Accept()
+	return countedStream{stream, listener.network}, err
+}
+
+// Listen opens a port.
+func (network *counted) Listen(address string) (net.Listener, error) {
+	listener, err := network.TCP.Listen(address)
+	return countedListener{listener, network}, err
+}
+
+// slowDisk is a real folder whose syncs take as long as those of a slow disk, and
+// are counted.
+type slowDisk struct {
+	files.Folder
+	syncs *atomic.Int64
+	takes time.Duration
+}
+
+// Sync syncs.
+func (disk slowDisk) Sync(name string) error {
+	disk.syncs.Add(1)
+	time.Sleep(disk.takes)
+	return disk.Folder.Sync(name)
+}
+
+// turnCosts runs turns of programs at a pace against three stores on loopback, with
+// real files, and tells what each cost over all processes, fronts' part included.
+func turnCosts(pace, count, size int, takes time.Duration, profile string) error {
+	folder, err := os.MkdirTemp("", "measure")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	network, syncs := &counted{}, &atomic.Int64{}
+	open := func(name string) files.Folder {
+		made, failed := files.Open(filepath.Join(folder, name))
+		err = errors.Join(err, failed)
+		return slowDisk{made, syncs, takes}
+	}
+	seeds := []string{}
+	for index := range 3 {
+		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", 17800+index))
+	}
+	for index, address := range seeds {
+		name := []string{"east", "middle", "west"}[index]
+		control, failed := controlplane.Start(controlplane.Settings{Address: address, Administration: fmt.Sprintf("127.0.0.1:%d", 17820+index), Domain: name, Seeds: seeds, FoundingStores: 3, Groups: 32, MostControls: 3, Replica: replica.Usual(uint64(index))},
+			open("control"+name), network)
+		if failed != nil {
+			return failed
+		}
+		defer control.Close()
+		node, failed := store.Start(store.Settings{Address: fmt.Sprintf("127.0.0.1:%d", 17810+index), Domain: name, Seeds: seeds, Replica: replica.Usual(uint64(10 + index))}, open("store"+name), open("cold"+name), network)
+		if failed != nil {
+			return failed
+		}
+		defer node.Close()
+	}
+	if err != nil {
+		return err
+	}
+	origins := []*storeorigin.Origin{}
+	for index := range 6 {
+		caller := link.NewCaller(network)
+		defer caller.Close()
+		following := follower.Start(caller, feed.Member{Name: fmt.Sprint("front", index), Role: "client", Address: fmt.Sprintf("127.0.0.1:%d", 17830+index)}, seeds, nil, func(*feed.View) error { return nil })
+		defer following.Stop()
+		for len(following.View().Stores) == 0 {
+			time.Sleep(50 * time.Millisecond)
+		}
+		origins = append(origins, storeorigin.New(caller, following.View))
+	}
+	run := func(turns int) (slowest []time.Duration, failed int) {
+		var mutex sync.Mutex
+		var working sync.WaitGroup
+		tick := time.NewTicker(time.Second / time.Duration(pace))
+		defer tick.Stop()
+		run := rand.Uint64()
+		for number := range turns {
+			<-tick.C
+			working.Go(func() {
+				// Ten programs run beside each other, of eight turns each.
+				program, position := fmt.Sprintf("program/%x-%d-%d", run, number/80, number%10), number%80/10
+				name, follows := fmt.Sprintf("%s-%d", program, position), ""
+				if position > 0 {
+					follows = fmt.Sprintf("%s-%d", program, position-1)
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				began := time.Now()
+				begun, err := origins[number%len(origins)].BeginTurn(ctx, storeorigin.Turn{Line: program, Name: name, Follows: follows, Input: []byte(strings.Repeat("i", size)), Keeps: true, Keep: time.Minute, Budgeted: true, Most: 100, Allowance: 10000, Dispatch: "d", Life: time.Minute})
+				took := time.Since(began)
+				if err == nil {
+					began = time.Now()
+					err = origins[number%len(origins)].EndTurn(ctx, storeorigin.TurnEnd{Line: program, Name: name, Seq: begun.Seq, Output: []byte(strings.Repeat("o", size)), Tokens: 50, Outcome: line.OutcomeComplete, Kept: true})
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				slowest = append(slowest, took, time.Since(began))
+				if err != nil {
+					failed++
+				}
+			})
+		}
+		working.Wait()
+		slices.Sort(slowest)
+		return slowest, failed
+	}
+	time.Sleep(3 * time.Second)
+	run(pace)
+	taken := func() (cpu time.Duration, messages, bytes, synced int64) {
+		var usage syscall.Rusage
+		if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+			return 0, 0, 0, 0
+		}
+		return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), network.messages.Load(), network.bytes.Load(), syncs.Load()
+	}
+	idleBegan := time.Now()
+	idleCPU, idleMessages, idleBytes, idleSyncs := taken()
+	time.Sleep(idleTime)
+	idle := time.Since(idleBegan).Seconds()
+	cpu, messages, bytes, synced := taken()
+	perSecond := func(now, before int64) float64 { return float64(now-before) / idle }
+	told := map[string]any{"idle_cpu_ms_per_second": float64((cpu - idleCPU).Microseconds()) / 1000 / idle, "idle_messages_per_second": perSecond(messages, idleMessages), "idle_bytes_per_second": perSecond(bytes, idleBytes), "idle_syncs_per_second": perSecond(synced, idleSyncs)}
+	if profile != "" {
+		file, err := os.Create(profile)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+	}
+	began := time.Now()
+	commits, failed := run(count)
+	pprof.StopCPUProfile()
+	spent := time.Since(began).Seconds()
+	afterCPU, afterMessages, afterBytes, afterSyncs := taken()
+	turns := float64(count)
+	told["turns"], told["failed"], told["turns_per_second"] = count, failed, turns/spent
+	told["cpu_ms_per_turn"] = float64((afterCPU - cpu).Microseconds()) / 1000 / turns
+	told["messages_per_turn"] = float64(afterMessages-messages) / turns
+	told["bytes_per_turn"] = float64(afterBytes-bytes) / turns
+	told["syncs_per_turn"] = float64(afterSyncs-synced) / turns
+	told["commit_half"], told["commit_99"] = commits[len(commits)/2].String(), commits[len(commits)*99/100].String()
+	data, err := json.MarshalIndent(told, "", " ")
+	fmt.Println(string(data))
+	return err
+}
