Links frame Cap'n Proto messages themselves; agreement messages need no answer

The library's remote calls took three messages a call and most of the processor time of a turn. A frame is a header and one message; what comes during a write goes with the next; agreement messages are told, with an answered one twice a second as a sign of life.

--- a/system/link/link.go
+++ b/system/link/link.go
@@ -1,18 +1,17 @@
-// Package link carries queries between yardrock processes by Cap'n Proto's own
-// remote calls, over any network that can dial and listen.
+// Package link carries queries between yardrock processes as Cap'n Proto messages in
+// frames, over any network that can dial and listen.
 package link
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
-	"capnproto.org/go/capnp/v3"
-	"capnproto.org/go/capnp/v3/rpc"
-
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/wire"
 	"yardrock.example/system/wire/schema"
@@ -89,12 +88,20 @@
 	close   context.CancelFunc
 }
 
+// connection is the caller's side of one connection.
 type connection struct {
 	ready  chan struct{}
-	stream net.Conn
-	rpc    *rpc.Conn
-	node   schema.Node
 	failed error
+
+	stream  net.Conn
+	sender  *sender
+	written chan struct{} // wakes the writer
+	done    chan struct{}
+	heard   atomic.Int64 // when the last frame came, by the caller's steady clock
+
+	mutex sync.Mutex
+	calls map[uint64]chan []byte
+	last  uint64
 }
 
 // NewCaller makes a caller on a network.
@@ -142,12 +149,67 @@
 		close(line.ready)
 		return
 	}
-	line.stream = stream
-	line.rpc = rpc.NewConn(rpc.NewStreamTransport(stream), nil)
-	line.node = schema.Node(line.rpc.Bootstrap(context.Background()))
+	line.stream, line.sender = stream, &sender{stream: stream, waiting: []byte(greeting)}
+	line.written, line.done, line.calls = make(chan struct{}, 1), make(chan struct{}), map[uint64]chan []byte{}
+	line.heard.Store(int64(time.Since(steady)))
+	go line.read()
+	go line.write()
 	close(line.ready)
 }
 
+// steady is what the times of connections count from.
+var steady = time.Now()
+
+// read hands replies to those who wait for them, until the connection ends.
+func (line *connection) read() {
+	source := bufio.NewReaderSize(line.stream, readBuffer)
+	for {
+		read, err := readFrame(source)
+		if err != nil {
+			break
+		}
+		line.heard.Store(int64(time.Since(steady)))
+		line.mutex.Lock()
+		waiting, found := line.calls[read.call]
+		delete(line.calls, read.call)
+		line.mutex.Unlock()
+		if found && read.kind == frameReply {
+			waiting <- read.body
+		}
+	}
+	close(line.done)
+	line.stream.Close()
+}
+
+// write writes for the callers, none of whom may be held up by a side that reads
+// nothing.
+func (line *connection) write() {
+	for {
+		select {
+		case <-line.written:
+			line.sender.flush()
+		case <-line.done:
+			return
+		}
+	}
+}
+
+// push sends a frame; it never blocks.
+func (line *connection) push(kind byte, call uint64, most int, query *wire.Query) error {
+	var body func([]byte) ([]byte, error)
+	if query != nil {
+		body = func(target []byte) ([]byte, error) { return wire.AppendQuery(target, query) }
+	}
+	flushes, size, err := line.sender.push(kind, call, most, body)
+	if flushes {
+		line.written <- struct{}{}
+	}
+	if err == nil && query != nil {
+		countAsked(query.Which, size)
+	}
+	return err
+}
+
 func (line *connection) dead() bool {
 	select {
 	case <-line.ready:
@@ -158,7 +220,7 @@
 		return true
 	}
 	select {
-	case <-line.rpc.Done():
+	case <-line.done:
 		return true
 	default:
 		return false
@@ -187,11 +249,33 @@
 	}
 }
 
+// DropSilent is Drop unless something came from there lately: then the other side is
+// only slow, and others may wait for answers on the same connection.
+//
+//	caller.DropSilent("10.0.0.7:7000", time.Second)
+func (caller *Caller) DropSilent(address string, silence time.Duration) {
+	caller.mutex.Lock()
+	line := caller.lines[address]
+	caller.mutex.Unlock()
+	if line == nil {
+		return
+	}
+	select {
+	case <-line.ready:
+	default:
+		return // a dial ends by itself
+	}
+	if line.failed == nil && time.Since(steady)-time.Duration(line.heard.Load()) < silence {
+		return
+	}
+	caller.forget(address, line)
+	line.close()
+}
+
 func (line *connection) close() {
 	<-line.ready
 	if line.failed == nil {
-		line.stream.Close() // first, or the library waits for what it still has to write
-		line.rpc.Close()
+		line.stream.Close()
 	}
 }
 
@@ -219,127 +303,243 @@
 		return nil, &mishap.Mishap{Kind: mishap.Unavailable, Message: "cannot reach " + address + ": " + err.Error(), Remedy: "check that the process runs and that its address is right", NeverSent: true, NobodyThere: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	query.Version = wire.Version
-	// The library's own waits do not all end with the context: a sibling that
-	// reads nothing would hold the caller for ever.
-	done := make(chan answered, 1)
-	go func() { done <- line.ask(ctx, address, query) }()
-	select {
-	case got := <-done:
-		if got.reply == nil && line.dead() {
+	call, waiting := line.expect()
+	if err := line.push(frameQuery, call, mostWaiting, query); err != nil {
+		line.give(call)
+		if line.dead() {
 			caller.forget(address, line)
 		}
-		return got.reply, got.err
+		return nil, noAnswer(address, err)
+	}
+	select {
+	case body := <-waiting:
+		return answered(address, query.Which, body)
+	case <-line.done:
+		caller.forget(address, line)
+		select {
+		case body := <-waiting:
+			return answered(address, query.Which, body)
+		default:
+			return nil, noAnswer(address, errors.New("the connection ended"))
+		}
 	case <-ctx.Done():
+		if line.give(call) {
+			_ = line.push(frameCancel, call, mostWaiting, nil) // else the connection is over
+		}
 		return nil, mishap.New(mishap.Unavailable, "no answer in time from "+address, "ask again; whether the query arrived is not known")
 	}
 }
 
-type answered struct {
-	reply *wire.Reply
-	err   error
-}
-
-func (line *connection) ask(ctx context.Context, address string, query *wire.Query) answered {
-	future, release := line.node.Deliver(ctx, func(params schema.Node_deliver_Params) error {
-		target, err := params.NewQuery()
-		if err != nil {
-			return err
-		}
-		err = wire.PutQuery(target, query)
-		countAsked(query.Which, params.Message())
-		return err
-	})
-	defer release()
-	results, err := future.Struct()
+// Tell sends a query that needs no answer, if it can: what can't be sent now is left
+// out, and nobody learns whether it arrived. What is told on one connection is taken
+// one after the other.
+//
+//	caller.Tell(ctx, "10.0.0.7:7000", &wire.Query{Which: schema.Query_Which_agreement, Agreement: &batch})
+func (caller *Caller) Tell(ctx context.Context, address string, query *wire.Query) {
+	line, err := caller.connect(ctx, address)
 	if err != nil {
-		return answered{err: mishap.New(mishap.Unavailable, "no answer from "+address+": "+err.Error(), "ask again; whether the query arrived is not known")}
+		return
 	}
-	source, err := results.Reply()
-	if err != nil {
-		return answered{err: mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")}
+	query.Version = wire.Version
+	if err := line.push(frameTold, 0, mostTold, query); err != nil && line.dead() {
+		caller.forget(address, line)
 	}
-	countReply(query.Which, source.Message())
-	reply, err := wire.TakeReply(source)
+}
+
+// expect makes a place for a reply.
+func (line *connection) expect() (uint64, chan []byte) {
+	waiting := make(chan []byte, 1)
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	line.last++
+	line.calls[line.last] = waiting
+	return line.last, waiting
+}
+
+// give tells whether a reply was still waited for, and waits no more.
+func (line *connection) give(call uint64) bool {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	_, waited := line.calls[call]
+	delete(line.calls, call)
+	return waited
+}
+
+func noAnswer(address string, err error) error {
+	return mishap.New(mishap.Unavailable, "no answer from "+address+": "+err.Error(), "ask again; whether the query arrived is not known")
+}
+
+func answered(address string, which schema.Query_Which, body []byte) (*wire.Reply, error) {
+	countReply(which, len(body))
+	reply, err := wire.DecodeReply(body)
 	if err != nil {
-		return answered{err: mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")}
+		return nil, mishap.New(mishap.Unavailable, "bad answer from "+address+": "+err.Error(), "run matching versions of the programs")
+	}
+	if err := reply.Err(); err != nil {
+		return nil, err
 	}
-	return answered{reply, reply.Err()}
+	return reply, nil
 }
 
 // Server answers queries that come over a listener.
 type Server struct {
 	listener net.Listener
 	handler  Handler
-	mutex    sync.Mutex
-	open     map[*rpc.Conn]net.Conn
-	closed   bool
-	done     sync.WaitGroup
+	// free takes tasks for goroutines that have done theirs and wait for another.
+	free    chan task
+	waiting atomic.Int32
+	closing chan struct{}
+
+	mutex  sync.Mutex
+	open   map[net.Conn]bool
+	closed bool
+	done   sync.WaitGroup
 }
 
+// keptFree is how many goroutines wait for another query.
+const keptFree = 16
+
 // Serve starts answering.
 //
 //	server := link.Serve(listener, node.Answer)
 //	defer server.Close()
 func Serve(listener net.Listener, handler Handler) *Server {
-	server := &Server{listener: listener, handler: handler, open: map[*rpc.Conn]net.Conn{}}
-	server.done.Add(1)
-	go server.accept()
+	server := &Server{listener: listener, handler: handler, open: map[net.Conn]bool{}, free: make(chan task), closing: make(chan struct{})}
+	server.done.Go(server.accept)
 	return server
 }
 
 func (server *Server) accept() {
-	defer server.done.Done()
 	for {
 		stream, err := server.listener.Accept()
 		if err != nil {
 			return
 		}
-		line := rpc.NewConn(rpc.NewStreamTransport(stream), &rpc.Options{BootstrapClient: capnp.Client(schema.Node_ServerToClient(server))})
 		server.mutex.Lock()
 		if server.closed {
 			server.mutex.Unlock()
-			line.Close()
+			stream.Close()
 			return
 		}
-		server.open[line] = stream
+		server.open[stream] = true
+		server.done.Go(func() { server.serve(stream) })
 		server.mutex.Unlock()
-		server.done.Add(1)
-		go func() {
-			defer server.done.Done()
-			<-line.Done()
-			server.mutex.Lock()
-			delete(server.open, line)
-			server.mutex.Unlock()
-		}()
 	}
 }
 
-// Deliver is what Cap'n Proto calls for each query.
-//
-//	err := server.Deliver(ctx, call)
-func (server *Server) Deliver(ctx context.Context, call schema.Node_deliver) error {
-	source, err := call.Args().Query()
-	if err != nil {
-		return err
+// accepted is the server's side of one connection.
+type accepted struct {
+	server  *Server
+	sender  *sender
+	context context.Context
+	mutex   sync.Mutex
+	calls   map[uint64]context.CancelFunc
+}
+
+func (server *Server) serve(stream net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer func() {
+		cancel()
+		stream.Close()
+		server.mutex.Lock()
+		delete(server.open, stream)
+		server.mutex.Unlock()
+	}()
+	source := bufio.NewReaderSize(stream, readBuffer)
+	if hello, err := source.Peek(len(greeting)); err != nil || string(hello) != greeting {
+		return
 	}
-	countAnswered(source.Which(), source.Message())
-	query, err := wire.TakeQuery(source)
-	if err != nil {
-		return err
+	if _, err := source.Discard(len(greeting)); err != nil {
+		return
 	}
-	call.Go()
-	reply := server.answer(ctx, query)
-	results, err := call.AllocResults()
-	if err != nil {
-		return err
+	line := &accepted{server: server, sender: &sender{stream: stream}, context: ctx, calls: map[uint64]context.CancelFunc{}}
+	for {
+		read, err := readFrame(source)
+		if err != nil {
+			return
+		}
+		switch read.kind {
+		case frameQuery:
+			ctx, cancel := context.WithCancel(ctx)
+			line.mutex.Lock()
+			line.calls[read.call] = cancel
+			line.mutex.Unlock()
+			server.start(task{line, ctx, read})
+		case frameTold:
+			line.told(read.body)
+		case frameCancel:
+			line.cancel(read.call)
+		}
 	}
-	target, err := results.NewReply()
+}
+
+func (line *accepted) cancel(call uint64) {
+	line.mutex.Lock()
+	cancel, found := line.calls[call]
+	delete(line.calls, call)
+	line.mutex.Unlock()
+	if found {
+		cancel()
+	}
+}
+
+// task is one query to be answered.
+type task struct {
+	line    *accepted
+	context context.Context
+	frame   frame
+}
+
+// start has a task done by a goroutine that waits for one, or by a new one.
+func (server *Server) start(made task) {
+	select {
+	case server.free <- made:
+	default:
+		go server.work(made)
+	}
+}
+
+func (server *Server) work(made task) {
+	for {
+		made.line.answer(made.context, made.frame)
+		if server.waiting.Add(1) > keptFree {
+			server.waiting.Add(-1)
+			return
+		}
+		select {
+		case made = <-server.free:
+			server.waiting.Add(-1)
+		case <-server.closing:
+			return
+		}
+	}
+}
+
+func (line *accepted) told(body []byte) {
+	if query, err := wire.DecodeQuery(body); err == nil {
+		countAnswered(query.Which, len(body))
+		line.server.answer(line.context, query)
+	}
+}
+
+func (line *accepted) answer(ctx context.Context, asked frame) {
+	query, err := wire.DecodeQuery(asked.body)
+	var reply *wire.Reply
 	if err != nil {
-		return err
+		query = &wire.Query{}
+		reply = wire.Failed(mishap.New(mishap.Invalid, "the query can't be read: "+err.Error(), "run matching versions of the programs"))
+	} else {
+		countAnswered(query.Which, len(asked.body))
+		reply = line.server.answer(ctx, query)
+	}
+	line.cancel(asked.call)
+	flushes, size, err := line.sender.push(frameReply, asked.call, mostWaiting, func(target []byte) ([]byte, error) { return wire.AppendReply(target, reply) })
+	if err == nil {
+		countSent(query.Which, size)
+	}
+	if flushes {
+		line.sender.flush()
 	}
-	err = wire.PutReply(target, reply)
-	countSent(query.Which, target.Message())
-	return err
 }
 
 func (server *Server) answer(ctx context.Context, query *wire.Query) *wire.Reply {
@@ -359,13 +559,13 @@
 func (server *Server) Close() {
 	server.listener.Close()
 	server.mutex.Lock()
+	if !server.closed {
+		close(server.closing)
+	}
 	server.closed = true
-	lines := server.open
-	server.open = map[*rpc.Conn]net.Conn{}
-	server.mutex.Unlock()
-	for line, stream := range lines {
+	for stream := range server.open {
 		stream.Close()
-		line.Close()
 	}
+	server.mutex.Unlock()
 	server.done.Wait()
 }
--- a/system/link/link_test.go
+++ b/system/link/link_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"testing"
@@ -87,6 +88,123 @@
 	}
 }
 
+// TestWhatIsToldArrivesInOrderAndAnswersNothing tells many queries and then asks one.
+func TestWhatIsToldArrivesInOrderAndAnswersNothing(t *testing.T) {
+	listener, err := TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const queries = 500
+	taken := make(chan uint64, queries+1)
+	server := Serve(listener, func(_ context.Context, query *wire.Query) *wire.Reply {
+		taken <- query.Agreement.Messages[0].Index
+		return &wire.Reply{}
+	})
+	defer server.Close()
+	caller := NewCaller(TCP{})
+	defer caller.Close()
+	of := func(index uint64) *wire.Query {
+		return &wire.Query{Which: schema.Query_Which_agreement, Agreement: &wire.AgreementBatch{Messages: []agreement.Message{{Index: index}}}}
+	}
+	for index := range uint64(queries) {
+		caller.Tell(t.Context(), listener.Addr().String(), of(index))
+	}
+	if _, err := caller.Call(t.Context(), listener.Addr().String(), of(queries)); err != nil {
+		t.Fatal(err)
+	}
+	for want := range uint64(queries) {
+		if got := <-taken; got != want {
+			t.Fatalf("%d came in the place of %d", got, want)
+		}
+	}
+}
+
+// TestACallThatIsGivenUpEndsItsHandler, and others on the same connection go on.
+func TestACallThatIsGivenUpEndsItsHandler(t *testing.T) {
+	listener, err := TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	server := Serve(listener, func(ctx context.Context, query *wire.Query) *wire.Reply {
+		if query.Read != nil {
+			<-ctx.Done()
+			ended <- ctx.Err()
+		}
+		return &wire.Reply{}
+	})
+	defer server.Close()
+	caller := NewCaller(TCP{})
+	defer caller.Close()
+	address := listener.Addr().String()
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := caller.Call(ctx, address, &wire.Query{Which: schema.Query_Which_read, Read: &wire.ReadQuery{Line: "a"}})
+		failed <- err
+	}()
+	if _, err := caller.Call(t.Context(), address, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}}); err != nil {
+		t.Fatal(err)
+	}
+	caller.DropSilent(address, time.Minute) // something was heard just now
+	cancel()
+	if err := <-failed; !mishap.Is(err, mishap.Unavailable) || mishap.Of(err).NeverSent {
+		t.Fatalf("a call that was given up: %v", err)
+	}
+	if err := <-ended; err == nil {
+		t.Fatal("the handler went on")
+	}
+	if _, err := caller.Call(t.Context(), address, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAServerEndsConnectionsThatSpeakOtherwise, and goes on with the others.
+func TestAServerEndsConnectionsThatSpeakOtherwise(t *testing.T) {
+	listener, err := TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := Serve(listener, func(context.Context, *wire.Query) *wire.Reply { return &wire.Reply{} })
+	defer server.Close()
+	tooLong := append([]byte(greeting), bytes.Repeat([]byte{0xff}, frameHeader)...)
+	for _, bad := range [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), tooLong} {
+		stream, err := TCP{}.Dial(t.Context(), listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := stream.Write(bad); err != nil {
+			t.Fatal(err)
+		}
+		if count, err := stream.Read(make([]byte, 1)); err == nil {
+			t.Fatalf("%d bytes were answered to %q", count, bad)
+		}
+		stream.Close()
+	}
+	// A query that can't be read is told so.
+	stream, err := TCP{}.Dial(t.Context(), listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	frame := append([]byte(greeting), 4, 0, 0, 0, frameQuery, 0, 0, 0, 7, 0, 0, 0, 0, 0, 0, 0, 1, 2, 3, 4)
+	if _, err := stream.Write(frame); err != nil {
+		t.Fatal(err)
+	}
+	told, err := readFrame(bufio.NewReader(stream))
+	if err != nil || told.kind != frameReply || told.call != 7 {
+		t.Fatalf("%+v, %v", told, err)
+	}
+	if reply, err := wire.DecodeReply(told.body); err != nil || !mishap.Is(reply.Err(), mishap.Invalid) {
+		t.Fatalf("%+v, %v", reply, err)
+	}
+	caller := NewCaller(TCP{})
+	defer caller.Close()
+	if _, err := caller.Call(t.Context(), listener.Addr().String(), &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestACallReturnsInTimeFromAProcessThatReadsNothing talks to a listener that
 // accepts and then is as good as frozen, until all buffers between are full.
 func TestACallReturnsInTimeFromAProcessThatReadsNothing(t *testing.T) {
--- a/system/link/traffic.go
+++ b/system/link/traffic.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 
-	"capnproto.org/go/capnp/v3"
-
 	"yardrock.example/system/wire"
 	"yardrock.example/system/wire/schema"
 )
@@ -19,43 +17,35 @@
 // callers and servers.
 var counted [kinds]kindCounters
 
-func countAsked(kind schema.Query_Which, message *capnp.Message) {
+func countAsked(kind schema.Query_Which, size int) {
 	if kind < kinds {
 		counted[kind].asked.Add(1)
-		counted[kind].bytesOut.Add(sizeOf(message))
+		counted[kind].bytesOut.Add(uint64(size))
 	}
 }
 
-func countReply(kind schema.Query_Which, message *capnp.Message) {
+func countReply(kind schema.Query_Which, size int) {
 	if kind < kinds {
-		counted[kind].bytesIn.Add(sizeOf(message))
+		counted[kind].bytesIn.Add(uint64(size))
 	}
 }
 
-func countAnswered(kind schema.Query_Which, message *capnp.Message) {
+func countAnswered(kind schema.Query_Which, size int) {
 	if kind < kinds {
 		counted[kind].answered.Add(1)
-		counted[kind].bytesIn.Add(sizeOf(message))
+		counted[kind].bytesIn.Add(uint64(size))
 	}
 }
 
-func countSent(kind schema.Query_Which, message *capnp.Message) {
+func countSent(kind schema.Query_Which, size int) {
 	if kind < kinds {
-		counted[kind].bytesOut.Add(sizeOf(message))
-	}
-}
-
-func sizeOf(message *capnp.Message) uint64 {
-	size, err := message.TotalSize()
-	if err != nil {
-		return 0
+		counted[kind].bytesOut.Add(uint64(size))
 	}
-	return size
 }
 
 // Traffic gives what this process asked and answered since it started, one entry a
-// kind of query that occurred, in bytes of Cap'n Proto messages (the library's own
-// bookkeeping and TCP's are not in them). Counters only grow.
+// kind of query that occurred, in bytes of Cap'n Proto messages (the frames' headers
+// and TCP's are not in them). Counters only grow.
 //
 //	for _, kind := range link.Traffic() { fmt.Println(kind.Kind, kind.Asked, kind.BytesOut) }
 func Traffic() []wire.KindTraffic {
--- a/system/link/traffic_test.go
+++ b/system/link/traffic_test.go
@@ -64,8 +64,8 @@
 }
 
 func TestKindsBeyondTheCountedAreLeftOut(t *testing.T) {
-	countAsked(kinds, nil)
-	countAnswered(kinds+1, nil)
-	countReply(kinds+2, nil)
-	countSent(kinds+3, nil)
+	countAsked(kinds, 0)
+	countAnswered(kinds+1, 0)
+	countReply(kinds+2, 0)
+	countSent(kinds+3, 0)
 }
--- a/system/replica/courier.go
+++ b/system/replica/courier.go
@@ -14,10 +14,13 @@
 const (
 	courierQueue    = 4096
 	courierPatience = 2 * time.Second
+	// courierLook is how often, while there is something to bring, a batch asks for an
+	// answer, so that a way that swallows all is given up.
+	courierLook = 500 * time.Millisecond
 )
 
-// Courier brings agreement messages to siblings. What waits while one batch is
-// under way goes with the next; what is too much is dropped, as Raft allows.
+// Courier brings agreement messages to siblings. Nobody waits for them to arrive; what
+// is too much is dropped, as Raft allows.
 type Courier struct {
 	caller  *link.Caller
 	resolve func(name string) string
@@ -67,6 +70,8 @@
 }
 
 func (courier *Courier) run(to string, source *box) {
+	looked := time.Time{}
+	looking := make(chan struct{}, 1)
 	for {
 		select {
 		case <-source.wake:
@@ -81,15 +86,35 @@
 		if len(messages) == 0 || address == "" {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(courier.closed, courierPatience)
-		_, err := courier.caller.Call(ctx, address, &wire.Query{Fleet: courier.fleet(), Which: schema.Query_Which_agreement, Agreement: &wire.AgreementBatch{Messages: messages}})
-		if err != nil && ctx.Err() != nil && courier.closed.Err() == nil {
-			courier.caller.Drop(address)
+		query := &wire.Query{Fleet: courier.fleet(), Which: schema.Query_Which_agreement, Agreement: &wire.AgreementBatch{Messages: messages}}
+		if time.Since(looked) >= courierLook {
+			select {
+			case looking <- struct{}{}:
+				looked = time.Now()
+				go func() {
+					courier.look(address, query)
+					<-looking
+				}()
+				continue
+			default:
+			}
 		}
+		ctx, cancel := context.WithTimeout(courier.closed, courierPatience)
+		courier.caller.Tell(ctx, address, query)
 		cancel()
 	}
 }
 
+// look sends a batch and waits for the answer. Without one in time the connection is
+// given up, so that the next batch dials anew.
+func (courier *Courier) look(address string, query *wire.Query) {
+	ctx, cancel := context.WithTimeout(courier.closed, courierPatience)
+	defer cancel()
+	if _, err := courier.caller.Call(ctx, address, query); err != nil && ctx.Err() != nil && courier.closed.Err() == nil {
+		courier.caller.DropSilent(address, courierPatience)
+	}
+}
+
 // Close stops sending.
 //
 //	courier.Close()
--- a/system/replica/host.go
+++ b/system/replica/host.go
@@ -232,6 +232,14 @@
 	}
 }
 
+// post has a function run on the loop some time.
+func (host *Host) post(action func()) {
+	select {
+	case host.inbox <- action:
+	case <-host.stopped:
+	}
+}
+
 func (host *Host) run() {
 	defer close(host.stopped)
 	ticker := time.NewTicker(host.settings.Tick)
@@ -565,12 +573,12 @@
 	}
 }
 
-// Receive takes siblings' messages. A group that a leader speaks of and that is
-// not here yet starts empty.
+// Receive takes siblings' messages, and does not wait until they are worked off. A
+// group that a leader speaks of and that is not here yet starts empty.
 //
 //	host.Receive(query.Agreement.Messages)
 func (host *Host) Receive(messages []agreement.Message) {
-	host.do(func() {
+	host.post(func() {
 		for _, message := range messages {
 			if message.To != host.name {
 				continue
--- a/system/storeorigin/storeorigin.go
+++ b/system/storeorigin/storeorigin.go
@@ -90,7 +90,7 @@
 				return reply, true, nil
 			}
 			if expired {
-				origin.caller.Drop(address)
+				origin.caller.DropSilent(address, patience)
 			}
 			failed = mishap.Of(err)
 			switch failed.Kind {
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"bytes"
 	"errors"
 	"time"
 
@@ -620,10 +619,43 @@
 	return err
 }
 
-// PutQuery fills a message's query.
+// AppendQuery appends a query, as a Cap'n Proto message, to bytes.
 //
-//	err := wire.PutQuery(target, query)
-func PutQuery(target schema.Query, query *Query) error {
+//	data, err := wire.AppendQuery(nil, query)
+func AppendQuery(target []byte, query *Query) ([]byte, error) {
+	return appendMessage(target, rooted(schema.NewRootQuery), func(made capnp.Struct) error { return putQuery(schema.Query(made), query) })
+}
+
+// AppendReply appends a reply, as a Cap'n Proto message, to bytes.
+//
+//	data, err := wire.AppendReply(nil, reply)
+func AppendReply(target []byte, reply *Reply) ([]byte, error) {
+	return appendMessage(target, rooted(schema.NewRootReply), func(made capnp.Struct) error { return putReply(schema.Reply(made), reply) })
+}
+
+// DecodeQuery reads a query. Its byte fields point into the data.
+//
+//	query, err := wire.DecodeQuery(data)
+func DecodeQuery(data []byte) (*Query, error) {
+	root, err := rootOf(data)
+	if err != nil {
+		return nil, err
+	}
+	return takeQuery(schema.Query(root))
+}
+
+// DecodeReply reads a reply. Its byte fields point into the data.
+//
+//	reply, err := wire.DecodeReply(data)
+func DecodeReply(data []byte) (*Reply, error) {
+	root, err := rootOf(data)
+	if err != nil {
+		return nil, err
+	}
+	return takeReply(schema.Reply(root))
+}
+
+func putQuery(target schema.Query, query *Query) error {
 	put, isHot := hotQueries[query.Which]
 	if !isHot {
 		return pogs.Insert(schema.Query_TypeID, capnp.Struct(target), query)
@@ -673,20 +705,12 @@
 	},
 }
 
-// TakeQuery reads a query out of a message that the library will use again.
-//
-//	query, err := wire.TakeQuery(source)
-func TakeQuery(source schema.Query) (*Query, error) {
-	query := &Query{}
+func takeQuery(source schema.Query) (query *Query, err error) {
+	query = &Query{}
 	take, isHot := hotQueryTakers[source.Which()]
 	if !isHot {
-		return query, Take(schema.Query_TypeID, capnp.Struct(source), query)
-	}
-	copied, err := copyOf(capnp.Struct(source))
-	if err != nil {
-		return nil, err
+		return query, pogs.Extract(query, schema.Query_TypeID, capnp.Struct(source))
 	}
-	source = schema.Query(copied)
 	query.Version, query.Which = source.Version(), source.Which()
 	if query.Fleet, err = source.Fleet(); err != nil {
 		return nil, err
@@ -734,12 +758,16 @@
 	},
 }
 
-// PutReply fills a message's reply.
-//
-//	err := wire.PutReply(target, reply)
-func PutReply(target schema.Reply, reply *Reply) error {
+func putReply(target schema.Reply, reply *Reply) error {
 	switch {
 	case reply.Mishap.Kind != "":
+		made, err := target.NewMishap()
+		if err != nil {
+			return err
+		}
+		target.SetNothing()
+		made.SetRetryAfter(int64(reply.Mishap.RetryAfter))
+		return errors.Join(made.SetKind(reply.Mishap.Kind), made.SetMessage_(reply.Mishap.Message), made.SetRemedy(reply.Mishap.Remedy), made.SetLeader(reply.Mishap.Leader))
 	case reply.Which == schema.Reply_Which_nothing:
 		target.SetNothing()
 		return nil
@@ -765,13 +793,20 @@
 	return pogs.Insert(schema.Reply_TypeID, capnp.Struct(target), reply)
 }
 
-// TakeReply reads a reply out of a message that the library will use again.
-//
-//	reply, err := wire.TakeReply(source)
-func TakeReply(source schema.Reply) (*Reply, error) {
+func takeReply(source schema.Reply) (*Reply, error) {
 	reply := &Reply{Which: source.Which()}
 	switch {
 	case source.HasMishap():
+		told, err := source.Mishap()
+		if err != nil {
+			return nil, err
+		}
+		reading := &taking{}
+		reply.Mishap = Mishap{Kind: field(reading, told.Kind), Message: field(reading, told.Message_), Remedy: field(reading, told.Remedy), Leader: field(reading, told.Leader), RetryAfter: time.Duration(told.RetryAfter())}
+		if reading.failed != nil || reply.Mishap.Kind != "" {
+			return reply, reading.failed
+		}
+		return reply, pogs.Extract(reply, schema.Reply_TypeID, capnp.Struct(source))
 	case reply.Which == schema.Reply_Which_nothing:
 		return reply, nil
 	case reply.Which == schema.Reply_Which_outcomes:
@@ -785,7 +820,7 @@
 			return nil, err
 		}
 		history, err := made.History()
-		reply.Outcomes.History = bytes.Clone(history) // the library will use the message again
+		reply.Outcomes.History = history
 		return reply, err
 	case reply.Which == schema.Reply_Which_read:
 		made, err := source.Read()
@@ -795,7 +830,7 @@
 		reply.Read = &ReadReply{}
 		return reply, takeRead(made, reply.Read)
 	}
-	return reply, Take(schema.Reply_TypeID, capnp.Struct(source), reply)
+	return reply, pogs.Extract(reply, schema.Reply_TypeID, capnp.Struct(source))
 }
 
 // hotPut and hotTake are the stored types of the ordinary path.
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -5,10 +5,6 @@
 $Go.package("schema");
 $Go.import("yardrock.example/system/wire/schema");
 
-interface Node {
-  deliver @0 (query :Query) -> (reply :Reply);
-}
-
 struct Query {
   version @0 :UInt32;
   fleet @1 :Text;
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -327,68 +328,57 @@
 	if !known {
 		return nil, fmt.Errorf("type %x is never stored by itself", typeID)
 	}
-	message, segment, err := capnp.NewMessage(capnp.SingleSegment(nil))
-	if err != nil {
-		return nil, err
-	}
-	made, err := root(segment)
-	if err != nil {
-		return nil, err
-	}
 	put, isHot := hotPut[typeID]
 	if !isHot {
 		put = func(target capnp.Struct, value any) error { return pogs.Insert(typeID, target, value) }
 	}
-	if err := put(made, value); err != nil {
-		return nil, err
-	}
-	return message.Marshal()
+	return appendMessage(nil, root, func(made capnp.Struct) error { return put(made, value) })
 }
 
 // Decode fills value from Cap'n Proto bytes.
 //
 //	err := wire.Decode(schema.Command_TypeID, data, &command)
 func Decode(typeID uint64, data []byte, value any) error {
-	message, err := capnp.Unmarshal(data)
-	if err != nil {
-		return err
-	}
-	message.ResetReadLimit(readLimit)
-	root, err := message.Root()
+	root, err := rootOf(data)
 	if err != nil {
 		return err
 	}
 	if take, isHot := hotTake[typeID]; isHot {
-		return take(root.Struct(), value)
+		return take(root, value)
 	}
-	return pogs.Extract(value, typeID, root.Struct())
+	return pogs.Extract(value, typeID, root)
 }
 
-// copyOf copies a struct into a message of its own.
-func copyOf(source capnp.Struct) (capnp.Struct, error) {
-	source.Message().ResetReadLimit(readLimit)
-	message, _, err := capnp.NewMessage(capnp.SingleSegment(nil))
+// rootOf gives the root of a message; it points into the data.
+func rootOf(data []byte) (capnp.Struct, error) {
+	message, err := capnp.Unmarshal(data)
 	if err != nil {
 		return capnp.Struct{}, err
 	}
-	if err := message.SetRoot(source.ToPtr()); err != nil {
-		return capnp.Struct{}, err
-	}
 	message.ResetReadLimit(readLimit)
 	root, err := message.Root()
 	return root.Struct(), err
 }
 
-// Take fills value from a struct of a message that the library will use again.
-// It copies first, since byte fields point into the message they came from.
-//
-//	err := wire.Take(schema.Query_TypeID, capnp.Struct(source), &query)
-func Take(typeID uint64, source capnp.Struct, value any) error {
-	copied, err := copyOf(source)
+// appendMessage appends a message of one segment, whose root a function fills, to
+// bytes. The message's own memory is used again.
+func appendMessage(target []byte, root func(*capnp.Segment) (capnp.Struct, error), put func(capnp.Struct) error) ([]byte, error) {
+	message, segment, err := capnp.NewMessage(capnp.SingleSegment(nil))
 	if err != nil {
-		return err
+		return nil, err
+	}
+	defer message.Release()
+	made, err := root(segment)
+	if err != nil {
+		return nil, err
+	}
+	if err := put(made); err != nil {
+		return nil, err
 	}
-	return pogs.Extract(value, typeID, copied)
+	data := segment.Data()
+	target = binary.LittleEndian.AppendUint32(target, 0) // one segment
+	target = binary.LittleEndian.AppendUint32(target, uint32(len(data)/8))
+	return append(target, data...), nil
 }
 
 const readLimit = 1 << 30
