Scale run: what stores bear, against turns, programs, history and groups

Turns are begun and ended through the product's own store origin at an even rate, each going on from a program's kept history; a store is killed and started again with all it keeps.

--- a/proof/cmd/scale/main.go
+++ b/proof/cmd/scale/main.go
@@ -25,16 +25,19 @@
 )
 
 type options struct {
-	Against  string        `arg:"--against" default:"nodes" help:"what is varied: changes, groups, nodes, routes or runners"`
+	Against  string        `arg:"--against" default:"nodes" help:"what is varied: changes, groups, history, nodes, programs, routes, runners or turns"`
 	Steps    string        `arg:"--steps" help:"its sizes, rising, joined by commas [default: the usual ones]"`
-	Nodes    int           `arg:"--nodes" help:"hollow nodes, while something else is varied [default: 50]"`
-	Runners  int           `arg:"--runners" help:"runners on the platform's list [default: 600]"`
-	Routes   int           `arg:"--routes" help:"routes of the charter [default: 100]"`
+	Nodes    int           `arg:"--nodes" help:"hollow nodes, while something else is varied [default: 50, or 3 beside what stores bear]"`
+	Runners  int           `arg:"--runners" help:"runners on the platform's list [default: 600, or 30]"`
+	Routes   int           `arg:"--routes" help:"routes of the charter [default: 100, or 10]"`
 	Changes  int           `arg:"--changes" help:"changes in the burst [default: 20]"`
 	Groups   int           `arg:"--groups" help:"groups of lines [default: 32]"`
+	Turns    int           `arg:"--turns" help:"turns begun and ended a second [default: 20]"`
+	Programs int           `arg:"--programs" help:"programs under way [default: 40]"`
+	History  int           `arg:"--history" help:"KiB of history of each program [default: 4]"`
 	Quiet    time.Duration `arg:"--quiet" default:"8s" help:"how long usage is measured while nothing changes"`
 	Patience time.Duration `arg:"--patience" default:"90s" help:"how long one step may take"`
-	Programs string        `arg:"--programs" help:"folder of the programs [default: beside this one]"`
+	Binaries string        `arg:"--binaries" help:"folder of the programs [default: beside this one]"`
 	Label    string        `arg:"--label" help:"what the run was of, such as a commit"`
 	Plot     string        `arg:"--plot" help:"file for the plot (SVG)"`
 }
@@ -81,8 +84,8 @@
 
 // usual is the step that the options choose beside the size that is varied.
 func (chosen options) usual() scale.Step {
-	step := scale.Usual
-	for size, given := range map[*int]int{&step.Nodes: chosen.Nodes, &step.Runners: chosen.Runners, &step.Routes: chosen.Routes, &step.Changes: chosen.Changes, &step.Groups: chosen.Groups} {
+	step := scale.Usual(chosen.Against)
+	for size, given := range map[*int]int{&step.Nodes: chosen.Nodes, &step.Runners: chosen.Runners, &step.Routes: chosen.Routes, &step.Changes: chosen.Changes, &step.Groups: chosen.Groups, &step.Turns: chosen.Turns, &step.Programs: chosen.Programs, &step.History: chosen.History} {
 		if given != 0 {
 			*size = given
 		}
@@ -97,12 +100,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if chosen.Programs == "" {
+	if chosen.Binaries == "" {
 		self, err := os.Executable()
 		if err != nil {
 			return err
 		}
-		chosen.Programs = filepath.Dir(self)
+		chosen.Binaries = filepath.Dir(self)
 	}
 	folder, err := os.MkdirTemp("", "yardrock-scale-")
 	if err != nil {
@@ -112,7 +115,7 @@
 	told := report{Label: chosen.Label, Against: chosen.Against, Began: time.Now().UTC(), Cores: runtime.NumCPU()}
 	for _, step := range steps {
 		limited, cancel := context.WithTimeout(ctx, chosen.Patience)
-		measured, failed := scale.Run(limited, scale.Settings{Programs: chosen.Programs, Folder: folder, Quiet: chosen.Quiet, Real: scale.RealProcesses}, step)
+		measured, failed := scale.Run(limited, scale.Settings{Programs: chosen.Binaries, Folder: folder, Quiet: chosen.Quiet, Real: scale.RealProcesses, Borne: scale.Borne(chosen.Against)}, step)
 		cancel()
 		if failed != nil {
 			err = failed
--- a/proof/cmd/scale/main_test.go
+++ b/proof/cmd/scale/main_test.go
@@ -40,7 +40,7 @@
 
 func TestMissingProgramsAreAFailureAndNoRefusal(t *testing.T) {
 	var output, complaints bytes.Buffer
-	if code := run([]string{"--steps", "1", "--programs", t.TempDir()}, &output, &complaints); code != 1 || !strings.Contains(complaints.String(), "no such file") {
+	if code := run([]string{"--steps", "1", "--binaries", t.TempDir()}, &output, &complaints); code != 1 || !strings.Contains(complaints.String(), "no such file") {
 		t.Fatalf("ended with %d: %q", code, complaints.String())
 	}
 }
--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -24,6 +24,8 @@
 	Folder   string        // for data and logs of the real processes
 	Quiet    time.Duration // how long nothing changes while usage is measured
 	Real     fleet.Deployment
+	// Borne tells that what the stores bear is measured, and not what control does.
+	Borne bool
 }
 
 // RealProcesses is the deployment beside which hollow nodes are put.
@@ -45,6 +47,12 @@
 	Processes []Process          `json:"processes"`
 }
 
+// phase is one part of a step.
+type phase struct {
+	name string
+	run  func(context.Context) error
+}
+
 // trial is one step under way.
 type trial struct {
 	settings Settings
@@ -54,6 +62,7 @@
 	herd     *Herd
 	notes    []*link.Server
 	told     Measured
+	programs []*program
 }
 
 // Run measures one step on a fleet of its own, and ends it.
@@ -82,13 +91,13 @@
 	trial := &trial{settings: settings, step: step, fleet: running, caller: link.NewCaller(link.TCP{}), herd: &Herd{}, told: Measured{Step: step, Figures: map[string]float64{}}}
 	defer trial.caller.Close()
 	defer trial.end()
-	for _, phase := range []struct {
-		name string
-		run  func(context.Context) error
-	}{
-		{"fill", trial.fill}, {"join", trial.join}, {"quiet", trial.quiet}, {"small changes", trial.smallChanges},
-		{"charters", trial.charters}, {"runner leaves", trial.runnerLeaves}, {"fail-over", trial.failOver},
-	} {
+	phases := []phase{{"fill", trial.fill}, {"join", trial.join}, {"quiet", trial.quiet}}
+	if settings.Borne {
+		phases = append(phases, phase{"programs", trial.makePrograms}, phase{"turns", trial.turns}, phase{"store restarts", trial.restartStore})
+	} else {
+		phases = append(phases, phase{"small changes", trial.smallChanges}, phase{"charters", trial.charters}, phase{"runner leaves", trial.runnerLeaves}, phase{"fail-over", trial.failOver})
+	}
+	for _, phase := range phases {
 		if err := phase.run(ctx); err != nil {
 			return trial.told, fmt.Errorf("%s at %+v: %w", phase.name, step, err)
 		}
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -12,17 +12,17 @@
 )
 
 func TestStepsVaryOneSize(t *testing.T) {
-	steps, err := Steps(Usual, "routes", " 10, 200 ")
+	steps, err := Steps(Usual("routes"), "routes", " 10, 200 ")
 	if err != nil {
 		t.Fatal(err)
 	}
-	first, second := Usual, Usual
+	first, second := Usual("routes"), Usual("routes")
 	first.Routes, second.Routes = 10, 200
 	if len(steps) != 2 || steps[0] != first || steps[1] != second {
 		t.Fatalf("made %+v", steps)
 	}
 	for _, against := range Dimensions() {
-		if steps, err := Steps(Usual, against, ""); err != nil || len(steps) < 3 {
+		if steps, err := Steps(Usual(against), against, ""); err != nil || len(steps) < 3 {
 			t.Errorf("%s has no steps of its own: %+v, %v", against, steps, err)
 		}
 	}
@@ -75,7 +75,7 @@
 }
 
 func measuredAt(nodes int, figures map[string]float64) Measured {
-	step := Usual
+	step := Usual("nodes")
 	step.Nodes = nodes
 	return Measured{Step: step, Figures: figures}
 }
--- a/proof/scale/step.go
+++ b/proof/scale/step.go
@@ -18,14 +18,29 @@
 	Routes  int `json:"routes"`  // of the charter
 	Changes int `json:"changes"` // in one burst
 	Groups  int `json:"groups"`  // of lines
+	// Turns are begun and ended in a second.
+	Turns int `json:"turns"`
+	// Programs are under way, with a history that each turn goes on from, in KiB.
+	Programs int `json:"programs"`
+	History  int `json:"history"`
 }
 
-// Usual is the step whose other sizes stand still while one of them is varied.
-var Usual = Step{Nodes: 50, Runners: 600, Routes: 100, Changes: 20, Groups: 32}
+// Usual is the step whose other sizes stand still while one of them is varied. What the
+// stores bear is measured beside few nodes, so that little else is going on.
+//
+//	step := scale.Usual("history")
+func Usual(against string) Step {
+	usual := Step{Nodes: 50, Runners: 600, Routes: 100, Changes: 20, Groups: 32, Turns: 20, Programs: 40, History: 4}
+	if dimensions[against].borne {
+		usual.Nodes, usual.Runners, usual.Routes = 3, 30, 10
+	}
+	return usual
+}
 
 // dimension is one size of a step that can be varied.
 type dimension struct {
 	most  int
+	borne bool // by the stores
 	why   string
 	steps []int
 	set   func(*Step, int)
@@ -41,7 +56,13 @@
 		set: func(step *Step, size int) { step.Routes = size }, get: func(step Step) int { return step.Routes }},
 	"changes": {most: 400, why: "the control group keeps 512 changes, and later ones would be folded into views", steps: []int{10, 20, 40, 80},
 		set: func(step *Step, size int) { step.Changes = size }, get: func(step Step) int { return step.Changes }},
-	"groups": {most: 512, why: "three stores would spend the machine on heartbeats", steps: []int{16, 32, 64, 128},
+	"turns": {most: 800, borne: true, why: "three stores beside their callers would spend the machine", steps: []int{20, 40, 80, 160},
+		set: func(step *Step, size int) { step.Turns = size }, get: func(step Step) int { return step.Turns }},
+	"programs": {most: 20000, borne: true, why: "they would take too long to make", steps: []int{500, 1000, 2000, 4000},
+		set: func(step *Step, size int) { step.Programs = size }, get: func(step Step) int { return step.Programs }},
+	"history": {most: 4096, borne: true, why: "twice the longest history that the capacity page is for", steps: []int{16, 64, 256, 1024},
+		set: func(step *Step, size int) { step.History = size }, get: func(step Step) int { return step.History }},
+	"groups": {most: 512, borne: true, why: "three stores would spend the machine on heartbeats", steps: []int{16, 32, 64, 128},
 		set: func(step *Step, size int) { step.Groups = size }, get: func(step Step) int { return step.Groups }},
 }
 
@@ -110,3 +131,8 @@
 //
 //	size := step.Size("nodes")
 func (step Step) Size(against string) int { return dimensions[against].get(step) }
+
+// Borne tells whether a size is one that the stores bear.
+//
+//	settings.Borne = scale.Borne("history")
+func Borne(against string) bool { return dimensions[against].borne }
--- /dev/null
+++ b/proof/scale/turns.go
@@ -0,0 +1,217 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/procfs"
+
+	"yardrock.example/proof/fleet"
+	"yardrock.example/system/line"
+	"yardrock.example/system/storeorigin"
+)
+
+const (
+	// turnBytes is what each turn brings and what it puts out, of text.
+	turnBytes    = 2048
+	makingAtOnce = 16
+	turnPatience = 10 * time.Second
+)
+
+// program is a program of which the stores keep a first turn, its history.
+type program struct {
+	line, first string
+	busy        atomic.Bool
+}
+
+// text is as hard to press as answers of a model are: words drawn from a few hundred.
+func text(size int, random *rand.Rand) []byte {
+	var made bytes.Buffer
+	for made.Len() < size {
+		fmt.Fprintf(&made, "word%03d ", random.IntN(700))
+	}
+	return made.Bytes()[:size]
+}
+
+// turn is one turn, begun and ended at once, that goes on from another of its line.
+func turn(ctx context.Context, stores *storeorigin.Origin, program, name, follows string, input, output []byte) (begun, ended time.Duration, history int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, turnPatience)
+	defer cancel()
+	asked := time.Now()
+	began, err := stores.BeginTurn(ctx, storeorigin.Turn{Line: program, Name: name, Follows: follows, Input: input, Keeps: true, Keep: time.Hour, Dispatch: "scale/" + name, Life: time.Minute, Budgeted: true, Most: 100, Allowance: 1 << 40})
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	begun = time.Since(asked)
+	asked = time.Now()
+	err = stores.EndTurn(ctx, storeorigin.TurnEnd{Line: program, Name: name, Seq: began.Seq, Output: output, Tokens: 80, Outcome: line.OutcomeComplete, Kept: true})
+	return begun, time.Since(asked), len(began.History), err
+}
+
+// makePrograms has the stores keep all programs with their histories.
+func (trial *trial) makePrograms(ctx context.Context) error {
+	stores := storeorigin.New(trial.caller, trial.herd.Nodes()[0].View)
+	waiting := make(chan *program, trial.step.Programs)
+	for position := range trial.step.Programs {
+		made := &program{line: fmt.Sprintf("program/%06d", position), first: fmt.Sprintf("first-%06d", position)}
+		trial.programs = append(trial.programs, made)
+		waiting <- made
+	}
+	close(waiting)
+	before, err := trial.stores()
+	if err != nil {
+		return err
+	}
+	var making sync.WaitGroup
+	failed := make(chan error, makingAtOnce)
+	for worker := range makingAtOnce {
+		making.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(worker)))
+			for made := range waiting {
+				history := text(trial.step.History<<10, random)
+				if _, _, _, err := turn(ctx, stores, made.line, made.first, "", history[:len(history)/2], history[len(history)/2:]); err != nil {
+					failed <- fmt.Errorf("%s: %w", made.line, err)
+					return
+				}
+			}
+		})
+	}
+	making.Wait()
+	select {
+	case err := <-failed:
+		return err
+	default:
+	}
+	after, err := trial.stores()
+	if err != nil {
+		return err
+	}
+	trial.told.Figures["programs.store_memory_mib"] = after.memory - before.memory
+	trial.told.Figures["programs.store_processor_s"] = after.seconds - before.seconds
+	trial.told.Figures["programs.store_written_mib"] = after.written - before.written
+	return nil
+}
+
+// storeUse is what all stores have used up to a moment; memory and disk in MiB.
+type storeUse struct{ seconds, memory, written float64 }
+
+func (trial *trial) stores() (storeUse, error) {
+	sum := storeUse{}
+	for _, store := range trial.fleet.Of("store") {
+		usage, err := UsageOf(store.ID())
+		if err != nil {
+			return sum, err
+		}
+		process, err := procfs.NewProc(store.ID())
+		if err != nil {
+			return sum, err
+		}
+		disk, err := process.IO()
+		if err != nil {
+			return sum, err
+		}
+		sum.seconds += usage.Seconds
+		sum.memory += usage.Memory
+		sum.written += float64(disk.WriteBytes) / (1 << 20)
+	}
+	return sum, nil
+}
+
+// turns begins and ends turns at an even rate, each going on from the history of a
+// program, and tells what one costs above what quiet stores cost.
+func (trial *trial) turns(ctx context.Context) error {
+	stores := storeorigin.New(trial.caller, trial.herd.Nodes()[0].View)
+	var mutex sync.Mutex
+	begins, ends, histories, failed, late := []time.Duration{}, []time.Duration{}, 0, error(nil), 0
+	before, err := trial.now(ctx)
+	if err != nil {
+		return err
+	}
+	used, err := trial.stores()
+	if err != nil {
+		return err
+	}
+	var under sync.WaitGroup
+	random := rand.New(rand.NewPCG(2, 2))
+	input, output := text(turnBytes, random), text(turnBytes, random)
+	ticker := time.NewTicker(time.Second / time.Duration(trial.step.Turns))
+	defer ticker.Stop()
+	began := time.Now()
+	for number := 0; time.Since(began) < trial.settings.Quiet && ctx.Err() == nil; number++ {
+		<-ticker.C
+		chosen := trial.programs[number%len(trial.programs)]
+		if !chosen.busy.CompareAndSwap(false, true) {
+			late++
+			continue
+		}
+		under.Go(func() {
+			defer chosen.busy.Store(false)
+			begun, ended, history, err := turn(ctx, stores, chosen.line, fmt.Sprintf("turn-%06d", number), chosen.first, input, output)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if failed = err; err == nil {
+				begins, ends, histories = append(begins, begun), append(ends, ended), histories+history
+			}
+		})
+	}
+	under.Wait()
+	spent := time.Since(began).Seconds()
+	after, err := trial.now(ctx)
+	if err != nil {
+		return err
+	}
+	usedAfter, err := trial.stores()
+	if err != nil {
+		return err
+	}
+	if failed != nil || len(begins) == 0 {
+		return fmt.Errorf("%d turns ended, and one failed: %w", len(begins), failed)
+	}
+	slices.Sort(begins)
+	slices.Sort(ends)
+	count := float64(len(begins))
+	sent, received, messages := 0.0, 0.0, 0.0
+	for _, store := range trial.fleet.Of("store") {
+		rate := RateOf(before.processes[store.Name], after.processes[store.Name])
+		seconds := after.processes[store.Name].At.Sub(before.processes[store.Name].At).Seconds()
+		sent, received, messages = sent+rate.BytesOut*seconds, received+rate.BytesIn*seconds, messages+rate.Messages*seconds
+	}
+	figures, all := trial.told.Figures, float64(len(trial.fleet.Of("store")))
+	quiet := figures["store.cores"] * all * spent
+	figures["turns.per_s"] = count / spent
+	figures["turns.late_share"] = float64(late) / (count + float64(late))
+	figures["turns.stores_cores"] = (usedAfter.seconds - used.seconds) / spent
+	figures["turn.stores_processor_ms"] = (usedAfter.seconds - used.seconds - quiet) / count * 1000
+	figures["turn.stores_written_kib"] = (usedAfter.written - used.written) * 1024 / count
+	figures["turn.stores_sent_kib"] = (sent - figures["store.bytes_out_per_s"]*all*spent) / count / 1024
+	figures["turn.stores_received_kib"] = (received - figures["store.bytes_in_per_s"]*all*spent) / count / 1024
+	figures["turn.stores_messages"] = (messages - figures["store.messages_per_s"]*all*spent) / count
+	figures["turn.history_kib"] = float64(histories) / count / 1024
+	figures["turn.begin_median_s"], figures["turn.begin_most_s"] = begins[len(begins)/2].Seconds(), begins[len(begins)-1].Seconds()
+	figures["turn.end_median_s"], figures["turn.end_most_s"] = ends[len(ends)/2].Seconds(), ends[len(ends)-1].Seconds()
+	return nil
+}
+
+// restartStore kills a store and starts it again, and tells how long it takes to be
+// ready, with all that it keeps.
+func (trial *trial) restartStore(ctx context.Context) error {
+	store := trial.fleet.Of("store")[0]
+	store.Kill()
+	began := time.Now()
+	if err := store.Start(); err != nil {
+		return err
+	}
+	if err := fleet.AwaitReady(ctx, store.Outside); err != nil {
+		return err
+	}
+	trial.told.Figures["restart.store_s"] = time.Since(began).Seconds()
+	usage, err := UsageOf(store.ID())
+	trial.told.Figures["restart.store_processor_s"] = usage.Seconds
+	return err
+}
