--- a/proof/simulator/operate_test.go
+++ b/proof/simulator/operate_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"yardrock.example/system/querylanguage"
 )
@@ -31,6 +32,9 @@
 func TestEveryTableTellsWhatIsInForce(t *testing.T) {
 	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
 		cluster.dialogues(t, 3)
+		if err := cluster.replace(0, 0, oneRoute(4, time.Second), "shown"); err != nil {
+			t.Fatal(err)
+		}
 		hung := cluster.asked(cluster.Fronts[0], "/v1/queries", receipt("shown", "pay !slow"))
 		for _, table := range querylanguage.Tables {
 			columns, rows := cluster.show(t, "show "+table)
@@ -43,7 +47,15 @@
 				}
 			}
 		}
-		_, rows := cluster.show(t, "show demand where out > 0")
+		_, rows := cluster.show(t, "show routes where shares ~ small")
+		if len(rows) != 1 || !slices.Equal(rows[0], []string{"chat", "one.example", "/chat/", "once", "1s", "0", "small:1", "4"}) {
+			t.Errorf("routes show %v", rows)
+		}
+		_, rows = cluster.show(t, "show services")
+		if len(rows) != 1 || !slices.Equal(rows[0], []string{"small", "/health", "0", "0s", "0", "2"}) {
+			t.Errorf("services show %v", rows)
+		}
+		_, rows = cluster.show(t, "show demand where out > 0")
 		if len(rows) != 1 || rows[0][1] != cluster.Runners[slices.IndexFunc(cluster.Runners, func(machine *RunnerMachine) bool {
 			return machine.Runner.Record().MostOut > 0 && machine.Host[5] == '4'
 		})].Host+":8000" {
--- a/system/controlplane/query.go
+++ b/system/controlplane/query.go
@@ -89,6 +89,34 @@
 		}
 		return []string{"table", "group", "weight"}, rows
 	},
+	"routes": func(_ Administration, _ context.Context, _ *feed.View, made *charter.Charter) ([]string, [][]string) {
+		rows := [][]string{}
+		if made.Routing != nil {
+			for _, route := range made.Routing.Routes {
+				shares := []string{}
+				for _, share := range route.Shares {
+					shares = append(shares, share.Service+":"+strconv.FormatFloat(share.Weight, 'g', -1, 64))
+				}
+				rows = append(rows, []string{route.Name, route.Host, route.Prefix, string(route.Kind), time.Duration(route.Patience).String(),
+					strconv.Itoa(route.Urgency), strings.Join(shares, " "), strconv.FormatUint(made.Routing.Revision, 10)})
+			}
+		}
+		return []string{"name", "host", "prefix", "kind", "patience", "urgency", "shares", "revision"}, rows
+	},
+	"services": func(_ Administration, _ context.Context, view *feed.View, made *charter.Charter) ([]string, [][]string) {
+		rows := [][]string{}
+		if made.Routing != nil {
+			counts := map[string]int{}
+			for _, runner := range view.Runners {
+				counts[runner.Group]++
+			}
+			for _, service := range made.Routing.Services {
+				rows = append(rows, []string{service.Name, service.HealthPath, strconv.Itoa(service.MostConnections), time.Duration(service.ColdFor).String(),
+					strconv.FormatFloat(service.ColdRate, 'g', -1, 64), strconv.Itoa(counts[service.Name])})
+			}
+		}
+		return []string{"name", "health_path", "most_connections", "cold_for", "cold_rate", "runners"}, rows
+	},
 	"programs": func(_ Administration, _ context.Context, _ *feed.View, made *charter.Charter) ([]string, [][]string) {
 		rows := [][]string{}
 		for _, name := range slices.Sorted(maps.Keys(made.Programs)) {
@@ -187,7 +215,7 @@
 		return nil, err
 	}
 	if statement.Show != nil {
-		made, err := charter.Decode(view.Compiled)
+		made, err := service.node.charterOf(view)
 		if err != nil {
 			return nil, err
 		}
@@ -269,7 +297,7 @@
 	if err != nil {
 		return feed.Change{}, "", err
 	}
-	made, err := charter.Decode(view.Compiled)
+	made, err := service.node.charterOf(view)
 	if err != nil {
 		return feed.Change{}, "", err
 	}
