A runner is cold as long as the list's newest reading says, not anew with every view

Every view brought the same reading again and each made the runner cold for its whole time anew, up to twice as long as it was. A refill still counts for its whole time.

--- a/system/balancer/balancer.go
+++ b/system/balancer/balancer.go
@@ -196,7 +196,7 @@
 			balancer.runners[keyOf(runner)] = one
 		}
 		fresh := !found && into.state.known || found && runner.Life == "" && one.seen != balancer.fronts.updated
-		one.cold.note(runner, into.service, fresh || refilled[runner.Domain], now)
+		one.cold.note(runner, into.service, fresh, refilled[runner.Domain], now)
 		one.cold.share.set(balancer.fronts.now.shareOf(one.hash, into.service.ColdRate, balancer.seed), now)
 		one.seen, one.listed = now, true
 		if runner.State == feed.Leaving || state.View.DomainEmptied(runner.Domain) || one.misdirected {
--- a/system/balancer/cold.go
+++ b/system/balancer/cold.go
@@ -116,29 +116,44 @@
 // coldness tells until when a runner is cold and counts out what it may get.
 type coldness struct {
 	until  time.Duration
+	forced time.Duration // until when it counts as cold whatever the list says
+	told   reading
 	share  coldShare
 	tokens float64
 	at     time.Duration
 }
 
+// reading is what the list said last: the same again is nothing new, for the time that
+// it stays cold counts from when the list was read.
+type reading struct {
+	read    bool
+	state   string
+	coldFor time.Duration
+	since   int64
+}
+
 // note takes over what the list says of a runner. A fresh one was started or refilled
-// just now, whatever the list says.
-func (cold *coldness) note(runner feed.Runner, service *charter.Service, fresh bool, now time.Duration) {
+// just now: one that the list does not know to be cold counts as cold all the same.
+func (cold *coldness) note(runner feed.Runner, service *charter.Service, fresh, refilled bool, now time.Duration) {
 	if service.ColdRate <= 0 {
-		cold.until = 0
+		cold.until, cold.forced = 0, 0
 		return
 	}
-	span := runner.ColdFor
-	if runner.State == feed.Cold && span <= 0 || fresh {
-		span = max(span, time.Duration(service.ColdFor))
+	was, told := cold.is(now), reading{true, runner.State, runner.ColdFor, runner.Since}
+	listed := runner.ColdFor
+	if runner.State == feed.Cold && listed <= 0 {
+		listed = time.Duration(service.ColdFor)
 	}
-	if span <= 0 {
-		return
+	if refilled || fresh && listed <= 0 {
+		cold.forced = now + time.Duration(service.ColdFor)
 	}
-	if !cold.is(now) {
+	if told != cold.told {
+		cold.until, cold.told = now+listed, told
+	}
+	cold.until = max(cold.until, cold.forced)
+	if !was {
 		cold.tokens, cold.at = 0, now
 	}
-	cold.until = max(cold.until, now+span)
 }
 
 func (cold *coldness) is(now time.Duration) bool { return now < cold.until }
--- a/system/balancer/cold_test.go
+++ b/system/balancer/cold_test.go
@@ -198,6 +198,71 @@
 	}
 }
 
+func TestColdnessEndsAsTheListSays(t *testing.T) {
+	type step struct {
+		after  time.Duration
+		change func(state *State)
+		cold   bool
+	}
+	listed := func(state string, coldFor time.Duration, since int64) func(*State) {
+		return func(change *State) {
+			change.View.Runners[0].State, change.View.Runners[0].ColdFor, change.View.Runners[0].Since = state, coldFor, since
+		}
+	}
+	domain := func(state string, since int64) func(*State) {
+		return func(change *State) {
+			change.View.Domains = []feed.Domain{{Name: "east", State: state, Since: since}}
+		}
+	}
+	both := func(one, other func(*State)) func(*State) {
+		return func(change *State) { one(change); other(change) }
+	}
+	for _, one := range []struct {
+		name  string
+		steps []step
+	}{
+		{"the same again is nothing new", []step{
+			{0, listed(feed.Cold, 3*time.Second, 1), true},
+			{2 * time.Second, listed(feed.Cold, 3*time.Second, 1), true},
+			{1100 * time.Millisecond, listed(feed.Cold, 3*time.Second, 1), false},
+		}},
+		{"it serves", []step{
+			{0, listed(feed.Cold, 30*time.Second, 1), true},
+			{2 * time.Second, listed(feed.Serving, 0, 2), false},
+		}},
+		{"it is cold again", []step{
+			{0, listed(feed.Cold, 3*time.Second, 1), true},
+			{2 * time.Second, listed(feed.Cold, 2900*time.Millisecond, 1), true},
+			{2800 * time.Millisecond, listed(feed.Cold, 2900*time.Millisecond, 1), true},
+			{200 * time.Millisecond, listed(feed.Cold, 2900*time.Millisecond, 1), false},
+		}},
+		{"after a refill the list is behind", []step{
+			{0, domain(feed.Emptied, 1), false},
+			{time.Second, both(domain(feed.Serving, 2), listed(feed.Cold, time.Second, 1)), true},
+			{time.Second, both(domain(feed.Serving, 2), listed(feed.Serving, 0, 2)), true},
+			{2100 * time.Millisecond, both(domain(feed.Serving, 2), listed(feed.Serving, 0, 2)), false},
+		}},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			clock := newSteady()
+			choices := New("east", 1, clock.now)
+			fresh := func() State {
+				return stateOf([]charter.Service{modelService(19)}, routeTo(charter.Share{Service: "model", Weight: 1}), runnersOf("model", 1, 32), 1)
+			}
+			choices.Update(fresh())
+			for at, step := range one.steps {
+				clock.pass(step.after)
+				state := fresh()
+				step.change(&state)
+				choices.Update(state)
+				if cold := choices.runners["model-0"].cold.is(choices.clock()); cold != step.cold {
+					t.Fatalf("step %d: cold is %v", at, cold)
+				}
+			}
+		})
+	}
+}
+
 func TestUnusedLeasesGiveTheColdPlaceBack(t *testing.T) {
 	clock := newSteady()
 	choices := New("east", 1, clock.now)
