Breaches of the orders for routing and of retiring; one made anew

The tool copies platform/ too, which the work file names. Retiring was not caught at first: groups moved faster than the test looked, so one more test retires a machine while another store is away.

--- a/proof/cmd/breaches/main.go
+++ b/proof/cmd/breaches/main.go
@@ -126,7 +126,7 @@
 		return false, err
 	}
 	defer os.RemoveAll(folder)
-	for _, part := range []string{"system", "proof"} {
+	for _, part := range []string{"system", "proof", "platform"} {
 		if err := os.CopyFS(filepath.Join(folder, part), os.DirFS(filepath.Join(chosen.Tree, part))); err != nil {
 			return false, err
 		}
--- a/proof/simulator/retire_test.go
+++ b/proof/simulator/retire_test.go
@@ -158,3 +158,36 @@
 		})
 	}
 }
+
+// TestARetiringWaitsForAStoreThatIsAway: while one of the three that stay is down, the
+// groups that need it still need the machine that is to go.
+func TestARetiringWaitsForAStoreThatIsAway(t *testing.T) {
+	simulate(t, fourStores, func(t *testing.T, cluster *Cluster) {
+		cluster.awaitStores(t, 4)
+		said := cluster.dialogues(t, 6)
+		away := cluster.Stores[3]
+		away.Kill()
+		old := cluster.Stores[cluster.Random(16).IntN(3)]
+		machine := "storage " + old.Host
+		if err := cluster.beginRetire(0, machine); err != nil {
+			t.Fatal(err)
+		}
+		for range 15 {
+			if state, err := cluster.retireState(1, machine); err != nil || state != feed.Retiring {
+				t.Fatalf("without the third store: %s %v", state, err)
+			}
+			<-time.After(time.Second)
+		}
+		if err := away.Start(); err != nil {
+			t.Fatal(err)
+		}
+		cluster.awaitRetired(t, machine)
+		old.Kill()
+		cluster.Stores = slices.DeleteFunc(cluster.Stores, func(machine *Machine) bool { return machine == old })
+		cluster.Stores[0].Kill()
+		if err := cluster.AwaitServing(12 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		cluster.followUp(t, said)
+	})
+}
