--- a/system/files/files.go
+++ b/system/files/files.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 )
 
 // Folder is a flat folder of named files. Nothing lasts before Sync returned.
@@ -29,8 +30,22 @@
 	Names() ([]string, error)
 }
 
-// OnDisk is a Folder in the machine's file system.
-type OnDisk struct{ path string }
+// OnDisk is a Folder in the machine's file system. The files written last stay open.
+type OnDisk struct {
+	path  string
+	mutex sync.Mutex
+	open  []openFile
+	// named are the files whose presence in the folder was synced since it was opened.
+	named map[string]bool
+}
+
+type openFile struct {
+	name string
+	file *os.File
+}
+
+// mostOpen bounds the files that stay open.
+const mostOpen = 4
 
 // Open makes the folder if it is missing.
 //
@@ -39,7 +54,38 @@
 	if err := os.MkdirAll(path, 0o750); err != nil {
 		return nil, err
 	}
-	return &OnDisk{path: path}, nil
+	return &OnDisk{path: path, named: map[string]bool{}}, nil
+}
+
+// opened gives a file for writing; the mutex must be held.
+func (folder *OnDisk) opened(name string) (*os.File, error) {
+	for _, one := range folder.open {
+		if one.name == name {
+			return one.file, nil
+		}
+	}
+	file, err := os.OpenFile(folder.at(name), os.O_WRONLY|os.O_CREATE, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if len(folder.open) == mostOpen {
+		err = folder.open[0].file.Close()
+		folder.open = slices.Delete(folder.open, 0, 1)
+	}
+	folder.open = append(folder.open, openFile{name, file})
+	return file, err
+}
+
+// forget closes a file that is open; the mutex must be held.
+func (folder *OnDisk) forget(name string) error {
+	delete(folder.named, name)
+	for position, one := range folder.open {
+		if one.name == name {
+			folder.open = slices.Delete(folder.open, position, position+1)
+			return one.file.Close()
+		}
+	}
+	return nil
 }
 
 func (folder *OnDisk) at(name string) string { return filepath.Join(folder.path, name) }
@@ -67,12 +113,14 @@
 //
 //	err := folder.WriteAt("log-1", 0, header)
 func (folder *OnDisk) WriteAt(name string, offset int64, data []byte) error {
-	file, err := os.OpenFile(folder.at(name), os.O_WRONLY|os.O_CREATE, 0o640)
+	folder.mutex.Lock()
+	defer folder.mutex.Unlock()
+	file, err := folder.opened(name)
 	if err != nil {
 		return err
 	}
 	_, err = file.WriteAt(data, offset)
-	return errors.Join(err, file.Close())
+	return err
 }
 
 // Truncate cuts a file.
@@ -82,19 +130,34 @@
 	return os.Truncate(folder.at(name), size)
 }
 
-// Sync syncs the file and the folder that names it.
+// Sync syncs the file, and the first time the folder that names it.
 //
 //	err := folder.Sync("log-1")
 func (folder *OnDisk) Sync(name string) error {
-	for _, path := range []string{folder.at(name), folder.path} {
-		file, err := os.Open(path)
-		if err != nil {
-			return err
-		}
-		if err := errors.Join(file.Sync(), file.Close()); err != nil {
-			return err
-		}
+	// The mutex is not held while the disk works, so that other files can be used.
+	folder.mutex.Lock()
+	file, err := folder.opened(name)
+	named := folder.named[name]
+	folder.mutex.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := syncData(file); err != nil {
+		return err
+	}
+	if named {
+		return nil
+	}
+	above, err := os.Open(folder.path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(above.Sync(), above.Close()); err != nil {
+		return err
 	}
+	folder.mutex.Lock()
+	defer folder.mutex.Unlock()
+	folder.named[name] = true
 	return nil
 }
 
@@ -102,10 +165,13 @@
 //
 //	err := folder.Remove("log-1")
 func (folder *OnDisk) Remove(name string) error {
+	folder.mutex.Lock()
+	defer folder.mutex.Unlock()
+	closed := folder.forget(name)
 	if err := os.Remove(folder.at(name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return err
 	}
-	return nil
+	return closed
 }
 
 // Names lists the regular files.
--- /dev/null
+++ b/system/files/files_test.go
@@ -0,0 +1,68 @@
+package files
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"slices"
+	"testing"
+)
+
+func TestAFolderOnDiskWritesCutsAndRemoves(t *testing.T) {
+	folder, err := Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{}
+	for number := range 3 * mostOpen { // more files than stay open
+		name := fmt.Sprintf("log-%02d", number)
+		want = append(want, name)
+		for _, part := range []string{"one", "two"} {
+			if err := errors.Join(folder.WriteAt(name, int64(len(part)-3), []byte(part)), folder.Sync(name)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := errors.Join(folder.WriteAt(name, 3, []byte(" three")), folder.Truncate(name, 7), folder.Sync(name)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range want {
+		if data, err := folder.ReadFile(name); err != nil || string(data) != "two thr" {
+			t.Fatalf("%s holds %q, %v", name, data, err)
+		}
+		if part, err := folder.ReadPart(name, 4, 3); err != nil || string(part) != "thr" {
+			t.Fatalf("%s holds %q, %v", name, part, err)
+		}
+	}
+	if names, err := folder.Names(); err != nil || !slices.Equal(names, want) {
+		t.Fatalf("%v, %v", names, err)
+	}
+	// A file that was removed and comes again is another one, also while it was open.
+	last := want[len(want)-1]
+	if err := errors.Join(folder.Remove(last), folder.Remove(last)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := folder.ReadFile(last); !errors.Is(err, fs.ErrNotExist) {
+		t.Fatalf("a removed file is there: %v", err)
+	}
+	if err := errors.Join(folder.WriteAt(last, 0, []byte("new")), folder.Sync(last)); err != nil {
+		t.Fatal(err)
+	}
+	if data, err := os.ReadFile(folder.at(last)); err != nil || string(data) != "new" {
+		t.Fatalf("%q, %v", data, err)
+	}
+}
+
+func BenchmarkAppendAndSync(b *testing.B) {
+	folder, err := Open(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	data := make([]byte, 2000)
+	for number := range b.N {
+		if err := errors.Join(folder.WriteAt("log", int64(number*len(data)), data), folder.Sync("log")); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/system/files/sync_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package files
+
+import "os"
+
+// syncData makes a file's bytes and its length last.
+func syncData(file *os.File) error { return file.Sync() }
