Simulated: runners, stores and control nodes come and go by themselves

Elections where no leader is known are tried again after half the usual wait. A new store waits until a silent one of its domain can be told from one that lives; groups are moved by what is so now, not by the last tick's word.

--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -41,6 +41,8 @@
 	Engines, Tools int
 	// AutoEnrol has the control nodes keep the store list by themselves.
 	AutoEnrol bool
+	// Adjust changes the settings of each control node that starts.
+	Adjust func(cluster *Cluster, settings *controlplane.Settings)
 }
 
 // Small is the shape that most tests need.
@@ -85,6 +87,7 @@
 	groups   uint32
 	enrols   bool
 	caller   *Host
+	adjust   func(cluster *Cluster, settings *controlplane.Settings)
 }
 
 func domain(index int) string { return []string{"east", "middle", "west"}[index%3] }
@@ -94,7 +97,7 @@
 //	cluster, err := simulator.Start(7, simulator.Small, charterSource)
 //	defer cluster.Stop()
 func Start(seed uint64, shape Shape, rules string) (*Cluster, error) {
-	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), enrols: shape.AutoEnrol, Platform: &standin.Platform{}}
+	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), enrols: shape.AutoEnrol, Platform: &standin.Platform{}, adjust: shape.Adjust}
 	if shape.Engines+shape.Tools > 0 {
 		cluster.Roster = &Roster{}
 	}
@@ -156,15 +159,17 @@
 func (cluster *Cluster) AddControl(index int) *Machine {
 	machine := &Machine{Host: fmt.Sprintf("10.0.0.%d", index+1), Domain: domain(index), Disk: NewDisk(cluster.Seed + uint64(index))}
 	machine.start = func() (err error) {
-		var roster controlplane.RosterSource
-		if cluster.Roster != nil {
-			roster = cluster.Roster
-		}
-		machine.Control, err = controlplane.Start(controlplane.Settings{
-			Roster:  roster,
+		settings := controlplane.Settings{
 			Address: machine.Host + ":7000", Administration: machine.Host + ":7200", Domain: machine.Domain, Seeds: cluster.seeds,
 			FoundingStores: 3, Groups: cluster.groups, MostControls: 5, Replica: cluster.pace(index), AutoEnrol: cluster.enrols,
-		}, machine.Disk, cluster.Network.At(machine.Host))
+		}
+		if cluster.Roster != nil {
+			settings.Roster = cluster.Roster
+		}
+		if cluster.adjust != nil {
+			cluster.adjust(cluster, &settings)
+		}
+		machine.Control, err = controlplane.Start(settings, machine.Disk, cluster.Network.At(machine.Host))
 		if err != nil {
 			return err
 		}
--- a/proof/simulator/forward.go
+++ b/proof/simulator/forward.go
@@ -50,16 +50,37 @@
 type Roster struct {
 	mutex   sync.Mutex
 	runners []feed.Runner
+	put     time.Time
 	failing error
+	asks    int
 }
 
-// List gives the list, or the failure that was put.
+// List gives the list, or the failure that was put. For how long runners stay cold counts
+// down.
 //
 //	runners, err := cluster.Roster.List(ctx)
 func (roster *Roster) List(context.Context) ([]feed.Runner, error) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	return append([]feed.Runner{}, roster.runners...), roster.failing
+	roster.asks++
+	runners := append([]feed.Runner{}, roster.runners...)
+	for position, runner := range runners {
+		if left := runner.ColdFor - time.Since(roster.put); runner.ColdFor > 0 && left > 0 {
+			runners[position].ColdFor = left
+		} else if runner.ColdFor > 0 {
+			runners[position].State, runners[position].ColdFor = feed.Serving, 0
+		}
+	}
+	return runners, roster.failing
+}
+
+// Asks tells how often the list was asked for.
+//
+//	asks := cluster.Roster.Asks()
+func (roster *Roster) Asks() int {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return roster.asks
 }
 
 // Put replaces the list.
@@ -67,7 +88,7 @@
 //	cluster.Roster.Put(runners)
 func (roster *Roster) Put(runners []feed.Runner) {
 	roster.mutex.Lock()
-	roster.runners = append([]feed.Runner{}, runners...)
+	roster.runners, roster.put = append([]feed.Runner{}, runners...), time.Now()
 	roster.mutex.Unlock()
 }
 
--- /dev/null
+++ b/proof/simulator/membership_test.go
@@ -0,0 +1,311 @@
+package simulator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"yardrock.example/system/controlplane"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/follower"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+)
+
+// watch follows the feed from some hosts, as fronts do.
+func (cluster *Cluster) watch(t *testing.T, count int) []*follower.Follower {
+	watching := []*follower.Follower{}
+	for position := range count {
+		host := fmt.Sprintf("10.8.1.%d", position+1)
+		caller := link.NewCaller(cluster.Network.At(host))
+		following := follower.Start(caller, feed.Member{Name: host, Role: feed.RoleFront, Address: host + ":1"}, cluster.seeds, nil, func(*feed.View) error { return nil })
+		t.Cleanup(func() { following.Stop(); caller.Close() })
+		watching = append(watching, following)
+	}
+	return watching
+}
+
+// until waits, step by step, until all that watch may act on a view that fits; it tells how
+// long that took.
+func until(t *testing.T, patience time.Duration, watching []*follower.Follower, what string, fits func(view *feed.View) bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	behind := func(one *follower.Follower) bool {
+		view, err := one.Fresh()
+		return err != nil || !fits(view)
+	}
+	for slices.ContainsFunc(watching, behind) {
+		if time.Since(began) > patience {
+			t.Fatalf("%s does not reach all fronts within %s", what, patience)
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func stateOf(view *feed.View, life string) string {
+	for _, runner := range view.Runners {
+		if runner.Life == life {
+			return runner.State
+		}
+	}
+	return ""
+}
+
+func TestTheListOfRunnersReachesAllFrontsSoon(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 3, Fronts: 2, Models: 2, Applications: 2, Engines: 1}, func(t *testing.T, cluster *Cluster) {
+		source := cluster.Roster
+		const soon = 1300 * time.Millisecond // a poll, a commit and a round of the fronts
+		runner := func(life, state string, cold time.Duration) feed.Runner {
+			return feed.Runner{Life: life, Address: "10.0.3.1:8000", Group: "small", Domain: "east", State: state, ColdFor: cold, Slots: 4}
+		}
+		other := feed.Runner{Life: "other", Address: "10.0.3.2:8000", Group: "small", Domain: "west", State: feed.Serving}
+		watching := cluster.watch(t, 6)
+		source.Put([]feed.Runner{other, runner("one", feed.Cold, 4*time.Second)})
+		until(t, soon, watching, "a cold runner", func(view *feed.View) bool { return stateOf(view, "one") == feed.Cold && stateOf(view, "other") != "" })
+		number, asks := cluster.Controls[0].Control.View().Number, source.Asks()
+		<-time.After(2 * time.Second)
+		if now := cluster.Controls[0].Control.View().Number; now != number {
+			t.Fatalf("the feed went from %d to %d while a runner only stayed cold", number, now)
+		}
+		if asks = source.Asks() - asks; asks < 3 || asks > 5 {
+			t.Fatalf("the list was asked for %d times in 2 s", asks)
+		}
+		source.Put([]feed.Runner{other, runner("one", feed.Cold, 6*time.Second)}) // colder than it was
+		until(t, soon, watching, "a runner that is cold for longer", func(view *feed.View) bool {
+			return slices.ContainsFunc(view.Runners, func(runner feed.Runner) bool { return runner.ColdFor > 5*time.Second })
+		})
+		<-time.After(4500 * time.Millisecond)
+		until(t, soon+500*time.Millisecond, watching, "a runner that is warm", func(view *feed.View) bool { return stateOf(view, "one") == feed.Serving })
+		// Nobody waits for the stores, nor for their majority.
+		for _, store := range cluster.Stores[:2] {
+			cluster.Network.Isolate(store.Host)
+		}
+		source.Put([]feed.Runner{other, runner("one", feed.Leaving, 0)})
+		t.Logf("leaving without stores: %s", until(t, soon, watching, "a leaving runner", func(view *feed.View) bool { return stateOf(view, "one") == feed.Leaving }))
+		source.Put([]feed.Runner{runner("two", feed.Serving, 0), other})
+		until(t, soon, watching, "another life at the same address", func(view *feed.View) bool { return stateOf(view, "one") == "" && stateOf(view, "two") == feed.Serving })
+		for _, store := range cluster.Stores[:2] {
+			cluster.Network.Rejoin(store.Host)
+		}
+		// A platform that is down, or wants to be left alone, takes no runner away.
+		source.Fail(mishap.Later(mishap.Unavailable, "too often", "later", 5*time.Second))
+		<-time.After(time.Second)
+		asks = source.Asks()
+		<-time.After(3 * time.Second)
+		if source.Asks() != asks || stateOf(cluster.Controls[0].Control.View(), "two") != feed.Serving {
+			t.Fatalf("asked %d times in spite of the refusal, or the list is gone: %+v", source.Asks()-asks, cluster.Controls[0].Control.View().Runners)
+		}
+		source.Fail(nil)
+		<-time.After(5 * time.Second)
+		// The owner of the duty dies as the list changes.
+		for round := range 3 {
+			held := cluster.Controls[0].Control.View().DutyOf(controlplane.RosterDuty)
+			at := slices.IndexFunc(cluster.Controls, func(machine *Machine) bool { return machine.Control.Name() == held.Owner })
+			owner := cluster.Controls[at]
+			if round == 0 {
+				owner.Kill()
+			} else {
+				cluster.Network.Isolate(owner.Host)
+			}
+			life := fmt.Sprintf("after-%d", round)
+			source.Put([]feed.Runner{runner(life, feed.Leaving, 0)})
+			t.Logf("round %d: leaving after the owner's end: %s", round, until(t, 2700*time.Millisecond, watching, "a change as the duty's owner ends", func(view *feed.View) bool { return stateOf(view, life) == feed.Leaving }))
+			if round == 0 {
+				if err := owner.Start(); err != nil {
+					t.Fatal(err)
+				}
+			} else {
+				cluster.Network.Rejoin(owner.Host)
+			}
+			<-time.After(5 * time.Second)
+		}
+	})
+}
+
+// byThemselves is the shape of a fleet that nobody enrols machines in.
+func byThemselves(controls, stores int) Shape {
+	return Shape{Controls: controls, Stores: stores, Fronts: 2, Models: 2, Applications: 2, Groups: 32, AutoEnrol: true}
+}
+
+// keptBy tells, at all stores, which hold a full part of every group: nil if those given
+// hold all of them and nobody else does.
+func (cluster *Cluster) keptBy(machines ...*Machine) error {
+	names, led := []string{}, 0
+	for _, machine := range machines {
+		names = append(names, machine.Store.Name())
+	}
+	for _, machine := range cluster.Stores {
+		if machine.Store == nil {
+			continue
+		}
+		for group, status := range machine.Store.Host().Statuses() {
+			if !status.Confirmed {
+				continue
+			}
+			led++
+			if status.Changing || len(status.Replicas.Learners) > 0 || len(status.Replicas.Voters) != 3 {
+				return fmt.Errorf("group %d has %v, changing: %v", group, status.Replicas, status.Changing)
+			}
+			for _, voter := range status.Replicas.Voters {
+				if !slices.Contains(names, voter) {
+					return fmt.Errorf("group %d, led by %s in term %d, is kept by %s of %v", group, machine.Host, status.Term, voter, status.Replicas)
+				}
+			}
+		}
+	}
+	if led != int(cluster.groups) {
+		return fmt.Errorf("%d groups are led", led)
+	}
+	return nil
+}
+
+// TestStoresComeAndGoByThemselves exchanges one store after another: by a machine at
+// another address, by a lost disk at the same one, and by one more and one less. A store
+// is lost as soon as the one before has been made up for.
+func TestStoresComeAndGoByThemselves(t *testing.T) {
+	simulate(t, byThemselves(3, 3), func(t *testing.T, cluster *Cluster) {
+		said := cluster.dialogues(t, 8)
+		<-time.After(6 * time.Second) // archived
+		stop := cluster.callers(100 * time.Millisecond)
+		defer stop()
+		random := cluster.Random(31)
+		await := func(patience time.Duration, what string, machines ...*Machine) {
+			t.Helper()
+			began := time.Now()
+			if err := cluster.Await(patience, what, func() error { return cluster.keptBy(machines...) }); err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%s: %s", what, time.Since(began))
+		}
+		for round := range 4 {
+			at := random.IntN(3)
+			lost := cluster.Stores[at]
+			lost.LosePower()
+			<-time.After(time.Duration(random.IntN(3000)) * time.Millisecond)
+			fresh := cluster.AddStore(3 + 3*round + at) // the same domain
+			if round%2 == 1 {
+				fresh = lost
+				fresh.Wipe()
+			}
+			cluster.Stores[at] = fresh
+			if err := fresh.Start(); err != nil {
+				t.Fatal(err)
+			}
+			await(4500*time.Millisecond, fmt.Sprintf("round %d: all groups on the new store", round), cluster.Stores...)
+		}
+		// One more: it gets its share. One less: the others make up for it.
+		more := cluster.AddStore(30)
+		if err := more.Start(); err != nil {
+			t.Fatal(err)
+		}
+		cluster.Stores = append(cluster.Stores, more)
+		if err := cluster.Await(3*time.Second, "share for the fourth store", func() error {
+			if len(more.Store.Host().Statuses()) < 8 {
+				return fmt.Errorf("it has %d groups", len(more.Store.Host().Statuses()))
+			}
+			return nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+		await(6*time.Second, "one store more", cluster.Stores...)
+		cluster.Stores[1].LosePower()
+		left := slices.Delete(slices.Clone(cluster.Stores), 1, 2)
+		cluster.Stores = left
+		await(16*time.Second, "one store less", left...)
+		// The last copies are never given up.
+		left[2].LosePower()
+		<-time.After(20 * time.Second)
+		told, err := cluster.fleet()
+		if err != nil || len(told.Stores) != 3 {
+			t.Fatalf("stores: %v (%v)", told.Stores, err)
+		}
+		if err := left[2].Start(); err != nil {
+			t.Fatal(err)
+		}
+		await(6*time.Second, "the third store is back", left...)
+		if err := cluster.AwaitServing(6 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		cluster.followUp(t, said)
+	})
+}
+
+// votingControls gives the control nodes that vote, by the leader's word.
+func (cluster *Cluster) votingControls() []string {
+	for _, machine := range cluster.Controls {
+		if machine.Control != nil && machine.Control.Leading() {
+			view := machine.Control.View()
+			hosts := []string{}
+			for _, member := range view.Controls {
+				hosts = append(hosts, hostOf(member.Address)+" "+member.Name)
+			}
+			return hosts
+		}
+	}
+	return nil
+}
+
+// TestControlNodesAreExchangedOneAfterAnother loses a control node for good, lets an empty
+// one come at another address or the same, and loses the next as soon as that one votes.
+func TestControlNodesAreExchangedOneAfterAnother(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprintf("of-%d", size), func(t *testing.T) {
+			shape := byThemselves(size, 3)
+			shape.Adjust = func(_ *Cluster, settings *controlplane.Settings) {
+				settings.MostControls = size
+			}
+			simulate(t, shape, func(t *testing.T, cluster *Cluster) {
+				joins := false
+				cluster.adjust = func(_ *Cluster, settings *controlplane.Settings) {
+					settings.MostControls, settings.Joins = size, joins
+				}
+				joins = true
+				random := cluster.Random(33)
+				for round := range 5 {
+					mark := fmt.Sprintf("round %d", round)
+					if err := cluster.PutCharter(Rules + "// " + mark + "\n"); err != nil {
+						t.Fatal(err)
+					}
+					at := random.IntN(size)
+					if round == 1 { // the leader
+						at = slices.IndexFunc(cluster.Controls, func(machine *Machine) bool { return machine.Control.Leading() })
+					}
+					lost := cluster.Controls[at]
+					lost.LosePower()
+					<-time.After(time.Duration(random.IntN(1500)) * time.Millisecond)
+					fresh := cluster.AddControl(size + round)
+					if round%2 == 1 {
+						fresh = lost
+						fresh.Wipe()
+					}
+					cluster.Controls[at] = fresh
+					if lost != fresh {
+						for seed, address := range cluster.seeds {
+							if hostOf(address) == lost.Host {
+								cluster.seeds = slices.Clone(cluster.seeds)
+								cluster.seeds[seed] = fresh.Host + ":7000"
+							}
+						}
+					}
+					if err := fresh.Start(); err != nil {
+						t.Fatal(err)
+					}
+					began := time.Now()
+					if err := cluster.Await(4500*time.Millisecond, "new voter", func() error {
+						voting := cluster.votingControls()
+						if len(voting) != size || !slices.Contains(voting, fresh.Host+" "+fresh.Control.Name()) {
+							return fmt.Errorf("voting: %v", voting)
+						}
+						return nil
+					}); err != nil {
+						t.Fatalf("round %d: %v", round, err)
+					}
+					t.Logf("round %d: the new control node votes after %s", round, time.Since(began))
+					cluster.wantCharter(t, mark)
+				}
+			})
+		})
+	}
+}
--- a/system/agreement/core.go
+++ b/system/agreement/core.go
@@ -101,6 +101,7 @@
 	core.stable = core.last()
 	core.findReplicas()
 	core.become(follower, "")
+	core.hurry() // who has a leader refuses the pre-vote
 	return core
 }
 
@@ -239,6 +240,13 @@
 	core.electionTimeout = core.settings.ElectionTicks + core.random.IntN(core.settings.ElectionTicks)
 }
 
+// hurry shortens the wait for the next election, where no leader is known that could be
+// disturbed.
+func (core *Core) hurry() {
+	half := max(core.settings.ElectionTicks/2, 1)
+	core.electionTimeout = half + core.random.IntN(half)
+}
+
 func (core *Core) setTerm(term uint64) {
 	if term > core.state.Term {
 		core.state = State{Term: term}
@@ -302,11 +310,13 @@
 // cut off does not depose a leader.
 func (core *Core) campaign() {
 	core.become(preCandidate, "")
+	core.hurry()
 	core.askVotes(Message{Kind: MessagePreVote, Term: core.state.Term + 1})
 }
 
 func (core *Core) startElection(forced bool) {
 	core.become(candidate, "")
+	core.hurry()
 	core.setTerm(core.state.Term + 1)
 	core.state.Voted = core.settings.Name
 	core.dirtyState = true
--- a/system/controlplane/changes.go
+++ b/system/controlplane/changes.go
@@ -210,7 +210,7 @@
 // taken in again. It goes before the learner votes, so that it is never counted beside it.
 // It tells whether a change is under way.
 func (node *Node) enrolControls(ctx context.Context) bool {
-	status := node.host.Statuses()[controlGroup]
+	status, _ := node.host.Status(controlGroup)
 	if !status.Leading || status.Changing {
 		return status.Leading
 	}
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -417,11 +417,19 @@
 			live = append(live, known.member)
 		}
 	}
+	span := func(member feed.Member) session {
+		if member.Name == node.Name() {
+			return session{since: node.began, heard: time.Now()}
+		}
+		return node.sessions[member.Name]
+	}
 	slices.SortFunc(live, func(left, right feed.Member) int {
-		return cmp.Or(strings.Compare(left.Address, right.Address), strings.Compare(left.Role, right.Role), node.sessions[right.Name].since.Compare(node.sessions[left.Name].since))
+		return cmp.Or(strings.Compare(left.Address, right.Address), strings.Compare(left.Role, right.Role), span(left).since.Compare(span(right).since))
 	})
-	live = slices.CompactFunc(live, func(last, earlier feed.Member) bool {
-		return last.Address == earlier.Address && last.Role == earlier.Role && node.sessions[last.Name].since.After(node.sessions[earlier.Name].heard)
+	next := 0
+	live = slices.DeleteFunc(live, func(member feed.Member) bool {
+		next++
+		return next < len(live) && live[next].Address == member.Address && live[next].Role == member.Role && span(live[next]).since.After(span(member).heard)
 	})
 	slices.SortFunc(live, func(left, right feed.Member) int { return strings.Compare(left.Name, right.Name) })
 	return live
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -113,11 +113,18 @@
 	})
 }
 
-// newStores gives the live stores that are not in the list.
+// knownFor tells how long ago a node was first heard of.
+func (node *Node) knownFor(name string) time.Duration {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return time.Since(node.sessions[name].since)
+}
+
+// newStores gives the stores that were heard just now and are not in the list.
 func (node *Node) newStores(view *feed.View) []feed.Member {
 	return slices.DeleteFunc(node.Live(), func(member feed.Member) bool {
 		listed := slices.ContainsFunc(view.Stores, func(store feed.Member) bool { return store.Name == member.Name })
-		return member.Role != feed.RoleStore || listed || view.WasRetired(member) || node.succeeded(member)
+		return member.Role != feed.RoleStore || listed || view.WasRetired(member) || node.silent(member.Name, doubtPatience)
 	})
 }
 
@@ -148,7 +155,7 @@
 }
 
 // tendStores keeps the store list by itself: a new store takes the place of one of its
-// domain that is silent, or is added; one that is lost goes, as long as enough others are
+// domain that is silent, or, once there has been time to notice such a one, is added; one that is lost goes, as long as enough others are
 // there. Groups then move by their own leaders, who give nothing up before they have made
 // up for it; so a store that was given up too early has cost no more than some copying.
 func (node *Node) tendStores(ctx context.Context) {
@@ -161,12 +168,14 @@
 		if slices.ContainsFunc(next, func(store feed.Member) bool { return store.Address == fresh.Address }) {
 			continue // replaceStores decides
 		}
-		at := slices.IndexFunc(next, func(store feed.Member) bool {
-			return store.Domain == fresh.Domain && store.State != feed.Retiring && node.silent(store.Name, silencePatience)
-		})
-		if at >= 0 {
+		silent := func(patience time.Duration) int {
+			return slices.IndexFunc(next, func(store feed.Member) bool {
+				return store.Domain == fresh.Domain && store.State != feed.Retiring && node.silent(store.Name, patience)
+			})
+		}
+		if at := silent(silencePatience); at >= 0 {
 			node.replaceStore(next, at, fresh)
-		} else {
+		} else if node.knownFor(fresh.Name) >= doubtPatience && silent(doubtPatience) < 0 {
 			log.WithFields(log.Fields{"node": node.Name(), "store": fresh.Name}).Info("store_enrolled")
 			next = append(next, fresh)
 		}
--- a/system/replica/host.go
+++ b/system/replica/host.go
@@ -383,8 +383,11 @@
 	output := member.core.Step(input)
 	if output.Restore != nil {
 		member.pointed, member.logged = len(output.Restore.Data), 0
-		if err := member.machine.Restore(output.Restore.Data); err != nil {
-			log.WithFields(log.Fields{"node": host.name, "group": number, "error": err.Error()}).Error("restore_failed")
+		// What was founded empty comes without content, to a replica that has none either.
+		if data := output.Restore.Data; len(data) > 0 {
+			if err := member.machine.Restore(data); err != nil {
+				log.WithFields(log.Fields{"node": host.name, "group": number, "error": err.Error()}).Error("restore_failed")
+			}
 		}
 		for index, waiting := range member.proposals {
 			if index <= output.Restore.Index {
@@ -685,6 +688,18 @@
 //	for number, status := range host.Statuses() { ... }
 func (host *Host) Statuses() map[uint32]agreement.Status { return *host.statuses.Load() }
 
+// Status gives what one group here believes right now; false tells that it is not here.
+//
+//	status, here := host.Status(7)
+func (host *Host) Status(number uint32) (status agreement.Status, here bool) {
+	host.do(func() {
+		if member := host.groups[number]; member != nil {
+			status, here = member.core.Status(), true
+		}
+	})
+	return status, here
+}
+
 // Machine gives a group's state machine, or nil.
 //
 //	machine := host.Machine(7)
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -62,7 +62,7 @@
 		}
 		if moving < movesAtOnce && node.movable(status, target) {
 			moving++
-			steps.Go(func() { node.moveOne(group, status, target, view) })
+			steps.Go(func() { node.moveOne(group, target, view) })
 		}
 	}
 	steps.Wait()
@@ -85,9 +85,10 @@
 // moveOne takes one step for a group: enrol a missing replica as learner, make a
 // learner that holds everything a voter, or let a voter go that is not wanted. One whose
 // store is gone goes before the learner votes, so that it is never counted beside it.
-func (node *Node) moveOne(group uint32, status agreement.Status, target []string, view *feed.View) {
+func (node *Node) moveOne(group uint32, target []string, view *feed.View) {
+	status, _ := node.host.Status(group)
 	replicas := status.Replicas
-	if status.Changing {
+	if !status.Confirmed || status.Changing {
 		return
 	}
 	change := func(event, name string, next agreement.Replicas) {
