--- a/system/front/node.go
+++ b/system/front/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -66,8 +67,8 @@
 	draining atomic.Bool
 	// listedSince is since when this node's own session has been in the list.
 	listedSince atomic.Pointer[time.Time]
-	// fronts is how many live fronts share the runners, this one included.
-	fronts atomic.Int64
+	// fronts names the live fronts that share the runners, this one included, in order.
+	fronts atomic.Pointer[[]string]
 
 	context context.Context
 	stop    context.CancelFunc
@@ -82,6 +83,7 @@
 	node := &Node{settings: settings, name: "front-" + uuid.NewString(), caller: link.NewCaller(network), runners: runnerorigin.New(network), runs: newRuns()}
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.rules.Store(&inForce{view: &feed.View{}, charter: &charter.Charter{}})
+	node.fronts.Store(&[]string{node.name})
 	node.stores = storeorigin.New(node.caller, func() *feed.View { return node.rules.Load().view })
 	node.board = scheduling.NewBoard(node.name, settings.Domain, node.boardState, node.tellOfRunner)
 	node.pool = runnerpool.New(network, settings.Dialect)
@@ -145,7 +147,8 @@
 	if rules.charter.Routing == nil {
 		return
 	}
-	node.balancer.Update(balancer.State{View: rules.view, Routes: rules.charter.Routing, Fronts: max(int(node.fronts.Load()), 1)})
+	fronts := *node.fronts.Load()
+	node.balancer.Update(balancer.State{View: rules.view, Routes: rules.charter.Routing, Fronts: len(fronts), Front: node.name, Names: fronts})
 	node.pool.Retain(rules.view.Runners)
 }
 
@@ -234,7 +237,9 @@
 				node.tell(member, wire.RunnerNote{Address: address, Cooled: true})
 			}
 		}
-		if fronts := int64(len(now) + 1); node.fronts.Swap(fronts) != fronts {
+		fronts := append(slices.Collect(maps.Keys(now)), node.name)
+		slices.Sort(fronts)
+		if !slices.Equal(*node.fronts.Swap(&fronts), fronts) {
 			node.balance()
 		}
 		known = now
