--- a/system/balancer/choosing.go
+++ b/system/balancer/choosing.go
@@ -14,9 +14,11 @@
 	// and connections to many runners cost beside time.
 	distanceModel = 10
 	distancePlain = 0.15
-	// connecting is what a new connection costs, in milliseconds, with what it costs
+	// connectingModel and connectingPlain are what a new connection costs, in
+	// milliseconds and as a part of the time that plain work takes, with what it costs
 	// beside time.
-	connecting = 8
+	connectingModel = 8
+	connectingPlain = 0.2
 	// runningPart is how much slower a model runner gets with each query that it runs.
 	runningPart = 0.02
 	// fullPart is how much slower a plain runner is when its slots are all taken.
@@ -241,7 +243,7 @@
 // it takes at all of them.
 func (weigh *weighing) cost(one *candidate) float64 {
 	state, now := one.state, weigh.now
-	load := weigh.load(one)
+	load, fresh := weigh.load(one), state.out >= state.open.now(now)
 	cost := failureCost * state.health.chance(now)
 	cost += weigh.duration * math.Max(0, load-float64(one.slots)+1) / float64(one.slots)
 	if weigh.engine {
@@ -250,6 +252,9 @@
 		if !one.near {
 			cost += distanceModel
 		}
+		if fresh {
+			cost += connectingModel
+		}
 	} else {
 		full := math.Min(1, load/float64(one.slots))
 		cost += weigh.duration * (1 + state.slowness.now(now) + fullPart*full*full)
@@ -257,9 +262,9 @@
 		if !one.near {
 			cost += distancePlain * weigh.duration
 		}
-	}
-	if state.out >= state.open.now(now) {
-		cost += connecting
+		if fresh {
+			cost += connectingPlain * weigh.duration
+		}
 	}
 	if over := (state.arrivals.now(now)+weigh.arrivals)/weigh.bound - spreadFrom; over > 0 {
 		cost += spreadCost * over / (1 - spreadFrom)
--- a/system/balancer/health.go
+++ b/system/balancer/health.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/apex/log"
 )
 
 const (
@@ -109,9 +111,6 @@
 
 // eject keeps work away for a while that doubles.
 func (state *health) eject(now time.Duration) {
-	if now < state.until {
-		return
-	}
 	state.span = min(ejectMost, max(ejectFirst, 2*state.span))
 	state.until, state.trials = now+state.span, trialsNeeded
 }
@@ -154,6 +153,7 @@
 			break
 		}
 		state.misdirected = true
+		lease.note("runner_misdirected", nil)
 		lease.balancer.withdraw(state)
 	case Unused:
 		if lease.fromCold {
@@ -166,11 +166,17 @@
 
 // ill counts a failure, and ejects the runner unless too many are ejected already.
 func (lease *Lease) ill(weight float64, now time.Duration) {
-	if lease.state.health.ill(weight, now) && lease.balancer.mayEject(lease.Service.Name, lease.state, now) {
+	if lease.state.health.ill(weight, now) && !lease.state.health.ejected(now) && lease.balancer.mayEject(lease.Service.Name, lease.state, now) {
 		lease.state.health.eject(now)
+		lease.note("runner_ejected", log.Fields{"span": lease.state.health.span})
 	}
 }
 
+// note logs what befell the lease's runner.
+func (lease *Lease) note(event string, more log.Fields) {
+	log.WithFields(log.Fields{"runner": lease.Runner.Life, "address": lease.Runner.Address, "service": lease.Service.Name}).WithFields(more).Warn(event)
+}
+
 // mayEject tells whether the service can do without one more runner.
 func (balancer *Balancer) mayEject(service string, state *runnerState, now time.Duration) bool {
 	current := balancer.table.Load()
--- a/system/balancer/simulation_test.go
+++ b/system/balancer/simulation_test.go
@@ -187,6 +187,7 @@
 	perRunner             map[string]int
 	arrivals              map[string][]time.Time
 	slowTurns, shouldRead int
+	opened                int // connections
 }
 
 func (result *outcome) first() float64 { return mean(result.firsts) }
@@ -205,9 +206,9 @@
 }
 
 func (result *outcome) String() string {
-	return fmt.Sprintf("turns %d refused %d far %.2f kept %.3f first mean %.1f p90 %.1f p99 %.1f program mean %.3f p90 %.3f most %d slow %d",
+	return fmt.Sprintf("turns %d refused %d far %.2f kept %.3f first mean %.1f p90 %.1f p99 %.1f program mean %.3f p90 %.3f most %d slow %d connections %d",
 		result.turns, result.refused, float64(result.far)/float64(result.turns), 1-float64(result.toRead-result.shouldRead)/float64(max(1, result.tokens-result.shouldRead)),
-		result.first(), quantile(result.firsts, 0.9), quantile(result.firsts, 0.99), mean(result.ratios), quantile(result.ratios, 0.9), result.most, result.slowTurns)
+		result.first(), quantile(result.firsts, 0.9), quantile(result.firsts, 0.99), mean(result.ratios), quantile(result.ratios, 0.9), result.most, result.slowTurns, result.opened)
 }
 
 // play runs a deployment.
@@ -243,6 +244,7 @@
 	for at := range openings {
 		openings[at] = math.Pow(float64(at/2+1), -0.7)
 	}
+	idle := map[string][]float64{} // since when connections are, by front and runner
 	var take func(program, session string, front int, home []int, parts []Part, left int, done func())
 	take = func(program, session string, front int, home []int, parts []Part, left int, done func()) {
 		if left == 0 {
@@ -273,6 +275,13 @@
 			result.far++
 		}
 		result.turns++
+		line := fmt.Sprint(at, chosen.Life)
+		if last := len(idle[line]) - 1; last >= 0 && world.now-idle[line][last] < 10_000 {
+			idle[line] = idle[line][:last]
+		} else {
+			result.opened++
+			idle[line] = nil
+		}
 		asked := world.now
 		result.perRunner[chosen.Life]++
 		result.arrivals[chosen.Life] = append(result.arrivals[chosen.Life], clock())
@@ -301,6 +310,7 @@
 		}
 		one.done = func() {
 			world.after(way, func() {
+				idle[line] = append(idle[line], world.now)
 				if !setup.random {
 					lease.Release(Answered, nil)
 				}
