--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -160,10 +160,16 @@
 	if err != nil {
 		return err
 	}
-	return watch.Await(ctx, "filled", func(node *Hollow) bool {
+	if err := watch.Await(ctx, "filled", func(node *Hollow) bool {
 		view := node.View()
 		return view.Number >= number && len(view.Runners) == trial.step.Runners
-	})
+	}); err != nil {
+		return err
+	}
+	view := watch.Nodes()[0].View()
+	trial.told.Figures["view.kib"] = float64(len(wire.MustEncode(schema.View_TypeID, view))) / 1024
+	trial.told.Figures["view.charter_kib"] = float64(len(view.Source)+len(view.Compiled)) / 1024
+	return nil
 }
 
 // settling is how long a fleet is left alone after its nodes have joined; by then its
