--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -132,18 +132,18 @@
 //	err := herd.Await(ctx, "fresh", (*scale.Hollow).Fresh)
 func (herd *Herd) Await(ctx context.Context, what string, holds func(*Hollow) bool) error {
 	for {
-		left := 0
+		left := []string{}
 		for _, node := range herd.Nodes() {
 			if !holds(node) {
-				left++
+				left = append(left, fmt.Sprintf("%s (at number %d, fresh: %t)", node.Name, node.View().Number, node.Fresh()))
 			}
 		}
-		if left == 0 {
+		if len(left) == 0 {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%d of %d hollow nodes are not %s: %w", left, len(herd.Nodes()), what, ctx.Err())
+			return fmt.Errorf("%d of %d hollow nodes are not %s, such as %s: %w", len(left), len(herd.Nodes()), what, left[0], ctx.Err())
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -361,11 +361,19 @@
 	figures[name+".in_force_median_s"] = medians.Seconds() / float64(count)
 	figures[name+".in_force_most_s"] = most.Seconds()
 	figures[name+".bytes_in_per_hollow"] = float64(after.read-before.read) / float64(trial.step.Nodes*count)
-	cores := 0.0
-	for process, used := range after.processes {
-		cores += used.Seconds - before.processes[process].Seconds
+	seconds, processes := map[string]float64{}, map[string]float64{}
+	for _, process := range trial.fleet.Processes {
+		if used, found := after.processes[process.Name]; found {
+			seconds[process.Role] += used.Seconds - before.processes[process.Name].Seconds
+			processes[process.Role]++
+			if process.Role == "control" {
+				figures[name+".control_memory_mib"] = max(figures[name+".control_memory_mib"], used.Memory)
+			}
+		}
+	}
+	for role, used := range seconds {
+		figures[name+"."+role+"_processor_s"] = used / processes[role] / float64(count)
 	}
-	figures[name+".real_processor_s"] = cores / float64(count)
 	return nil
 }
 
