--- a/proof/simulator/membership_test.go
+++ b/proof/simulator/membership_test.go
@@ -309,3 +309,39 @@
 		})
 	}
 }
+
+// TestWhatSessionsCostIsBoundAsTheFleetGrows counts what control nodes write while nothing
+// happens, with few and with many nodes that hold sessions and follow the feed.
+func TestWhatSessionsCostIsBoundAsTheFleetGrows(t *testing.T) {
+	simulate(t, Shape{Controls: 3, Stores: 3, Fronts: 2, Models: 1, Applications: 1, Engines: 1}, func(t *testing.T, cluster *Cluster) {
+		const span = 10
+		measure := func() (messages, bytes, most int64) {
+			before := map[string][2]int64{}
+			for _, machine := range cluster.Controls {
+				sent, writes := cluster.Network.Sent(machine.Host)
+				before[machine.Host] = [2]int64{sent, writes}
+			}
+			<-time.After(span * time.Second)
+			for _, machine := range cluster.Controls {
+				sent, writes := cluster.Network.Sent(machine.Host)
+				messages += writes - before[machine.Host][1]
+				bytes += sent - before[machine.Host][0]
+				most = max(most, writes-before[machine.Host][1])
+			}
+			return messages / span, bytes / span, most / span
+		}
+		<-time.After(5 * time.Second)
+		messages, bytes, most := measure()
+		t.Logf("5 nodes that follow: %d messages and %d bytes a second from all control nodes, %d messages from one", messages, bytes, most)
+		cluster.watch(t, 60)
+		<-time.After(5 * time.Second)
+		moreMessages, moreBytes, mostOfMore := measure()
+		t.Logf("65 nodes that follow: %d messages and %d bytes a second from all control nodes, %d messages from one", moreMessages, moreBytes, mostOfMore)
+		if perNode := float64(moreMessages-messages) / 60; perNode > 6 || moreBytes > 400_000 {
+			t.Errorf("a node more costs the control nodes %.1f messages a second, and all 65 %d bytes", perNode, moreBytes)
+		}
+		if 10*mostOfMore > 7*moreMessages {
+			t.Errorf("one control node writes %d of %d messages", mostOfMore, moreMessages)
+		}
+	})
+}
--- a/system/controlplane/duties.go
+++ b/system/controlplane/duties.go
@@ -1,9 +1,7 @@
 package controlplane
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -95,36 +93,37 @@
 	if node.roster.fence != held.Fence {
 		node.roster.fence, node.roster.serving, node.roster.cold = held.Fence, map[string]time.Time{}, map[string]time.Time{}
 	}
-	runners, changed := node.roster.merge(view.Runners, listed, groups, asked)
-	if !changed {
+	change := feed.Change{Kind: feed.ChangeRoster, By: node.Name(), Duty: held, Expects: true, Expected: view.Number, Partial: true}
+	change.Runners, change.Gone = node.roster.compare(view.Runners, listed, groups, asked)
+	if len(change.Runners)+len(change.Gone) == 0 {
 		return
 	}
-	if _, err := node.Change(ctx, feed.Change{Kind: feed.ChangeRoster, By: node.Name(), Duty: held, Runners: runners}); err != nil {
+	if _, err := node.Change(ctx, change); err != nil {
+		node.roster.due = asked // the feed has gone on in the meantime
 		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("roster_refused")
 		return
 	}
-	clear(node.roster.cold)
-	for _, runner := range runners {
-		if runner.State == feed.Cold {
-			node.roster.cold[identity(runner)] = asked.Add(runner.ColdFor)
+	for _, runner := range change.Runners {
+		if delete(node.roster.cold, runner.Identity()); runner.State == feed.Cold {
+			node.roster.cold[runner.Identity()] = asked.Add(runner.ColdFor)
 		}
 	}
+	for _, name := range change.Gone {
+		delete(node.roster.cold, name)
+	}
 }
 
-// identity is what a runner is known by: its life, or its address if lives are not told.
-func identity(runner feed.Runner) string { return cmp.Or(runner.Life, runner.Address) }
-
-// merge keeps since when each runner is in its state, and tells which have served
-// for their group's ramp. It tells whether anything changed but that time went by.
-func (roster *rosterState) merge(before, listed []feed.Runner, groups map[string]charter.Group, now time.Time) ([]feed.Runner, bool) {
+// compare finds the runners of a list that are new or not as the feed says, and those of
+// the feed that are not listed any more. It keeps since when each runner is in its state,
+// and tells which have served for their group's ramp.
+func (roster *rosterState) compare(before, listed []feed.Runner, groups map[string]charter.Group, now time.Time) (changed []feed.Runner, gone []string) {
 	known := make(map[string]feed.Runner, len(before))
 	for _, runner := range before {
-		known[identity(runner)] = runner
+		known[runner.Identity()] = runner
 	}
-	runners, changed := make([]feed.Runner, 0, len(listed)), false
 	seen := make(map[string]bool, len(listed))
 	for _, runner := range listed {
-		name := identity(runner)
+		name := runner.Identity()
 		if seen[name] {
 			continue
 		}
@@ -144,25 +143,24 @@
 		default:
 			runner.Warmed = runner.Warmed || now.Sub(since) >= time.Duration(groups[runner.Group].Ramp)
 		}
-		changed = changed || !found || roster.differs(old, runner, now)
-		runners = append(runners, runner)
+		if !found || roster.differs(old, runner, now) {
+			changed = append(changed, runner)
+		}
 	}
-	for name := range roster.serving {
-		if !seen[name] {
-			delete(roster.serving, name)
+	for _, runner := range before {
+		if !seen[runner.Identity()] {
+			gone = append(gone, runner.Identity())
+			delete(roster.serving, runner.Identity())
 		}
 	}
-	slices.SortFunc(runners, func(left, right feed.Runner) int {
-		return cmp.Or(cmp.Compare(left.Address, right.Address), cmp.Compare(left.Life, right.Life))
-	})
-	return runners, changed || len(runners) != len(before)
+	return changed, gone
 }
 
 // differs compares a runner with what the feed says of it; that it has less long to
 // stay cold than before is no difference.
 func (roster *rosterState) differs(old, runner feed.Runner, now time.Time) bool {
 	colder := runner.ColdFor > old.ColdFor+coldSlack
-	if until, told := roster.cold[identity(runner)]; told {
+	if until, told := roster.cold[runner.Identity()]; told {
 		colder = now.Add(runner.ColdFor).After(until.Add(coldSlack))
 	}
 	old.ColdFor = runner.ColdFor
--- /dev/null
+++ b/system/controlplane/follow.go
@@ -0,0 +1,185 @@
+package controlplane
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"yardrock.example/system/feed"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+const (
+	// confirmInterval is the shortest time between two confirmations for followers; all
+	// who ask in between share the next.
+	confirmInterval = 50 * time.Millisecond
+	confirmPatience = 700 * time.Millisecond
+	longestWait     = 2 * time.Second
+	// liveAge is how old the list of live members that followers are told may be.
+	liveAge = 200 * time.Millisecond
+)
+
+// answerFollow renews the session here and has the leader confirm the number. While
+// nothing changes the answer is held for as long as the follower says.
+func (node *Node) answerFollow(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
+	follow, came := query.Follow, time.Now()
+	if follow.SessionOnly {
+		state, err := node.confirm(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return &wire.Reply{Which: schema.Reply_Which_follow, Follow: state.after(follow.After)}, nil
+	}
+	node.renew(follow.Member, 0, true)
+	if state := node.machine.state(); follow.Wait > 0 && follow.After == state.view.Number {
+		node.awaitNews(ctx, state, min(follow.Wait, longestWait))
+	}
+	state, began, err := node.confirmShared(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if query.Fleet == state.view.Fleet && follow.Member.Role == feed.RoleStore {
+		node.noteSynced(follow.Member.Name, follow.After)
+	}
+	answer := state.after(follow.After)
+	answer.Held = max(0, began.Sub(came))
+	if live := node.liveList(); live.digest != follow.Known {
+		answer.Members, answer.Known = live.members, live.digest
+	}
+	return &wire.Reply{Which: schema.Reply_Which_follow, Follow: answer}, nil
+}
+
+func (node *Node) awaitNews(ctx context.Context, state *feedState, patience time.Duration) {
+	tick := time.NewTimer(patience)
+	defer tick.Stop()
+	select {
+	case <-state.passed:
+	case <-tick.C:
+	case <-ctx.Done():
+	case <-node.context.Done():
+	}
+}
+
+// after is what one who holds the view of a number is to be told.
+func (state *feedState) after(number uint64) *wire.FollowReply {
+	answer := &wire.FollowReply{Newest: state.view.Number}
+	changes, complete := state.since(number)
+	if number == 0 || !complete {
+		answer.Reset, answer.View = true, *state.view
+	} else {
+		answer.Changes = changes
+	}
+	return answer
+}
+
+// confirm gives a state than which none was newer when it was asked for, by a quorum of the
+// control group: its leader's, wherever that is.
+func (node *Node) confirm(ctx context.Context) (*feedState, error) {
+	if node.Leading() {
+		if err := node.host.Read(ctx, controlGroup); err != nil {
+			return nil, err
+		}
+		return node.machine.state(), nil
+	}
+	own := node.machine.state()
+	reply, err := node.viaLeader(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{SessionOnly: true, After: own.view.Number}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.Follow == nil {
+		return nil, noQuorum()
+	}
+	if now := node.machine.state(); now.view.Number >= reply.Follow.Newest {
+		return now, nil
+	}
+	// This replica has not heard yet that the newest changes are committed.
+	view := *own.view
+	if reply.Follow.Reset {
+		return &feedState{view: &reply.Follow.View}, nil
+	}
+	for _, change := range reply.Follow.Changes {
+		view = feed.Fold(view, change)
+	}
+	if view.Number < reply.Follow.Newest {
+		return nil, noQuorum()
+	}
+	return &feedState{view: &view, changes: slices.Concat(own.changes, reply.Follow.Changes)}, nil
+}
+
+// confirmations lets all who ask at about the same time share one confirmation.
+type confirmations struct {
+	mutex sync.Mutex
+	next  *confirmation // has not begun yet; nil if nobody waits for one
+	last  time.Time     // when the last one began
+}
+
+type confirmation struct {
+	done  chan struct{}
+	began time.Time
+	state *feedState
+	err   error
+}
+
+// confirmShared is confirm for many; it tells when the confirmation began.
+func (node *Node) confirmShared(ctx context.Context) (*feedState, time.Time, error) {
+	shared := &node.confirmations
+	shared.mutex.Lock()
+	joined := shared.next
+	if joined == nil {
+		joined = &confirmation{done: make(chan struct{})}
+		shared.next = joined
+		pause := max(0, confirmInterval-time.Since(shared.last))
+		time.AfterFunc(pause, func() { node.runConfirmation(joined) })
+	}
+	shared.mutex.Unlock()
+	select {
+	case <-joined.done:
+		return joined.state, joined.began, joined.err
+	case <-ctx.Done():
+		return nil, time.Time{}, noQuorum()
+	case <-node.context.Done():
+		return nil, time.Time{}, noQuorum()
+	}
+}
+
+func (node *Node) runConfirmation(shared *confirmation) {
+	node.confirmations.mutex.Lock()
+	shared.began = time.Now()
+	node.confirmations.next, node.confirmations.last = nil, shared.began
+	node.confirmations.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(node.context, confirmPatience)
+	defer cancel()
+	shared.state, shared.err = node.confirm(ctx)
+	if shared.err != nil && ctx.Err() != nil && !mishap.Is(shared.err, mishap.NoQuorum) {
+		shared.err = noQuorum()
+	}
+	close(shared.done)
+}
+
+// liveList is Live as it was told to followers, with a digest that tells lists apart.
+type liveList struct {
+	members []feed.Member
+	digest  uint64
+	made    time.Time
+}
+
+func (node *Node) liveList() *liveList {
+	if last := node.listed.Load(); last != nil && time.Since(last.made) < liveAge {
+		return last
+	}
+	next := &liveList{members: node.Live(), made: time.Now()}
+	hash := fnv.New64a()
+	for _, member := range next.members {
+		for _, part := range []string{member.Name, member.Role, member.Address, member.Domain, member.State, member.Administration, member.Machine} {
+			hash.Write([]byte(part))
+			hash.Write([]byte{0})
+		}
+	}
+	next.digest = max(hash.Sum64(), 1) // 0 is the digest of who knows none
+	node.listed.Store(next)
+	return next
+}
--- a/system/controlplane/machine.go
+++ b/system/controlplane/machine.go
@@ -31,6 +31,8 @@
 	changes []feed.Change
 	// ordered is the number of the newest change that stores must have synced.
 	ordered uint64
+	// passed is closed once there is a newer state.
+	passed chan struct{}
 }
 
 // newestOrder finds the newest change of a checkpoint that stores must have synced.
@@ -52,12 +54,18 @@
 
 func newFeedMachine() *feedMachine {
 	machine := &feedMachine{}
-	machine.published.Store(&feedState{view: &feed.View{}})
+	machine.published.Store(&feedState{view: &feed.View{}, passed: make(chan struct{})})
 	return machine
 }
 
 func (machine *feedMachine) state() *feedState { return machine.published.Load() }
 
+// publish shows a state, and wakes those who wait for one after the last.
+func (machine *feedMachine) publish(next *feedState) {
+	next.passed = make(chan struct{})
+	close(machine.published.Swap(next).passed)
+}
+
 func expectation(view *feed.View, change feed.Change) uint64 {
 	if change.Kind == feed.ChangeCharter {
 		return view.CharterNumber
@@ -112,30 +120,16 @@
 	if !change.Kind.Observed() {
 		next.ordered = change.Number
 	}
-	if change.Kind == feed.ChangeRoster {
-		forgetRosters(next.changes[:len(next.changes)-1])
-	}
 	if change.Kind == feed.ChangeRecovered || change.Kind == feed.ChangeFounded {
 		next.changes = nil
 	}
 	if len(next.changes) > changesKept {
 		next.changes = slices.Clone(next.changes[len(next.changes)-changesKept:])
 	}
-	machine.published.Store(next)
+	machine.publish(next)
 	return changeOutcome{number: change.Number}
 }
 
-// forgetRosters drops the newest list of runners from earlier changes: who follows takes
-// all changes up to the newest at once, and only the last list counts.
-func forgetRosters(changes []feed.Change) {
-	for position := range slices.Backward(changes) {
-		if changes[position].Kind == feed.ChangeRoster {
-			changes[position].Runners = nil
-			return
-		}
-	}
-}
-
 // since gives the changes after a number, or false if a view is needed.
 func (state *feedState) since(number uint64) ([]feed.Change, bool) {
 	if number == state.view.Number {
@@ -165,6 +159,6 @@
 	if image.Version > controlImageFormat {
 		return mishap.New(mishap.FormatTooNew, fmt.Sprintf("control checkpoint of format %d", image.Version), "run the newer version of the program")
 	}
-	machine.published.Store(&feedState{view: &image.View, changes: image.Changes, ordered: newestOrder(&image.View, image.Changes)})
+	machine.publish(&feedState{view: &image.View, changes: image.Changes, ordered: newestOrder(&image.View, image.Changes)})
 	return nil
 }
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -98,6 +98,8 @@
 	decoded atomic.Pointer[decodedCharter]
 	// charterRoster is the source that is used if none is given.
 	charterRoster charterRoster
+	confirmations confirmations
+	listed        atomic.Pointer[liveList]
 }
 
 // Start opens the data folder and runs a control node until Close.
@@ -350,41 +352,6 @@
 	return mishap.Later(mishap.NoQuorum, "the control plane has no leader with a quorum now", "ask again in a second; if it stays, start the missing control nodes", time.Second)
 }
 
-// answerFollow renews the session here and has the leader confirm the number.
-func (node *Node) answerFollow(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
-	follow := query.Follow
-	if !follow.SessionOnly {
-		node.renew(follow.Member, 0, true)
-	}
-	if !node.Leading() {
-		forwarded := *follow
-		forwarded.SessionOnly = true
-		if query.Fleet != node.View().Fleet {
-			forwarded.Member = feed.Member{} // its numbers are not this fleet's
-		}
-		reply, err := node.viaLeader(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &forwarded})
-		if err == nil && reply.Follow != nil {
-			reply.Follow.Members = node.Live()
-		}
-		return reply, err
-	}
-	if err := node.host.Read(ctx, controlGroup); err != nil {
-		return nil, err
-	}
-	state := node.machine.state()
-	if follow.Member.Role == feed.RoleStore && query.Fleet == state.view.Fleet {
-		node.noteSynced(follow.Member.Name, follow.After)
-	}
-	answer := &wire.FollowReply{Newest: state.view.Number, Members: node.Live()}
-	changes, complete := state.since(follow.After)
-	if follow.After == 0 || !complete {
-		answer.Reset, answer.View = true, *state.view
-	} else {
-		answer.Changes = changes
-	}
-	return &wire.Reply{Which: schema.Reply_Which_follow, Follow: answer}, nil
-}
-
 func (node *Node) renew(member feed.Member, age time.Duration, direct bool) {
 	if member.Name == "" {
 		return
--- a/system/feed/feed.go
+++ b/system/feed/feed.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"iter"
 	"slices"
 	"time"
@@ -58,6 +59,11 @@
 	Revision string // of its software
 }
 
+// Identity is what a runner is known by: its life, or its address if lives are not told.
+//
+//	runners[runner.Identity()] = runner
+func (runner Runner) Identity() string { return cmp.Or(runner.Life, runner.Address) }
+
 // Domain is a zone, and whether it takes work.
 type Domain struct {
 	Name  string
@@ -106,6 +112,10 @@
 	Duty     Duty
 	View     View
 	Query    string
+	// Partial tells that Runners are only those that are new or other than before, and
+	// Gone the identities of those that are no longer listed.
+	Partial bool
+	Gone    []string
 }
 
 // View is everything in force at one number.
@@ -139,7 +149,13 @@
 	ChangeDomain: func(view *View, change Change) {
 		view.Domains = replace(view.Domains, change.Domain, func(domain Domain) bool { return domain.Name == change.Domain.Name })
 	},
-	ChangeRoster: func(view *View, change Change) { view.Runners = change.Runners },
+	ChangeRoster: func(view *View, change Change) {
+		if change.Partial {
+			view.Runners = amended(view.Runners, change.Runners, change.Gone)
+		} else {
+			view.Runners = change.Runners
+		}
+	},
 	ChangeStores: func(view *View, change Change) {
 		if len(view.FoundingStores) == 0 {
 			view.FoundingStores = change.Members
@@ -160,6 +176,36 @@
 	},
 }
 
+// amended gives a list of runners with some replaced or added and some taken out, in the
+// lists' order.
+func amended(runners, changed []Runner, gone []string) []Runner {
+	out := make(map[string]bool, len(changed)+len(gone))
+	for _, runner := range changed {
+		out[runner.Identity()] = true
+	}
+	for _, name := range gone {
+		out[name] = true
+	}
+	next := make([]Runner, 0, len(runners)+len(changed))
+	for _, runner := range runners {
+		if !out[runner.Identity()] {
+			next = append(next, runner)
+		}
+	}
+	next = append(next, changed...)
+	SortRunners(next)
+	return next
+}
+
+// SortRunners puts runners in the order of lists: by address, then by life.
+//
+//	feed.SortRunners(view.Runners)
+func SortRunners(runners []Runner) {
+	slices.SortFunc(runners, func(left, right Runner) int {
+		return cmp.Or(cmp.Compare(left.Address, right.Address), cmp.Compare(left.Life, right.Life))
+	})
+}
+
 func replace[Item any](items []Item, item Item, same func(Item) bool) []Item {
 	items = slices.Clone(items)
 	if at := slices.IndexFunc(items, same); at >= 0 {
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -4,6 +4,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"yardrock.example/system/feed"
 	"yardrock.example/system/link"
 	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
 	"yardrock.example/system/wire"
 	"yardrock.example/system/wire/schema"
 )
@@ -22,12 +24,23 @@
 	// Window is how long one confirmation that nothing newer exists holds,
 	// counted from when it was asked for.
 	Window       = 1500 * time.Millisecond
-	interval     = 300 * time.Millisecond
 	askPatience  = 700 * time.Millisecond
 	hedgeAfter   = 250 * time.Millisecond
 	seedPatience = time.Second
+	// shortestPause is between the end of a round and the next; after rounds without a
+	// control node it grows to longestPause.
+	shortestPause = 50 * time.Millisecond
+	longestPause  = 300 * time.Millisecond
+	// homeInterval is how often a node looks whether a nearer control node is there.
+	homeInterval = 15 * time.Second
 )
 
+// waits tells for how long a control node may hold its answer while nothing changes.
+// Stores are few, and are missed soon.
+var waits = map[string]time.Duration{feed.RoleStore: 300 * time.Millisecond}
+
+const usualWait = 700 * time.Millisecond
+
 // Follower follows the feed for one node.
 type Follower struct {
 	caller     *link.Caller
@@ -43,6 +56,9 @@
 	control    string
 	known      []string
 	turns      int
+	failures   int        // rounds in a row without an answer of a control node
+	chosen     time.Time  // when the control node was chosen
+	digest     uint64     // of the members known, as their control node told it
 	foreign    chan error // holds what makes this node's data folder useless here
 	context    context.Context
 	stop       context.CancelFunc
@@ -157,53 +173,63 @@
 			return
 		case <-tick.C:
 		}
-		follower.round()
-		tick.Reset(interval)
+		if follower.round() {
+			follower.failures = 0
+		} else {
+			follower.failures++
+		}
+		tick.Reset(min(longestPause, shortestPause*time.Duration(max(1, follower.failures))))
 	}
 }
 
-// round asks a control node, and after a short while the stores too.
-func (follower *Follower) round() {
-	asked := time.Now()
+// round asks a control node, which may hold its answer for a while if it answered last
+// time, and the stores too if the answer is late. It tells whether the control node
+// confirmed.
+func (follower *Follower) round() bool {
+	wait := time.Duration(0)
+	if follower.failures == 0 && follower.controlled.Load() > 0 {
+		wait = cmp.Or(waits[follower.member.Role], usualWait)
+	}
 	byControl := make(chan bool, 1)
-	go func() { byControl <- follower.askControl(asked) }()
-	hedge := time.NewTimer(hedgeAfter)
+	go func() { byControl <- follower.askControl(wait) }()
+	hedge := time.NewTimer(wait + hedgeAfter)
 	defer hedge.Stop()
 	select {
 	case confirmed := <-byControl:
 		if !confirmed {
-			follower.askStores(asked)
+			follower.askStores()
 		}
+		return confirmed
 	case <-hedge.C:
-		follower.askStores(asked)
-		<-byControl
+		follower.askStores()
+		return <-byControl
 	}
 }
 
-func (follower *Follower) askControl(asked time.Time) bool {
+func (follower *Follower) askControl(wait time.Duration) bool {
 	address := follower.pickControl()
 	if address == "" {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(follower.context, askPatience)
+	ctx, cancel := context.WithTimeout(follower.context, wait+askPatience)
 	defer cancel()
-	view := follower.view.Load()
-	reply, err := follower.caller.Call(ctx, address, &wire.Query{Fleet: view.Bound(), Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{Member: follower.member, After: view.Number}})
-	if err != nil {
+	asked, view := time.Now(), follower.view.Load()
+	reply, err := follower.caller.Call(ctx, address, &wire.Query{Fleet: view.Bound(), Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{Member: follower.member, After: view.Number, Wait: wait, Known: follower.digest}})
+	if err != nil || reply.Follow == nil {
 		if ctx.Err() != nil {
 			follower.caller.Drop(address)
 		}
-		if follower.context.Err() == nil {
+		if follower.context.Err() == nil && err != nil {
 			log.WithFields(log.Fields{"node": follower.member.Name, "control": address, "error": err.Error()}).Warn("follow_failed")
 		}
-		follower.control = ""
+		follower.control, follower.digest = "", 0
 		follower.noteForeign(err)
 		return false
 	}
-	if reply.Follow == nil {
-		return false
+	if reply.Follow.Known != 0 {
+		follower.members.Store(&reply.Follow.Members)
+		follower.digest = reply.Follow.Known
 	}
-	follower.members.Store(&reply.Follow.Members)
 	next := *view
 	if reply.Follow.Reset {
 		next = reply.Follow.View
@@ -214,11 +240,12 @@
 	if next.Number < reply.Follow.Newest {
 		return false
 	}
-	follower.controlled.Store(int64(asked.Sub(follower.began)))
+	confirmed := asked.Add(reply.Follow.Held)
+	follower.controlled.Store(int64(confirmed.Sub(follower.began)))
 	if !follower.Adopt(&next) {
 		return false
 	}
-	follower.confirm(asked)
+	follower.confirm(confirmed)
 	return true
 }
 
@@ -240,16 +267,21 @@
 //	err := <-following.Foreign()
 func (follower *Follower) Foreign() <-chan error { return follower.foreign }
 
-// pickControl keeps to one control node while it answers; else it takes the next
-// of those the view or the seeds name.
+// pickControl keeps to one control node while it answers, but comes home to the one that
+// is best for this node; else it takes the next of those the view or the seeds name.
 func (follower *Follower) pickControl() string {
+	view := follower.view.Load()
+	if follower.control != "" && time.Since(follower.chosen) > homeInterval {
+		follower.chosen = time.Now()
+		if ranked := follower.ranked(view); len(ranked) > 0 && follower.livesAt(ranked[0]) {
+			follower.control, follower.known = ranked[0], ranked[1:]
+		}
+	}
 	if follower.control != "" {
 		return follower.control
 	}
 	if len(follower.known) == 0 {
-		for _, member := range follower.view.Load().Controls {
-			follower.known = append(follower.known, member.Address)
-		}
+		follower.known = follower.ranked(view)
 		follower.turns++
 		if len(follower.known) == 0 || follower.turns%2 == 0 {
 			follower.known = append(follower.askSeeds(), follower.known...)
@@ -258,36 +290,64 @@
 	if len(follower.known) == 0 {
 		return ""
 	}
-	follower.control, follower.known = follower.known[0], follower.known[1:]
+	follower.control, follower.known, follower.chosen = follower.known[0], follower.known[1:], time.Now()
 	return follower.control
 }
 
-func (follower *Follower) askSeeds() []string {
-	found := []string{}
-	for _, seed := range *follower.seeds.Load() {
-		ctx, cancel := context.WithTimeout(follower.context, seedPatience)
-		reply, err := follower.caller.Call(ctx, seed, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
-		cancel()
-		if err != nil || reply.Status == nil {
-			continue
-		}
-		if reply.Status.Role == feed.RoleControl && !reply.Status.Empty {
-			found = append(found, seed)
-		}
-		for _, member := range reply.Status.Controls {
-			found = append(found, member.Address)
+// ranked lists the control nodes of a view, those of this node's domain first, and spread
+// evenly over the nodes that ask.
+func (follower *Follower) ranked(view *feed.View) []string {
+	places, near, far := []placement.Place{}, []string{}, []string{}
+	for _, member := range view.Controls {
+		places = append(places, placement.Place{Name: member.Address, Domain: member.Domain})
+	}
+	for _, place := range placement.Ranked(follower.member.Name, places) {
+		if place.Domain == follower.member.Domain {
+			near = append(near, place.Name)
+		} else {
+			far = append(far, place.Name)
 		}
-		if len(found) > 0 {
-			break
+	}
+	return append(near, far...)
+}
+
+func (follower *Follower) livesAt(address string) bool {
+	return slices.ContainsFunc(follower.Members(), func(member feed.Member) bool { return member.Address == address })
+}
+
+// askSeeds asks all seeds at once, and gives what the first of use tells of control nodes.
+func (follower *Follower) askSeeds() []string {
+	seeds := *follower.seeds.Load()
+	ctx, cancel := context.WithTimeout(follower.context, seedPatience)
+	defer cancel()
+	answers := make(chan []string, len(seeds))
+	for _, seed := range seeds {
+		go func() {
+			found := []string{}
+			reply, err := follower.caller.Call(ctx, seed, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+			if err == nil && reply.Status != nil {
+				if reply.Status.Role == feed.RoleControl && !reply.Status.Empty {
+					found = append(found, seed)
+				}
+				for _, member := range reply.Status.Controls {
+					found = append(found, member.Address)
+				}
+			}
+			answers <- found
+		}()
+	}
+	for range seeds {
+		if found := <-answers; len(found) > 0 {
+			return found
 		}
 	}
-	return found
+	return nil
 }
 
 // askStores takes the newest view of a store majority; that majority meets every
 // one that a change was acknowledged by.
-func (follower *Follower) askStores(asked time.Time) {
-	view := follower.view.Load()
+func (follower *Follower) askStores() {
+	asked, view := time.Now(), follower.view.Load()
 	stores := feed.Keepers(view.Stores)
 	if len(stores) == 0 {
 		return
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -427,6 +427,8 @@
   duty @12 :Duty;
   view @13 :View;
   query @14 :Text;
+  partial @15 :Bool;
+  gone @16 :List(Text);
 }
 
 struct View {
@@ -456,6 +458,8 @@
   member @0 :Member;
   after @1 :UInt64;
   sessionOnly @2 :Bool;
+  wait @3 :Int64;
+  known @4 :UInt64;
 }
 
 struct FollowReply {
@@ -464,6 +468,8 @@
   view @2 :View;
   changes @3 :List(Change);
   members @4 :List(Member);
+  held @5 :Int64;
+  known @6 :UInt64;
 }
 
 struct HoldQuery {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -239,20 +239,26 @@
 }
 
 // FollowQuery renews a node's session and asks for changes after a number. The
-// answer counts as confirmed by a control quorum.
+// answer counts as confirmed by a control quorum. With Wait it is held so long while
+// nothing changes. Known is the digest of the members that the asker knows.
 type FollowQuery struct {
 	Member      feed.Member
 	After       uint64
 	SessionOnly bool
+	Wait        time.Duration
+	Known       uint64
 }
 
-// FollowReply answers a FollowQuery.
+// FollowReply answers a FollowQuery. Held is how long after the query came the
+// confirmation began, at least. Members are told if they are not those of Known.
 type FollowReply struct {
 	Newest  uint64
 	Reset   bool
 	View    feed.View
 	Changes []feed.Change
 	Members []feed.Member
+	Held    time.Duration
+	Known   uint64
 }
 
 // HoldQuery gives a store a view to sync.
