Reading a prompt anew counts for more the more runs beside it

With twice the programs, turns moved away from busy runners, and what they read anew held the others up.

--- a/system/balancer/choosing.go
+++ b/system/balancer/choosing.go
@@ -21,6 +21,10 @@
 	connectingPlain = 0.2
 	// runningPart is how much slower a model runner gets with each query that it runs.
 	runningPart = 0.02
+	// While a prompt is read, the queries that run beside it are held up in part: reading
+	// costs this much more with each that a runner of the service has, at most so much.
+	burdenPart = 0.1
+	burdenMost = 2
 	// fullPart is how much slower a plain runner is when its slots are all taken.
 	fullPart = 1
 	// agreedLeast and agreedPart are what it is worth, in milliseconds and as a part of
@@ -149,6 +153,7 @@
 	engine   bool
 	tokens   float64
 	rate     float64 // tokens read in a millisecond
+	burden   float64 // what reading a token costs all that run, against what it costs one
 	duration float64 // milliseconds
 	fronts   float64
 	domains  float64
@@ -177,6 +182,7 @@
 	line := lineOf(need, weigh.engine)
 	if weigh.engine {
 		weigh.tokens, weigh.rate, weigh.duration = tokensOf(need), from.state.reading.rate(), from.state.duration.or(200)
+		weigh.burden = 1 + math.Min(burdenMost, burdenPart*fronts*from.state.load.now(float64(from.state.out), now)/runners)
 		weigh.bonus = agreedLeast + agreedPart*weigh.tokens/weigh.rate
 	} else {
 		weigh.duration = from.state.usual(need.Route.Name)
@@ -247,7 +253,7 @@
 	cost := failureCost * state.health.chance(now)
 	cost += weigh.duration * math.Max(0, load-float64(one.slots)+1) / float64(one.slots)
 	if weigh.engine {
-		cost += (weigh.tokens-float64(weigh.balancer.keptBy(state)))/weigh.rate + unreadPart*state.unread/weigh.rate
+		cost += weigh.burden*(weigh.tokens-float64(weigh.balancer.keptBy(state)))/weigh.rate + unreadPart*state.unread/weigh.rate
 		cost += weigh.duration*runningPart*load + math.Max(0, state.slowness.now(now))
 		if !one.near {
 			cost += distanceModel
