Forwarding: bytes held are bounded, ends are booked once, resumed streams never repeat

A wait for bookings could panic while more came (a WaitGroup used again); a booking that can't succeed was tried for 20 s; the end of a kept turn is tried again within its time; tokens are counted by the service that answered; a success without events counts at its most and is known before it looks whole; a front refuses at once what it can't hold.

--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -43,6 +43,8 @@
 	AutoEnrol bool
 	// Adjust changes the settings of each control node that starts.
 	Adjust func(cluster *Cluster, settings *controlplane.Settings)
+	// HeldBytes bounds what each front holds of forwarded queries.
+	HeldBytes int64
 }
 
 // Small is the shape that most tests need.
@@ -88,6 +90,7 @@
 	enrols   bool
 	caller   *Host
 	adjust   func(cluster *Cluster, settings *controlplane.Settings)
+	held     int64
 }
 
 func domain(index int) string { return []string{"east", "middle", "west"}[index%3] }
@@ -97,7 +100,7 @@
 //	cluster, err := simulator.Start(7, simulator.Small, charterSource)
 //	defer cluster.Stop()
 func Start(seed uint64, shape Shape, rules string) (*Cluster, error) {
-	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), enrols: shape.AutoEnrol, Platform: &standin.Platform{}, adjust: shape.Adjust}
+	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), enrols: shape.AutoEnrol, Platform: &standin.Platform{}, adjust: shape.Adjust, held: shape.HeldBytes}
 	if shape.Engines+shape.Tools > 0 {
 		cluster.Roster = &Roster{}
 	}
@@ -195,7 +198,7 @@
 func (cluster *Cluster) addFront(index int) *Machine {
 	machine := &Machine{Host: fmt.Sprintf("10.0.2.%d", index+1), Domain: domain(index)}
 	machine.start = func() (err error) {
-		machine.Front, err = front.Start(front.Settings{Address: machine.Host + ":7000", Public: machine.Host + ":7100", Domain: machine.Domain, Seeds: cluster.seeds, Dialect: standin.Dialect}, cluster.Network.At(machine.Host))
+		machine.Front, err = front.Start(front.Settings{Address: machine.Host + ":7000", Public: machine.Host + ":7100", Domain: machine.Domain, Seeds: cluster.seeds, Dialect: standin.Dialect, HeldBytes: cluster.held}, cluster.Network.At(machine.Host))
 		return err
 	}
 	return machine
--- a/proof/simulator/forward.go
+++ b/proof/simulator/forward.go
@@ -224,11 +224,12 @@
 	answer := &Forwarded{}
 	ctx, cancel := context.WithDeadline(context.Background(), query.Deadline)
 	defer cancel()
-	if machine.Front == nil {
+	node := machine.Front
+	if node == nil {
 		answer.Err = mishap.New(mishap.Unavailable, "the front is not there", "ask another")
 		return answer
 	}
-	answer.Err = machine.Front.Forward(ctx, &query, answer)
+	answer.Err = node.Forward(ctx, &query, answer)
 	return answer
 }
 
--- a/proof/standin/engine.go
+++ b/proof/standin/engine.go
@@ -38,6 +38,20 @@
 	Unvouched Fault = "unvouched"
 	// Foreign answers under another query's name.
 	Foreign Fault = "foreign"
+	// Extra answers, and once more with the name of the same query, where the answer to
+	// the next query should come.
+	Extra Fault = "extra"
+	// Garbles runs the query and answers with bytes that are no answer.
+	Garbles Fault = "garbles"
+	// Hangs runs the query and never answers.
+	Hangs Fault = "hangs"
+	// Plain answers a stream's query plainly, with success.
+	Plain Fault = "plain"
+	// Rejects answers 422 of its own.
+	Rejects Fault = "rejects"
+	// Repeats breaks a stream off after its second event, and gives it from its beginning
+	// to whoever resumes it.
+	Repeats Fault = "repeats"
 )
 
 // Ran is one run of a query at an engine.
@@ -61,6 +75,7 @@
 	faults []Fault
 	always Fault
 	ran    []Ran
+	came   []time.Time
 	turned int // away as meant for another runner
 }
 
@@ -105,9 +120,20 @@
 	return engine.turned
 }
 
+// Arrivals gives when queries came that were meant for this runner, run or not.
+//
+//	count := len(engine.Arrivals())
+func (engine *Engine) Arrivals() []time.Time {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return append([]time.Time{}, engine.came...)
+}
+
+// next notes an arrival and draws what goes wrong with it.
 func (engine *Engine) next() Fault {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
+	engine.came = append(engine.came, time.Now())
 	if len(engine.faults) == 0 {
 		return engine.always
 	}
@@ -170,9 +196,16 @@
 	case fault == Loses:
 		time.Sleep(engine.Pace.Plain)
 		panic(http.ErrAbortHandler)
+	case fault == Hangs:
+		<-query.Context().Done()
+		panic(http.ErrAbortHandler)
+	case fault == Garbles || fault == Extra:
+		engine.answerRaw(writer, name, fault)
+	case fault == Rejects:
+		writer.WriteHeader(http.StatusUnprocessableEntity)
 	case fault == Fails:
 		writer.WriteHeader(http.StatusInternalServerError)
-	case strings.HasPrefix(query.URL.Path, "/talk/"):
+	case strings.HasPrefix(query.URL.Path, "/talk/") && fault != Plain:
 		engine.stream(writer, query, string(body), fault)
 	default:
 		time.Sleep(engine.Pace.Plain)
@@ -180,13 +213,38 @@
 	}
 }
 
+// answerRaw writes bytes that no server would.
+func (engine *Engine) answerRaw(writer http.ResponseWriter, name string, fault Fault) {
+	connection, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer connection.Close()
+	if fault == Garbles {
+		io.WriteString(connection, "\x16\x03\x01 this is no answer\r\n\r\n")
+		return
+	}
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nSeal: %s/%s\r\nContent-Length: %d\r\n\r\ndone %s", Dialect.Query, name, engine.Life, name, len("done "+name), name)
+	io.WriteString(connection, whole)
+	// The extra one comes with the next query, if any comes before the connection is idle
+	// for long.
+	connection.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if count, _ := connection.Read(make([]byte, 1)); count > 0 {
+		io.WriteString(connection, whole)
+	}
+}
+
 func (engine *Engine) stream(writer http.ResponseWriter, query *http.Request, prompt string, fault Fault) {
 	first, _ := strconv.Atoi(query.Header.Get(Dialect.Resume))
+	breaks := fault == Breaks || fault == Repeats && first == 0
+	if fault == Repeats {
+		first = 0
+	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(writer)
 	time.Sleep(engine.Pace.First)
 	for number := first + 1; number <= engine.Events; number++ {
-		if fault == Breaks && number > first+2 {
+		if breaks && number > first+2 {
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, EventData(prompt, number))
--- a/system/forwarding/dispatch.go
+++ b/system/forwarding/dispatch.go
@@ -26,6 +26,7 @@
 	retrySoon  = 200 * time.Millisecond
 	// leastLeft is the time that must be left for another runner to be worth trying.
 	leastLeft = 50 * time.Millisecond
+	endPause  = 50 * time.Millisecond
 )
 
 // streamed is what has been passed on of a stream.
@@ -35,6 +36,7 @@
 	number int64  // the same as a number
 	output []byte // data of the events, each with a line feed, if history is kept
 	tokens uint64
+	ended  bool // the runner's stream is whole
 }
 
 // dispatch sends the query to a runner, and to another where that can't make it run
@@ -42,6 +44,9 @@
 func dispatch(forwarder *Forwarder, ctx context.Context, going *passage) (bool, error) {
 	ctx, cancel := context.WithDeadline(ctx, going.deadline)
 	defer cancel()
+	if number, numbered := numberOf(going.Resumes); numbered && going.route.Resumable {
+		going.stream.last, going.stream.number = going.Resumes, number
+	}
 	unsent := 0
 	for {
 		failed, again := forwarder.dispatchOnce(ctx, going)
@@ -62,6 +67,9 @@
 // giveUp books the end of a turn that has no whole answer.
 func (forwarder *Forwarder) giveUp(going *passage, failed error) {
 	outcome := line.OutcomeCut
+	if going.stream.ended {
+		outcome = line.OutcomeComplete // its commit is unclear: the same end may be booked again
+	}
 	if mishap.Is(failed, mishap.NotRun) && !going.stream.begun {
 		outcome = line.OutcomeNotRun
 	}
@@ -107,7 +115,7 @@
 	load = reply.Load
 	defer reply.Close()
 	if going.streams(reply) {
-		ending, err = forwarder.passStream(ctx, going, reply, func() { lease.First(time.Since(began)) })
+		ending, err = forwarder.passStream(ctx, going, reply, tokensPerEvent(lease.Service), func() { lease.First(time.Since(began)) })
 	} else {
 		ending, err = forwarder.passWhole(ctx, going, reply, lease, began)
 	}
@@ -217,6 +225,18 @@
 		going.unsure = true
 		return ending, broken("the runner answered " + strconv.Itoa(reply.Status))
 	}
+	outcome := line.OutcomeCut
+	if reply.Status < http.StatusMultipleChoices {
+		// A success without events says nothing of tokens: it counts at its most, and a
+		// turn that is kept must be known before it looks whole.
+		outcome, going.stream.tokens = line.OutcomeComplete, going.TokensOut
+		if going.route.KeepsHistory {
+			if err := forwarder.endStream(ctx, going); err != nil {
+				going.unsure = true
+				return ending, err
+			}
+		}
+	}
 	if err := going.answer.Begin(reply.Status, reply.Header); err != nil {
 		return balancer.Abandoned, errors.Join(errCaller, err)
 	}
@@ -232,7 +252,9 @@
 	if ctx.Err() == nil {
 		lease.First(time.Since(began))
 	}
-	forwarder.book(going, line.OutcomeCut)
+	if !going.stream.ended {
+		forwarder.book(going, outcome)
+	}
 	return ending, nil
 }
 
@@ -252,11 +274,13 @@
 
 // passStream passes events on as they come. The end is passed on only once a turn that
 // is kept is committed whole.
-func (forwarder *Forwarder) passStream(ctx context.Context, going *passage, reply *runnerpool.Reply, first func()) (balancer.Ending, error) {
+func (forwarder *Forwarder) passStream(ctx context.Context, going *passage, reply *runnerpool.Reply, perEvent uint64, first func()) (balancer.Ending, error) {
 	going.unsure = true
 	events := runnerpool.NewEvents(reply)
-	perEvent := forwarder.tokensPerEvent(going)
 	if !going.stream.begun {
+		if going.repeatable() {
+			delete(reply.Header, "Content-Length") // another runner may go on with it
+		}
 		if err := going.answer.Begin(reply.Status, reply.Header); err != nil {
 			return balancer.Abandoned, errors.Join(errCaller, err)
 		}
@@ -302,13 +326,12 @@
 	return number, err == nil
 }
 
-func (forwarder *Forwarder) tokensPerEvent(going *passage) uint64 {
-	for _, share := range going.route.Shares {
-		if service, found := going.rules.Routing.Service(share.Service); found && service.Engine != nil {
-			return max(service.Engine.TokensPerEvent, 1)
-		}
+// tokensPerEvent tells how many tokens one event of a service's runners carries.
+func tokensPerEvent(service *charter.Service) uint64 {
+	if service == nil || service.Engine == nil {
+		return 1
 	}
-	return 1
+	return max(service.Engine.TokensPerEvent, 1)
 }
 
 // endStream commits the end of a turn. What is not kept is booked behind the caller's
@@ -321,9 +344,18 @@
 		forwarder.book(going, line.OutcomeComplete)
 		return nil
 	}
-	if err := forwarder.end(ctx, going, line.OutcomeComplete); err != nil {
+	going.stream.ended = true
+	err := forwarder.end(ctx, going, line.OutcomeComplete)
+	for !decided(err) && ctx.Err() == nil {
+		select {
+		case <-time.After(endPause):
+			err = forwarder.end(ctx, going, line.OutcomeComplete)
+		case <-ctx.Done():
+		}
+	}
+	if err != nil {
 		log.WithFields(log.Fields{"node": forwarder.settings.Node, "line": going.line, "query": going.Name, "error": err.Error()}).Warn("turn_not_committed")
-		return errors.Join(errCaller, err)
+		return errors.Join(errCaller, &mishap.Mishap{Kind: mishap.Unknown, Message: "the turn ran, but could not be kept", Remedy: "ask anew"})
 	}
 	return nil
 }
--- a/system/forwarding/forwarder.go
+++ b/system/forwarding/forwarder.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"yardrock.example/system/balancer"
 	"yardrock.example/system/charter"
 	"yardrock.example/system/feed"
+	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/runnerpool"
 	"yardrock.example/system/storeorigin"
@@ -36,14 +37,22 @@
 	Balancer *balancer.Balancer
 	Pool     *runnerpool.Pool
 	Records  Records
+	// HeldBytes bounds the queries and histories that are held at once; 0 means
+	// UsualHeldBytes. What would pass it is refused at once.
+	HeldBytes int64
 }
 
+// UsualHeldBytes is what a front holds of queries and histories at most. Answers and the
+// collector's share come on top.
+const UsualHeldBytes = 40 << 20
+
 // Forwarder carries queries to runners for one front.
 type Forwarder struct {
 	settings Settings
 	context  context.Context
 	stop     context.CancelFunc
-	work     sync.WaitGroup
+	work     bookings
+	held     atomic.Int64
 }
 
 // New makes a forwarder.
@@ -51,6 +60,9 @@
 //	forwarder := forwarding.New(forwarding.Settings{Node: "front-1", Fresh: fresh, Rules: rules, Balancer: balancing, Pool: pool, Records: stores})
 //	err := forwarder.Serve(ctx, query, answer)
 func New(settings Settings) *Forwarder {
+	if settings.HeldBytes == 0 {
+		settings.HeldBytes = UsualHeldBytes
+	}
 	forwarder := &Forwarder{settings: settings}
 	forwarder.context, forwarder.stop = context.WithCancel(context.Background())
 	return forwarder
@@ -61,22 +73,14 @@
 //	forwarder.Close()
 func (forwarder *Forwarder) Close() {
 	forwarder.stop()
-	forwarder.work.Wait()
+	forwarder.work.wait(context.Background())
 }
 
 // Settled waits until the turns that ended are booked, or the context ends.
 //
 //	forwarder.Settled(ctx)
 func (forwarder *Forwarder) Settled(ctx context.Context) {
-	booked := make(chan struct{})
-	go func() {
-		forwarder.work.Wait()
-		close(booked)
-	}()
-	select {
-	case <-booked:
-	case <-ctx.Done():
-	}
+	forwarder.work.wait(ctx)
 }
 
 // passage is one query on its way through the filters.
@@ -93,12 +97,23 @@
 	body     [][]byte
 	stream   streamed
 	unsure   bool // some try may have run
+	held     int64
+}
+
+// hold counts bytes that the query holds, or refuses it if the front holds too much. A
+// query that is alone is never refused.
+func (forwarder *Forwarder) hold(going *passage, bytes int64) error {
+	going.held += bytes
+	if all := forwarder.held.Add(bytes); all > forwarder.settings.HeldBytes && all > going.held {
+		return mishap.Later(mishap.NotRun, "this front holds too many bytes of queries", "ask again or at another front", retrySoon)
+	}
+	return nil
 }
 
 // filter looks at a query and may answer it: done ends the chain.
 type filter func(forwarder *Forwarder, ctx context.Context, passage *passage) (done bool, err error)
 
-var filters = []filter{requireFresh, findRoute, boundTime, beginTurn, dispatch}
+var filters = []filter{boundBytes, requireFresh, findRoute, boundTime, beginTurn, dispatch}
 
 // Serve carries one query to a runner and its answer back. An error before the answer
 // has begun tells why there is none: NotRun promises that the query did not run and
@@ -109,6 +124,7 @@
 //	err := forwarder.Serve(ctx, &forwarding.Query{Name: "9c41", Method: "GET", Host: "a.example", Path: "/x/1", Target: "/x/1", Received: time.Now(), Deadline: until}, answer)
 func (forwarder *Forwarder) Serve(ctx context.Context, query *Query, answer Answer) error {
 	going := &passage{Query: query, answer: answer}
+	defer func() { forwarder.held.Add(-going.held) }()
 	for _, step := range filters {
 		if done, err := step(forwarder, ctx, going); done || err != nil {
 			return err
@@ -117,6 +133,10 @@
 	return mishap.New(mishap.Unavailable, "no filter answered", "report this")
 }
 
+func boundBytes(forwarder *Forwarder, _ context.Context, going *passage) (bool, error) {
+	return false, forwarder.hold(going, int64(len(going.Body)))
+}
+
 func requireFresh(forwarder *Forwarder, _ context.Context, going *passage) (bool, error) {
 	if err := forwarder.settings.Fresh(); err != nil {
 		return false, err
@@ -187,6 +207,10 @@
 	}
 	going.begun = begun
 	if len(begun.History) > 0 {
+		if err := forwarder.hold(going, int64(len(begun.History))); err != nil {
+			forwarder.book(going, line.OutcomeNotRun)
+			return false, err
+		}
 		going.body = [][]byte{begun.History, going.Body}
 	}
 	return false, nil
@@ -217,10 +241,10 @@
 	if going.begun == nil {
 		return
 	}
-	forwarder.work.Go(func() {
+	forwarder.work.start(func() {
 		ctx, cancel := context.WithTimeout(forwarder.context, bookPatience)
 		defer cancel()
-		for forwarder.end(ctx, going, outcome) != nil && ctx.Err() == nil {
+		for ctx.Err() == nil && !decided(forwarder.end(ctx, going, outcome)) {
 			select {
 			case <-time.After(bookPause):
 			case <-ctx.Done():
@@ -228,3 +252,8 @@
 		}
 	})
 }
+
+// decided tells whether trying to book an end again would change nothing.
+func decided(err error) bool {
+	return err == nil || mishap.Is(err, mishap.NotFound) || mishap.Is(err, mishap.Conflict) || mishap.Is(err, mishap.Invalid)
+}
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -41,6 +41,9 @@
 	Machine string
 	// Dialect names the headers of runners that queries are forwarded to.
 	Dialect runnerpool.Dialect
+	// HeldBytes bounds the forwarded queries and histories that are held at once; 0 means
+	// forwarding.UsualHeldBytes.
+	HeldBytes int64
 }
 
 // inForce is a view with its decoded charter. It is replaced whole.
@@ -88,7 +91,7 @@
 	node.board = scheduling.NewBoard(node.name, settings.Domain, node.boardState, node.tellOfRunner)
 	node.pool = runnerpool.New(network, settings.Dialect)
 	node.balancer = balancer.New(settings.Domain, rand.Uint64(), nil)
-	node.forward = forwarding.New(forwarding.Settings{Node: node.name, Fresh: node.fresh, Rules: node.routes, Balancer: node.balancer, Pool: node.pool, Records: node.stores})
+	node.forward = forwarding.New(forwarding.Settings{Node: node.name, Fresh: node.fresh, Rules: node.routes, Balancer: node.balancer, Pool: node.pool, Records: node.stores, HeldBytes: settings.HeldBytes})
 	linkListener, err := network.Listen(settings.Address)
 	if err != nil {
 		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "use an address of this machine that is free")
