--- a/system/balancer/choosing.go
+++ b/system/balancer/choosing.go
@@ -23,7 +23,7 @@
 	runningPart = 0.02
 	// While a prompt is read, the queries that run beside it are held up in part: reading
 	// costs this much more with each that a runner of the service has, at most so much.
-	burdenPart = 0.1
+	burdenPart = 0.15
 	burdenMost = 2
 	// fullPart is how much slower a plain runner is when its slots are all taken.
 	fullPart = 1
