A sibling that comes back gets what it missed once, and nothing waits for a silent one

Cause: the leader counted appends to a silent sibling as sent and went on; when the sibling came back, each of the waiting appends was refused, and each refusal had all entries sent anew. Ruled out: cold repair (it fetched 14 and 9 holes), checkpoints (none was sent). Now a sibling that is silent for an election time, or that refused, is probed with empty appends until it agrees to one; only the answer to the last probe counts; what is on its way is bounded.

--- a/system/agreement/core.go
+++ b/system/agreement/core.go
@@ -16,8 +16,10 @@
 
 const (
 	entriesPerMessage = 256
-	bytesPerMessage   = 1 << 20
-	checkpointTicks   = 100
+	bytesPerMessage   = 256 << 10
+	// mostUnconfirmed bounds the entries that are on their way to one sibling.
+	mostUnconfirmed = 512
+	checkpointTicks = 100
 )
 
 type progress struct {
@@ -26,6 +28,11 @@
 	round           uint64
 	active          bool
 	checkpointTicks int
+	// probing tells that it is not known up to where the sibling holds the log: it is
+	// asked with empty appends, and gets entries only once it has agreed to one.
+	probing bool
+	// silent counts the ticks since the sibling was heard.
+	silent int
 }
 
 type pendingWrite struct {
@@ -277,6 +284,9 @@
 		if sibling.checkpointTicks > 0 {
 			sibling.checkpointTicks--
 		}
+		if sibling.silent++; sibling.silent >= core.settings.ElectionTicks {
+			sibling.probing = true
+		}
 	}
 	if core.handOver != "" {
 		core.handOverElapsed++
@@ -576,12 +586,15 @@
 	if core.role != leader || sibling == nil {
 		return
 	}
-	sibling.active = true
+	sibling.active, sibling.silent = true, 0
 	sibling.round = max(sibling.round, message.Round)
 	core.answerReads()
 	if message.Refused {
-		if sibling.checkpointTicks == 0 && message.Index >= sibling.matched {
-			sibling.next = max(sibling.matched+1, min(message.Hint+1, core.last()+1))
+		// While probing, only the answer to the last probe counts: each append that was
+		// on its way is refused, and each would have all entries sent anew.
+		stale := message.Index < sibling.matched || sibling.probing && message.Index != sibling.next-1
+		if sibling.checkpointTicks == 0 && !stale {
+			sibling.probe(max(sibling.matched+1, min(message.Hint+1, core.last()+1)))
 			core.sendAppend(message.From, sibling, true)
 		}
 		return
@@ -591,6 +604,9 @@
 		sibling.checkpointTicks = 0
 		core.advanceCommit()
 	}
+	if message.Index+1 >= sibling.next {
+		sibling.probing = false
+	}
 	sibling.next = max(sibling.next, sibling.matched+1)
 	if core.role == leader && sibling.next <= core.last() {
 		core.sendAppend(message.From, sibling, false)
@@ -723,6 +739,11 @@
 	}
 }
 
+// probe has the sibling asked up to where it holds the log, from an index downwards.
+func (sibling *progress) probe(next uint64) {
+	sibling.probing, sibling.next = true, next
+}
+
 func (core *Core) sendAppend(name string, sibling *progress, heartbeat bool) {
 	if sibling.next <= core.checkpoint.Index {
 		if sibling.checkpointTicks == 0 {
@@ -734,6 +755,9 @@
 		return
 	}
 	entries := core.from(sibling.next)
+	if sibling.probing || sibling.next > sibling.matched+mostUnconfirmed {
+		entries = nil
+	}
 	if len(entries) == 0 && !heartbeat {
 		return
 	}
