--- /dev/null
+++ b/proof/simulator/outage_test.go
@@ -0,0 +1,90 @@
+package simulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"yardrock.example/system/controlplane"
+)
+
+// returnAll starts machines again, each at its own time within a span, and gives the time
+// at which the last was there.
+func returnAll(t *testing.T, random *rand.Rand, machines []*Machine, span time.Duration) time.Time {
+	var starting sync.WaitGroup
+	for _, machine := range machines {
+		after := time.Duration(random.Int64N(int64(span)))
+		starting.Go(func() {
+			<-time.After(after)
+			if err := machine.Start(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	starting.Wait()
+	return time.Now()
+}
+
+// TestAFleetServesSoonAfterATotalOutage ends every process at once: killed, without power,
+// or without power and one zone with its disks lost, right after an acknowledgement. All
+// return within a second and a half.
+func TestAFleetServesSoonAfterATotalOutage(t *testing.T) {
+	shape := Shape{Controls: 5, Stores: 3, Fronts: 3, Models: 3, Applications: 3, Groups: 32, AutoEnrol: true}
+	simulate(t, shape, func(t *testing.T, cluster *Cluster) {
+		cluster.adjust = func(_ *Cluster, settings *controlplane.Settings) { settings.Joins = true }
+		random := cluster.Random(41)
+		for round := range 5 {
+			said := cluster.dialogues(t, 6)
+			mark := fmt.Sprintf("before outage %d", round)
+			if err := cluster.PutCharter(Rules + "// " + mark + "\n"); err != nil {
+				t.Fatal(err)
+			}
+			wiped := domain(random.IntN(3))
+			for _, machine := range cluster.Machines() {
+				if round == 0 {
+					machine.Kill()
+					continue
+				}
+				machine.LosePower()
+				if round >= 2 && machine.Domain == wiped && (round != 3 || machine.Disk == nil || machine.Cold != nil) {
+					machine.Wipe()
+				}
+			}
+			returned := returnAll(t, random, cluster.Machines(), 1500*time.Millisecond)
+			led := func() error {
+				for _, machine := range cluster.Controls {
+					if machine.Control.Leading() {
+						return nil
+					}
+				}
+				return fmt.Errorf("nobody leads")
+			}
+			if err := cluster.Await(6*time.Second, "leader of the control nodes", led); err != nil {
+				t.Fatal(err)
+			}
+			controls := time.Since(returned)
+			if err := cluster.AwaitServing(6 * time.Second); err != nil {
+				t.Fatalf("round %d: %v", round, err)
+			}
+			t.Logf("round %d: control leader %s, every front serves %s after the return", round, controls, time.Since(returned))
+			cluster.wantCharter(t, mark)
+			cluster.followUp(t, said)
+			if took := time.Since(returned); took > 9*time.Second {
+				t.Fatalf("round %d: turns from before were followed up only %s after the return", round, took)
+			}
+			if err := cluster.Await(8*time.Second, "healed fleet", func() error { return cluster.keptBy(cluster.Stores...) }); err != nil {
+				t.Fatal(err)
+			}
+			if err := cluster.Await(8*time.Second, "five voters", func() error {
+				if voting := cluster.votingControls(); len(voting) != 5 {
+					return fmt.Errorf("voting: %v", voting)
+				}
+				return nil
+			}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
