--- a/proof/simulator/membership_test.go
+++ b/proof/simulator/membership_test.go
@@ -345,3 +345,26 @@
 		}
 	})
 }
+
+// TestAnEmptyFleetThatHasStartedBeforeIsNotFoundedAnew empties all control nodes, which are
+// told that the fleet has started before: they wait, rather than found another.
+func TestAnEmptyFleetThatHasStartedBeforeIsNotFoundedAnew(t *testing.T) {
+	simulate(t, byThemselves(3, 3), func(t *testing.T, cluster *Cluster) {
+		cluster.adjust = func(_ *Cluster, settings *controlplane.Settings) { settings.Joins = true }
+		for _, machine := range cluster.Controls {
+			machine.LosePower()
+			machine.Wipe()
+		}
+		for _, machine := range cluster.Controls {
+			if err := machine.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		<-time.After(20 * time.Second)
+		for _, machine := range cluster.Controls {
+			if view := machine.Control.View(); view.Number != 0 || machine.Control.Ready() {
+				t.Fatalf("%s has founded fleet %s", machine.Host, view.Fleet)
+			}
+		}
+	})
+}
--- a/system/controlplane/duties.go
+++ b/system/controlplane/duties.go
@@ -17,7 +17,7 @@
 const (
 	rosterPatience = 3 * time.Second
 	rosterInterval = 500 * time.Millisecond
-	dutyInterval   = 100 * time.Millisecond // how soon a new leader takes the duties
+	dutyInterval   = 200 * time.Millisecond // how soon a new leader takes the duties
 	// coldSlack is how much longer than told before a runner may stay cold until the
 	// feed tells it again.
 	coldSlack = 250 * time.Millisecond
@@ -44,10 +44,11 @@
 // runDuties takes the duties, under the next fence, while this node leads the control
 // group, and does those that it holds. So the loss of another node moves no duty, and
 // that of the leader moves them as soon as there is another.
-func (node *Node) runDuties() {
+// It tells when it is due again.
+func (node *Node) runDuties() time.Duration {
 	view := node.View()
 	if view.Number == 0 || !node.host.Statuses()[controlGroup].Confirmed {
-		return
+		return dutyInterval
 	}
 	ctx, cancel := context.WithTimeout(node.context, callPatience+rosterPatience)
 	defer cancel()
@@ -56,10 +57,11 @@
 		node.propose(ctx, feed.Change{Kind: feed.ChangeDuty, By: node.Name(), Duty: feed.Duty{Key: RosterDuty, Owner: node.Name(), Fence: held.Fence + 1}})
 		view = node.View()
 		if held = view.DutyOf(RosterDuty); held.Owner != node.Name() {
-			return
+			return dutyInterval
 		}
 	}
 	node.pollRoster(ctx, view, held)
+	return max(busyInterval, min(rosterInterval, time.Until(node.roster.due)))
 }
 
 // pollRoster asks the platform's list, keeps away as long as it says so, and
--- a/system/controlplane/follow.go
+++ b/system/controlplane/follow.go
@@ -16,7 +16,7 @@
 const (
 	// confirmInterval is the shortest time between two confirmations for followers; all
 	// who ask in between share the next.
-	confirmInterval = 50 * time.Millisecond
+	confirmInterval = 100 * time.Millisecond
 	confirmPatience = 700 * time.Millisecond
 	longestWait     = 2 * time.Second
 	// liveAge is how old the list of live members that followers are told may be.
@@ -28,7 +28,7 @@
 func (node *Node) answerFollow(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
 	follow, came := query.Follow, time.Now()
 	if follow.SessionOnly {
-		state, err := node.confirm(ctx)
+		state, _, err := node.confirmShared(ctx)
 		if err != nil {
 			return nil, err
 		}
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -139,7 +139,7 @@
 	every := func(interval time.Duration, task func()) func() time.Duration {
 		return func() time.Duration { task(); return interval }
 	}
-	for _, task := range []func() time.Duration{every(foundingInterval, node.found), every(gossipInterval, node.gossip), node.steer, every(dutyInterval, node.runDuties), every(steerInterval, node.finishRetiring)} {
+	for _, task := range []func() time.Duration{every(foundingInterval, node.found), every(gossipInterval, node.gossip), node.steer, node.runDuties, every(steerInterval, node.finishRetiring)} {
 		node.tasks.Go(func() { node.repeat(task) })
 	}
 	log.WithFields(log.Fields{"node": node.Name(), "address": settings.Address}).Info("control_started")
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -277,21 +277,11 @@
 // confirmedView reads the view by a quorum, wherever the leader is. Only what this node
 // has not applied yet is carried.
 func (node *Node) confirmedView(ctx context.Context) (*feed.View, error) {
-	view := *node.View()
-	reply, err := node.answerFollow(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{SessionOnly: true, After: view.Number}})
+	state, err := node.confirm(ctx)
 	if err != nil {
 		return nil, unreachable(err)
 	}
-	if reply.Follow.Reset {
-		view = reply.Follow.View
-	}
-	for _, change := range reply.Follow.Changes {
-		view = feed.Fold(view, change)
-	}
-	if view.Number < reply.Follow.Newest {
-		return nil, noQuorum()
-	}
-	return &view, ready(&view)
+	return state.view, ready(state.view)
 }
 
 func unreachable(err error) error {
