--- a/system/controlplane/follow.go
+++ b/system/controlplane/follow.go
@@ -17,7 +17,7 @@
 	// confirmInterval is the shortest time between two confirmations for followers; all
 	// who ask in between share the next.
 	confirmInterval = 100 * time.Millisecond
-	confirmPatience = 700 * time.Millisecond
+	confirmPatience = 500 * time.Millisecond
 	longestWait     = 2 * time.Second
 	// liveAge is how old the list of live members that followers are told may be.
 	liveAge = 200 * time.Millisecond
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -24,8 +24,8 @@
 	// Window is how long one confirmation that nothing newer exists holds,
 	// counted from when it was asked for.
 	Window       = 1500 * time.Millisecond
-	askPatience  = 700 * time.Millisecond
-	hedgeAfter   = 250 * time.Millisecond
+	askPatience  = 550 * time.Millisecond
+	hedgeAfter   = 300 * time.Millisecond
 	seedPatience = time.Second
 	// shortestPause is between the end of a round and the next; after rounds without a
 	// control node it grows to longestPause.
