--- a/proof/cmd/measure/turns.go
+++ b/proof/cmd/measure/turns.go
@@ -84,6 +84,15 @@
 	return disk.Folder.Sync(name)
 }
 
+// bytesOut are the bytes of messages that all nodes sent so far, by kind of query.
+func bytesOut() map[string]uint64 {
+	sent := map[string]uint64{}
+	for _, kind := range link.Traffic() {
+		sent[kind.Kind] = kind.BytesOut
+	}
+	return sent
+}
+
 // turnCosts runs turns of programs at a pace against three stores on loopback, with
 // real files, and tells what each cost over all processes, fronts' part included.
 func turnCosts(pace, count, size int, takes time.Duration, profile string) error {
@@ -192,7 +201,7 @@
 			return err
 		}
 	}
-	began := time.Now()
+	began, kinds := time.Now(), bytesOut()
 	commits, failed := run(count)
 	pprof.StopCPUProfile()
 	spent := time.Since(began).Seconds()
@@ -202,6 +211,9 @@
 	told["cpu_ms_per_turn"] = float64((afterCPU - cpu).Microseconds()) / 1000 / turns
 	told["messages_per_turn"] = float64(afterMessages-messages) / turns
 	told["bytes_per_turn"] = float64(afterBytes-bytes) / turns
+	for kind, now := range bytesOut() {
+		told["bytes_out_per_turn_"+kind] = float64(now-kinds[kind]) / turns
+	}
 	told["syncs_per_turn"] = float64(afterSyncs-synced) / turns
 	told["commit_half"], told["commit_99"] = commits[len(commits)/2].String(), commits[len(commits)*99/100].String()
 	data, err := json.MarshalIndent(told, "", " ")
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"capnproto.org/go/capnp/v3"
@@ -148,9 +149,6 @@
 	target.SetRefused(value.Refused)
 	target.SetHint(value.Hint)
 	target.SetForced(value.Forced)
-	if err := errors.Join(target.SetFrom(value.From), target.SetTo(value.To)); err != nil {
-		return err
-	}
 	if value.Kind == agreement.MessageCheckpoint {
 		point, err := target.NewCheckpoint()
 		if err != nil {
@@ -163,12 +161,8 @@
 }
 
 func takeMessage(source schema.AgreementMessage, value *agreement.Message) error {
-	reading := &taking{}
-	*value = agreement.Message{Group: source.Group(), Kind: agreement.MessageKind(source.Kind()), From: field(reading, source.From), To: field(reading, source.To),
+	*value = agreement.Message{Group: source.Group(), Kind: agreement.MessageKind(source.Kind()),
 		Term: source.Term(), Index: source.Index(), LogTerm: source.LogTerm(), Commit: source.Commit(), Round: source.Round(), Refused: source.Refused(), Hint: source.Hint(), Forced: source.Forced()}
-	if reading.failed != nil {
-		return reading.failed
-	}
 	if value.Kind == agreement.MessageCheckpoint {
 		point, err := source.Checkpoint()
 		if err != nil {
@@ -181,6 +175,104 @@
 	return err
 }
 
+// The heartbeats of groups in which all is quiet, and their answers, are most of what an
+// idle fleet sends. They travel together, in a short form.
+
+func beatOf(value *agreement.Message) (index uint64, isBeat bool) {
+	quiet := value.Kind == agreement.MessageAppend && len(value.Entries) == 0 && value.LogTerm == value.Term && value.Index == value.Commit && value.Hint == 0
+	return value.Index, quiet && !value.Refused && !value.Forced && value.Term <= math.MaxUint32
+}
+
+func answerOf(value *agreement.Message) (index uint64, isAnswer bool) {
+	quiet := value.Kind == agreement.MessageAppendReply && len(value.Entries) == 0 && value.LogTerm == 0 && value.Commit == 0 && value.Hint == 0
+	return value.Index, quiet && !value.Refused && !value.Forced && value.Term <= math.MaxUint32
+}
+
+func putBeats(made capnp.StructList[schema.Beat], err error, messages []agreement.Message, short func(*agreement.Message) (uint64, bool)) error {
+	at := 0
+	for position := 0; err == nil && position < len(messages); position++ {
+		message := &messages[position]
+		index, isShort := short(message)
+		if !isShort {
+			continue
+		}
+		beat := made.At(at)
+		at++
+		beat.SetGroup(message.Group)
+		beat.SetTerm(uint32(message.Term))
+		beat.SetIndex(index)
+		beat.SetRound(message.Round)
+	}
+	return err
+}
+
+// putBatch puts messages of one node to one other.
+func putBatch(target schema.AgreementBatch, value *AgreementBatch) error {
+	beats, answers, long := 0, 0, []*agreement.Message{}
+	for position := range value.Messages {
+		message := &value.Messages[position]
+		if _, isBeat := beatOf(message); isBeat {
+			beats++
+		} else if _, isAnswer := answerOf(message); isAnswer {
+			answers++
+		} else {
+			long = append(long, message)
+		}
+	}
+	if len(value.Messages) > 0 {
+		if err := errors.Join(target.SetFrom(value.Messages[0].From), target.SetTo(value.Messages[0].To)); err != nil {
+			return err
+		}
+	}
+	if beats > 0 {
+		made, err := target.NewBeats(int32(beats))
+		if err := putBeats(made, err, value.Messages, beatOf); err != nil {
+			return err
+		}
+	}
+	if answers > 0 {
+		made, err := target.NewAnswers(int32(answers))
+		if err := putBeats(made, err, value.Messages, answerOf); err != nil {
+			return err
+		}
+	}
+	if len(long) == 0 {
+		return nil
+	}
+	messages, err := target.NewMessages(int32(len(long)))
+	return putList(messages, err, long, func(made schema.AgreementMessage, message **agreement.Message) error { return putMessage(made, *message) })
+}
+
+// takeBatch gives a batch's messages, the short ones last; agreement bears any order.
+func takeBatch(source schema.AgreementBatch, value *AgreementBatch) error {
+	reading := &taking{}
+	from, to := field(reading, source.From), field(reading, source.To)
+	messages, beats, answers := field(reading, source.Messages), field(reading, source.Beats), field(reading, source.Answers)
+	if reading.failed != nil {
+		return reading.failed
+	}
+	value.Messages = make([]agreement.Message, 0, messages.Len()+beats.Len()+answers.Len())
+	for position := range messages.Len() {
+		message := agreement.Message{}
+		if err := takeMessage(messages.At(position), &message); err != nil {
+			return err
+		}
+		value.Messages = append(value.Messages, message)
+	}
+	for position := range beats.Len() {
+		beat := beats.At(position)
+		value.Messages = append(value.Messages, agreement.Message{Kind: agreement.MessageAppend, Group: beat.Group(), Term: uint64(beat.Term()), LogTerm: uint64(beat.Term()), Index: beat.Index(), Commit: beat.Index(), Round: beat.Round()})
+	}
+	for position := range answers.Len() {
+		beat := answers.At(position)
+		value.Messages = append(value.Messages, agreement.Message{Kind: agreement.MessageAppendReply, Group: beat.Group(), Term: uint64(beat.Term()), Index: beat.Index(), Round: beat.Round()})
+	}
+	for position := range value.Messages {
+		value.Messages[position].From, value.Messages[position].To = from, to
+	}
+	return nil
+}
+
 func putStoredWrite(target schema.StoredWrite, value *StoredWrite) error {
 	state, err := target.NewState()
 	if err != nil {
@@ -673,8 +765,7 @@
 		if err != nil {
 			return err
 		}
-		messages, err := batch.NewMessages(int32(len(query.Agreement.Messages)))
-		return putList(messages, err, query.Agreement.Messages, putMessage)
+		return putBatch(batch, query.Agreement)
 	},
 	schema.Query_Which_command: func(target schema.Query, query *Query) error {
 		asked, err := target.NewCommand()
@@ -724,10 +815,8 @@
 		if err != nil {
 			return err
 		}
-		list, err := batch.Messages()
 		query.Agreement = &AgreementBatch{}
-		query.Agreement.Messages, err = takeList(list, err, takeMessage)
-		return err
+		return takeBatch(batch, query.Agreement)
 	},
 	schema.Query_Which_command: func(source schema.Query, query *Query) error {
 		asked, err := source.Command()
--- /dev/null
+++ b/system/wire/hot_test.go
@@ -0,0 +1,178 @@
+package wire
+
+import (
+	"bytes"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"yardrock.example/system/agreement"
+	"yardrock.example/system/line"
+	"yardrock.example/system/wire/schema"
+)
+
+var turnCommands = []line.Command{
+	{Kind: line.BeginTurn, Line: "program/3fa81c", Now: 7, KeepFor: time.Hour, Producer: "9c41d07b", ProducerSeq: 1, Follows: "40c8f1a7", Dispatch: "front-1/7", Data: []byte("in\x00\xff\n"),
+		Tokens: 136, Allowance: 1088, Budgeted: true, Keeps: true, Life: time.Minute, Expects: true, ExpectedSeq: 12,
+		Adopted: []line.AdoptedTurn{{Name: "a", Data: []byte("in a\nout a\n")}, {Name: "b"}}},
+	{Kind: line.EndTurn, Line: "program/3fa81c", Producer: "9c41d07b", ProducerSeq: 2, Outcome: line.OutcomeComplete, Data: bytes.Repeat([]byte("out\n"), 300), Tokens: 80, Keeps: true},
+	{Kind: line.AckArchived, Acks: []line.Ack{{Line: "program/3fa81c", ArchivedSeq: 9}}},
+	{Kind: line.AppendEvents, Line: "a/c", Producer: "p", ProducerSeq: 1, Events: []line.Event{{Kind: line.Piece, Words: "hello", Data: []byte{0}}}},
+	{},
+}
+
+func TestCommandsOfTurnsStayAsTheyAre(t *testing.T) {
+	for position, command := range turnCommands {
+		var stored line.Command
+		if err := Decode(schema.Command_TypeID, MustEncode(schema.Command_TypeID, &command), &stored); err != nil || !reflect.DeepEqual(stored, command) {
+			t.Errorf("command %d is stored as %+v, %v", position, stored, err)
+		}
+	}
+	asked := &Query{Version: Version, Fleet: "fleet", Which: schema.Query_Which_command, Command: &CommandQuery{Group: 7, Commands: turnCommands}}
+	data, err := AppendQuery([]byte("before"), asked)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := DecodeQuery(data[len("before"):]); err != nil || !reflect.DeepEqual(got, asked) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for _, told := range []*Reply{
+		{Which: schema.Reply_Which_outcomes, Outcomes: &OutcomeList{Outcomes: []line.Outcome{{Status: line.TurnOpen, Seq: 4, Head: 5, Deduped: true, Spent: 6, Reserved: 7}}, History: []byte("in\nout\n")}},
+		{Which: schema.Reply_Which_found, Found: &FindReply{Covered: []uint32{1, 31}, Found: true, Chain: turnCommands[0].Adopted[:1]}},
+		{Mishap: Mishap{Kind: "not_leader", Message: "elsewhere", Remedy: "ask there", Leader: "store-b", RetryAfter: time.Second}},
+		{},
+	} {
+		data, err := AppendReply(nil, told)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := DecodeReply(data); err != nil || !reflect.DeepEqual(got, told) {
+			t.Errorf("%+v came as %+v, %v", told, got, err)
+		}
+	}
+}
+
+func TestAnImageCarriesTurnsAndTallies(t *testing.T) {
+	machine := line.NewMachine()
+	for _, command := range []line.Command{
+		{Kind: line.BeginTurn, Line: "program/a", Now: 1, KeepFor: time.Hour, Producer: "one", Dispatch: "d", Keeps: true, Data: []byte("in"), Budgeted: true, Tokens: 10, Allowance: 100, Life: time.Minute},
+		{Kind: line.EndTurn, Line: "program/a", Producer: "one", Outcome: line.OutcomeComplete, Keeps: true, Data: []byte("out"), Tokens: 4},
+		{Kind: line.BeginTurn, Line: "program/a", Now: 1, KeepFor: time.Hour, Producer: "two", Follows: "one", Dispatch: "e", Budgeted: true, Tokens: 10, Allowance: 100, Life: time.Minute},
+	} {
+		if outcome := machine.Apply(&command); outcome.Status != line.Done {
+			t.Fatalf("%+v", outcome)
+		}
+	}
+	image := machine.View().Image()
+	var stored line.Image
+	if err := Decode(schema.LineImage_TypeID, MustEncode(schema.LineImage_TypeID, &image), &stored); err != nil {
+		t.Fatal(err)
+	}
+	other := line.NewMachine()
+	if err := other.Restore(stored); err != nil {
+		t.Fatal(err)
+	}
+	again := other.View().Image()
+	if !reflect.DeepEqual(again.Turns, image.Turns) || again.Sessions[0].Spent != 4 || again.Sessions[0].Reserved != 10 || again.Sessions[0].Until != image.Sessions[0].Until {
+		t.Fatalf("restored %+v, want %+v", again, image)
+	}
+	if turn, found := other.View().Turn("program/a", "two"); !found || turn.Follows == nil || turn.Follows.Name != "one" || !turn.Follows.Whole() {
+		t.Fatalf("restored %+v", turn)
+	}
+	image.Version, image.Turns = 1, nil // as the version before wrote it
+	if err := Decode(schema.LineImage_TypeID, MustEncode(schema.LineImage_TypeID, &image), &stored); err != nil || other.Restore(stored) != nil {
+		t.Fatalf("an image of the version before is refused: %v", err)
+	}
+}
+
+func TestABatchOfAgreementCarriesAllItsMessages(t *testing.T) {
+	of := func(message agreement.Message) agreement.Message {
+		message.From, message.To = "store-a", "store-b"
+		return message
+	}
+	entries := []agreement.Entry{{Index: 5, Term: 3, Data: []byte("five")}, {Index: 6, Term: 3, Kind: agreement.EntryReplicas, Replicas: agreement.Replicas{Voters: []string{"a", "b"}}}}
+	messages := []agreement.Message{
+		of(agreement.Message{Group: 1, Kind: agreement.MessageAppend, Term: 3, Index: 4, LogTerm: 2, Commit: 4, Round: 9, Entries: entries}),
+		of(agreement.Message{Group: 2, Kind: agreement.MessageAppend, Term: 3, Index: 4, LogTerm: 3, Commit: 4, Round: 9}),
+		of(agreement.Message{Group: 3, Kind: agreement.MessageAppend, Term: 3, Index: 4, LogTerm: 3, Commit: 3}),
+		of(agreement.Message{Group: 4, Kind: agreement.MessageAppend, Term: 1 << 33, Index: 4, LogTerm: 1 << 33, Commit: 4}),
+		of(agreement.Message{Group: 5, Kind: agreement.MessageAppendReply, Term: 3, Index: 4, Round: 9}),
+		of(agreement.Message{Group: 6, Kind: agreement.MessageAppendReply, Term: 3, Index: 4, Refused: true, Hint: 2}),
+		of(agreement.Message{Group: 7, Kind: agreement.MessagePreVote, Term: 3, Index: 4, LogTerm: 3}),
+		of(agreement.Message{Group: 8, Kind: agreement.MessageVote, Term: 3, Index: 4, LogTerm: 3, Forced: true}),
+		of(agreement.Message{Group: 9, Kind: agreement.MessageCheckpoint, Term: 3, Checkpoint: agreement.Checkpoint{Index: 4, Term: 2, Data: []byte("image")}}),
+	}
+	data, err := AppendQuery(nil, &Query{Which: schema.Query_Which_agreement, Agreement: &AgreementBatch{Messages: messages}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeQuery(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.SortFunc(got.Agreement.Messages, func(left, right agreement.Message) int { return int(left.Group) - int(right.Group) })
+	if !reflect.DeepEqual(got.Agreement.Messages, messages) {
+		t.Fatalf("came as %+v", got.Agreement.Messages)
+	}
+	beats := []agreement.Message{}
+	for group := range uint32(16) {
+		beats = append(beats, of(agreement.Message{Group: group, Kind: agreement.MessageAppend, Term: 3, Index: 1 << 40, LogTerm: 3, Commit: 1 << 40, Round: 9}))
+	}
+	if data, err = AppendQuery(nil, &Query{Which: schema.Query_Which_agreement, Agreement: &AgreementBatch{Messages: beats}}); err != nil || len(data) > 24*len(beats)+200 {
+		t.Fatalf("%d heartbeats take %d bytes, %v", len(beats), len(data), err)
+	}
+}
+
+// FuzzDecodeQuery reads anything as a query; what can be read can be put and read
+// again.
+func FuzzDecodeQuery(f *testing.F) {
+	for _, query := range []*Query{
+		{Which: schema.Query_Which_command, Command: &CommandQuery{Group: 7, Commands: turnCommands}},
+		{Which: schema.Query_Which_find, Find: &FindQuery{Name: "9c41d07b"}},
+		{Which: schema.Query_Which_agreement, Agreement: &AgreementBatch{Messages: []agreement.Message{{Group: 1, Kind: agreement.MessageAppend, From: "a", To: "b", Term: 3, Index: 4, LogTerm: 3, Commit: 4}, {Kind: agreement.MessageAppend, From: "a", To: "b", Entries: []agreement.Entry{{Data: []byte("x")}}}}}},
+	} {
+		data, err := AppendQuery(nil, query)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		query, err := DecodeQuery(data)
+		if err != nil || query.Command == nil {
+			return
+		}
+		again, err := AppendQuery(nil, query)
+		if err != nil {
+			return // what was read by one pointer twice may not fit
+		}
+		read, err := DecodeQuery(again)
+		if err != nil || !reflect.DeepEqual(read, query) {
+			t.Fatalf("%+v came as %+v, %v", query, read, err)
+		}
+		machine := line.NewMachine()
+		for position := range query.Command.Commands {
+			machine.Apply(&query.Command.Commands[position])
+		}
+		image := machine.View().Image()
+		if line.NewMachine().Restore(image) != nil {
+			t.Fatal("the image of a group can't be restored")
+		}
+	})
+}
+
+// FuzzDecodeReply reads anything as a reply.
+func FuzzDecodeReply(f *testing.F) {
+	data, err := AppendReply(nil, &Reply{Which: schema.Reply_Which_outcomes, Outcomes: &OutcomeList{Outcomes: []line.Outcome{{Seq: 4}}, History: []byte("in\nout\n")}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reply, err := DecodeReply(data)
+		if err == nil && reply == nil {
+			t.Fatal("neither a reply nor a failure")
+		}
+	})
+}
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -96,6 +96,17 @@
 
 struct AgreementBatch {
   messages @0 :List(AgreementMessage);
+  from @1 :Text;
+  to @2 :Text;
+  beats @3 :List(Beat);
+  answers @4 :List(Beat);
+}
+
+struct Beat {
+  group @0 :UInt32;
+  term @1 :UInt32;
+  index @2 :UInt64;
+  round @3 :UInt64;
 }
 
 struct StoredWrite {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -66,7 +66,7 @@
 	RetryAfter time.Duration
 }
 
-// AgreementBatch carries messages of many groups.
+// AgreementBatch carries messages of many groups, all of one node to one other.
 type AgreementBatch struct{ Messages []agreement.Message }
 
 // StoredWrite is an agreement write as the disk keeps it.
