--- a/system/coldstore/coldstore.go
+++ b/system/coldstore/coldstore.go
@@ -168,7 +168,10 @@
 	return batch.Chunks[0], true
 }
 
-func (store *Store) covered(chunk wire.ColdChunk) bool {
+// Covers tells whether a chunk's range is here, as part of one.
+//
+//	if cold.Covers(wire.ColdChunk{Line: "team/c-1", First: 1, Last: 9}) { ... }
+func (store *Store) Covers(chunk wire.ColdChunk) bool {
 	store.mutex.RLock()
 	defer store.mutex.RUnlock()
 	return slices.ContainsFunc(store.lines[chunk.Line], func(at place) bool { return at.first <= chunk.First && at.last >= chunk.Last })
@@ -184,7 +187,7 @@
 	var bodies []byte
 	index := wire.ColdIndex{}
 	for _, chunk := range chunks {
-		if store.covered(chunk) {
+		if store.Covers(chunk) {
 			continue
 		}
 		body, err := wire.Encode(schema.ColdChunkBatch_TypeID, &wire.ColdChunkBatch{Chunks: []wire.ColdChunk{chunk}})
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -81,6 +81,8 @@
 	}
 }
 
+// putOnMajority has the replicas put chunks into their cold stores. Siblings hold the
+// events themselves, as a rule, and are only told which.
 func (node *Node) putOnMajority(ctx context.Context, voters []string, chunks []wire.ColdChunk) bool {
 	results := make(chan error, len(voters))
 	for _, voter := range voters {
@@ -89,8 +91,7 @@
 				results <- node.cold.Put(chunks)
 				return
 			}
-			_, err := node.caller.Call(ctx, node.addressOf(voter), &wire.Query{Fleet: node.held.Load().Bound(), Which: schema.Query_Which_putCold, PutCold: &wire.ColdChunkBatch{Chunks: chunks}})
-			results <- err
+			results <- node.putOn(ctx, voter, chunks)
 		}()
 	}
 	stored := 0
@@ -101,3 +102,63 @@
 	}
 	return stored >= len(voters)/2+1
 }
+
+// putOn has one sibling put chunks from what it holds, then sends those that it lacks.
+func (node *Node) putOn(ctx context.Context, sibling string, chunks []wire.ColdChunk) error {
+	ranges := make([]wire.ColdChunk, len(chunks))
+	for position, chunk := range chunks {
+		chunk.Events = nil
+		ranges[position] = chunk
+	}
+	fleet, address := node.held.Load().Bound(), node.addressOf(sibling)
+	reply, err := node.caller.Call(ctx, address, &wire.Query{Fleet: fleet, Which: schema.Query_Which_putCold, PutCold: &wire.ColdChunkBatch{Chunks: ranges}})
+	if err != nil || reply.Chunks == nil {
+		return err
+	}
+	type key struct {
+		name  string
+		first uint64
+	}
+	lacking, missing := map[key]bool{}, []wire.ColdChunk{}
+	for _, one := range reply.Chunks.Chunks {
+		lacking[key{one.Line, one.First}] = true
+	}
+	for _, chunk := range chunks {
+		if lacking[key{chunk.Line, chunk.First}] {
+			missing = append(missing, chunk)
+		}
+	}
+	_, err = node.caller.Call(ctx, address, &wire.Query{Fleet: fleet, Which: schema.Query_Which_putCold, PutCold: &wire.ColdChunkBatch{Chunks: missing}})
+	return err
+}
+
+// filled gives chunks with their events: those that come without are filled from what
+// this replica has applied. It tells which it lacks.
+func (node *Node) filled(chunks []wire.ColdChunk) (whole, lacking []wire.ColdChunk) {
+	for _, chunk := range chunks {
+		if len(chunk.Events) == 0 && !node.fill(&chunk) {
+			lacking = append(lacking, chunk)
+		} else if len(chunk.Events) > 0 {
+			whole = append(whole, chunk)
+		}
+	}
+	return whole, lacking
+}
+
+// fill puts the events of a range into a chunk, unless its line has them in its cold
+// store. What is applied is the same at all replicas.
+func (node *Node) fill(chunk *wire.ColdChunk) bool {
+	if node.cold.Covers(*chunk) {
+		return true
+	}
+	machine := node.machine(chunk.Group)
+	if machine == nil {
+		return false
+	}
+	session, found := machine.View().Session(chunk.Line)
+	if !found || chunk.First <= session.ArchivedSeq || chunk.Last < chunk.First || chunk.Last > session.Head {
+		return false
+	}
+	chunk.Events = session.Hot[chunk.First-session.ArchivedSeq-1 : chunk.Last-session.ArchivedSeq]
+	return true
+}
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -522,7 +522,14 @@
 }
 
 func (node *Node) answerPutCold(_ context.Context, query *wire.Query) (*wire.Reply, error) {
-	return &wire.Reply{}, node.cold.Put(query.PutCold.Chunks)
+	whole, lacking := node.filled(query.PutCold.Chunks)
+	if err := node.cold.Put(whole); err != nil {
+		return nil, err
+	}
+	if len(lacking) == 0 {
+		return &wire.Reply{}, nil
+	}
+	return &wire.Reply{Which: schema.Reply_Which_chunks, Chunks: &wire.ColdChunkBatch{Chunks: lacking}}, nil
 }
 
 func (node *Node) answerGetCold(_ context.Context, query *wire.Query) (*wire.Reply, error) {
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -240,7 +240,9 @@
 		return nil
 	}
 	messages, err := target.NewMessages(int32(len(long)))
-	return putList(messages, err, long, func(made schema.AgreementMessage, message **agreement.Message) error { return putMessage(made, *message) })
+	return putList(messages, err, long, func(made schema.AgreementMessage, message **agreement.Message) error {
+		return putMessage(made, *message)
+	})
 }
 
 // takeBatch gives a batch's messages, the short ones last; agreement bears any order.
