--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -95,7 +95,7 @@
 	if settings.Borne {
 		phases = append(phases, phase{"programs", trial.makePrograms}, phase{"turns", trial.turns}, phase{"store restarts", trial.restartStore})
 	} else {
-		phases = append(phases, phase{"small changes", trial.smallChanges}, phase{"charters", trial.charters}, phase{"runner leaves", trial.runnerLeaves}, phase{"fail-over", trial.failOver})
+		phases = append(phases, phase{"small changes", trial.smallChanges}, phase{"charters", trial.charters}, phase{"runner leaves", trial.runnerLeaves}, phase{"fail-over", trial.failOver}, phase{"zone lost", trial.zoneLost})
 	}
 	for _, phase := range phases {
 		if err := phase.run(ctx); err != nil {
@@ -176,6 +176,9 @@
 // runners are no longer new, which is a change of the roster.
 const settling = 4 * time.Second
 
+// joinPace is how long after the node before it a hollow node starts.
+const joinPace = 20 * time.Millisecond
+
 // join starts the hollow nodes and waits until all of them know each other.
 func (trial *trial) join(ctx context.Context) error {
 	listener, err := link.TCP{}.Listen("127.0.0.1:0")
@@ -189,15 +192,14 @@
 		return err
 	}
 	began := time.Now()
-	over := max(time.Second, time.Duration(trial.step.Nodes)*5*time.Millisecond)
+	over := max(time.Second, time.Duration(trial.step.Nodes)*joinPace)
 	if err := trial.herd.Grow(ctx, trial.step.Nodes, over, listener.Addr().String(), trial.controls(), func(int) link.Network { return link.TCP{} }); err != nil {
 		return err
 	}
 	if err := trial.herd.Await(ctx, "fresh", (*Hollow).Fresh); err != nil {
 		return err
 	}
-	trial.told.Figures["join.s"] = time.Since(began).Seconds()
-	trial.told.Figures["join.started_over_s"] = over.Seconds()
+	trial.told.Figures["join.after_last_s"] = (time.Since(began) - over).Seconds()
 	select {
 	case <-time.After(settling):
 	case <-ctx.Done():
@@ -478,6 +480,45 @@
 	return trial.restart(ctx, leader, got.number)
 }
 
+// zoneLost kills all real processes of one domain at once, waits until a change is in
+// force at the hollow nodes, and starts them again.
+func (trial *trial) zoneLost(ctx context.Context) error {
+	lost := []*fleet.Process{}
+	for _, role := range []string{"control", "store", "front"} {
+		for _, process := range trial.fleet.Of(role) {
+			if process.Domain == domains[0] {
+				lost = append(lost, process)
+			}
+		}
+	}
+	for _, process := range lost {
+		process.Kill()
+	}
+	killed := time.Now()
+	number, err := propose(ctx, trial.caller, trial.controls(), domainChange(false))
+	if err != nil {
+		return err
+	}
+	figures := trial.told.Figures
+	figures["zone_lost.acknowledged_s"] = time.Since(killed).Seconds()
+	delays, err := trial.herd.Delays(ctx, number, killed)
+	if err != nil {
+		return err
+	}
+	figures["zone_lost.in_force_most_s"] = delays[len(delays)-1].Seconds()
+	for _, process := range lost {
+		began := time.Now()
+		if err := process.Start(); err != nil {
+			return err
+		}
+		if err := fleet.AwaitReady(ctx, process.Outside); err != nil {
+			return fmt.Errorf("%s: %w", process.Name, err)
+		}
+		figures["zone_lost."+process.Role+"_ready_s"] = time.Since(began).Seconds()
+	}
+	return nil
+}
+
 // restart starts a killed control process again and waits until it holds what is in
 // force and knows the leader.
 func (trial *trial) restart(ctx context.Context, process *fleet.Process, number uint64) error {
--- a/proof/scale/slope.go
+++ b/proof/scale/slope.go
@@ -66,10 +66,27 @@
 	if len(logarithmSizes) >= 2 {
 		_, slope.Exponent = stat.LinearRegression(logarithmSizes, logarithmValues, nil, false)
 	}
-	slope.Worse = claim != "" && slope.Exponent > exponents[claim]
+	slope.Worse = claim != "" && (slope.Exponent > exponents[claim] || claim == Linear && slope.Fit < straight && bendsUp(sizes, values))
 	return slope, nil
 }
 
+const (
+	// straight is how much of the variance a line explains at least. A square over
+	// sizes that double three times has 0.962, however large a base it stands on.
+	straight = 0.97
+	// bend is how much steeper the last part of a bent figure is than the first, and
+	// growth how much larger its last value is.
+	bend, growth = 2, 1.5
+)
+
+// bendsUp tells whether a figure grows faster at its end than at its beginning: a power
+// over a large base has a small exponent, and shows by this.
+func bendsUp(sizes, values []float64) bool {
+	last := len(sizes) - 1
+	first := (values[1] - values[0]) / (sizes[1] - sizes[0])
+	return values[last] > growth*values[0] && (values[last]-values[last-1])/(sizes[last]-sizes[last-1]) > bend*first
+}
+
 // Slopes lays a line through every figure that all steps have, and judges those that
 // the capacity page makes a claim on.
 //
