Links dial again soon: swallowed opening packets no longer cost a second

A machine without power swallows the opening packet of a connection; TCP sends it again only after a second. A dial is now up to four tries of 0.25 s, 0.5 s, 1 s and the rest. The simulated network loses opening packets in the same way.

--- a/proof/simulator/network.go
+++ b/proof/simulator/network.go
@@ -234,14 +234,20 @@
 func (address address) Network() string { return "simulated" }
 func (address address) String() string  { return string(address) }
 
-// Dial connects, or waits while the way is cut.
+// resent is after how long a system sends an opening packet again that a cut way has
+// swallowed; each further time takes twice as long.
+const resent = time.Second
+
+// Dial connects. An opening packet that a cut way swallows is sent again only after a
+// second, as by TCP.
 func (host *Host) Dial(ctx context.Context, target string) (net.Conn, error) {
 	network := host.network
+	again := resent
 	for {
 		network.awake(host.name, nil)
 		network.mutex.Lock()
 		way, changed, found := network.open(host.name, hostOf(target)) && network.open(hostOf(target), host.name), network.changed, network.listeners[target]
-		frozen := network.frozen[host.name]
+		frozen, held := network.frozen[host.name], network.frozen[hostOf(target)]
 		network.mutex.Unlock()
 		if frozen {
 			continue
@@ -252,7 +258,13 @@
 		if way {
 			return network.connect(host.name, found)
 		}
+		var lost <-chan time.Time
+		if !held {
+			lost, changed = time.After(again), nil
+			again *= 2
+		}
 		select {
+		case <-lost:
 		case <-changed:
 		case <-ctx.Done():
 			network.mutex.Lock()
--- a/system/link/link.go
+++ b/system/link/link.go
@@ -133,12 +133,32 @@
 	}
 }
 
-const dialPatience = 2 * time.Second
+const (
+	dialPatience = 2 * time.Second
+	// firstDial is how long the first try to connect may take; each further one may take
+	// twice as long.
+	firstDial = 250 * time.Millisecond
+)
+
+// dial connects by several tries: an opening packet that was swallowed, by a machine that
+// was still without power or by a full queue, is sent again by the system only after a
+// second or more.
+func (caller *Caller) dial(ctx context.Context, address string) (net.Conn, error) {
+	for patience := firstDial; ; patience *= 2 {
+		limited, cancel := context.WithTimeout(ctx, patience)
+		stream, err := caller.network.Dial(limited, address)
+		expired := limited.Err() != nil
+		cancel()
+		if err == nil || !expired || ctx.Err() != nil {
+			return stream, err
+		}
+	}
+}
 
 func (caller *Caller) open(line *connection, address string) {
 	ctx, cancel := context.WithTimeout(caller.closed, dialPatience)
 	defer cancel()
-	stream, err := caller.network.Dial(ctx, address)
+	stream, err := caller.dial(ctx, address)
 	if err == nil && caller.closed.Err() != nil {
 		stream.Close()
 		err = caller.closed.Err()
--- a/system/link/link_test.go
+++ b/system/link/link_test.go
@@ -4,7 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
+	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"yardrock.example/system/agreement"
@@ -239,3 +243,67 @@
 	}
 	caller.Drop(listener.Addr().String())
 }
+
+// swallowing is a network that swallows opening packets until a time, like a machine that
+// has no power yet. What was swallowed is never answered.
+type swallowing struct {
+	TCP
+	until time.Time
+	dials atomic.Int32
+}
+
+func (network *swallowing) Dial(ctx context.Context, _ string) (net.Conn, error) {
+	network.dials.Add(1)
+	if time.Now().Before(network.until) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		source := bufio.NewReader(far)
+		if _, err := io.ReadFull(source, make([]byte, len(greeting))); err != nil {
+			return
+		}
+		asked, err := readFrame(source)
+		if err != nil {
+			return
+		}
+		answering := &sender{stream: far}
+		if _, _, err := answering.push(frameReply, asked.call, mostWaiting, func(target []byte) ([]byte, error) { return wire.AppendReply(target, &wire.Reply{}) }); err == nil {
+			answering.flush()
+		}
+	}()
+	return near, nil
+}
+
+// TestAMachineThatReturnsIsReachedSoonThoughItWasDialledBefore: who dials it while it has
+// no power does not wait for the system to send the opening packet again.
+func TestAMachineThatReturnsIsReachedSoonThoughItWasDialledBefore(t *testing.T) {
+	for _, without := range []time.Duration{0, 100 * time.Millisecond, 600 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			network := &swallowing{until: began.Add(without)}
+			caller := NewCaller(network)
+			defer caller.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), dialPatience)
+			defer cancel()
+			if _, err := caller.Call(ctx, "10.0.0.1:7000", &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}}); err != nil {
+				t.Fatalf("without power for %s: %v", without, err)
+			}
+			if took, most := time.Since(began), without+max(firstDial, without); took > most {
+				t.Fatalf("without power for %s: answered after %s, want at most %s, %d dials", without, took, most, network.dials.Load())
+			}
+		})
+	}
+	// One that never returns is given up when patience is over.
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		caller := NewCaller(&swallowing{until: began.Add(time.Hour)})
+		defer caller.Close()
+		_, err := caller.Call(t.Context(), "10.0.0.1:7000", &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+		if told := mishap.Of(err); !told.NeverSent || time.Since(began) != dialPatience {
+			t.Fatalf("after %s: %v", time.Since(began), err)
+		}
+	})
+}
