Queries wait for a fresh view right after an outage instead of being refused

A front that had just started refused everything until a control quorum had confirmed its view, with Retry-After of a second: callers used up their tries or came back a second too late. Now queries wait, at most half of their time, for up to 1.5 s after the front's start or after its view was fresh last; a front that has been cut off for longer refuses at once.

--- /dev/null
+++ b/proof/simulator/awaitfresh_test.go
@@ -0,0 +1,82 @@
+package simulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"yardrock.example/system/forwarding"
+)
+
+// startWithin starts machines, each at its own time within a span, and gives the time at
+// which the last had started.
+func startWithin(t *testing.T, random *rand.Rand, machines []*Machine, span time.Duration) time.Time {
+	t.Helper()
+	var starting sync.WaitGroup
+	for _, machine := range machines {
+		after := time.Duration(random.Int64N(int64(span)))
+		starting.Go(func() {
+			<-time.After(after)
+			if err := machine.Start(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	starting.Wait()
+	return time.Now()
+}
+
+// TestQueriesThatComeRightAfterATotalOutageAreServed: a front that has just started lets
+// them wait for its view rather than refuse them.
+func TestQueriesThatComeRightAfterATotalOutageAreServed(t *testing.T) {
+	forwardSimulate(t, func(t *testing.T, cluster *Cluster) {
+		random := cluster.Random(43)
+		for round := range 4 {
+			for _, machine := range cluster.Machines() {
+				if round%2 == 0 {
+					machine.Kill()
+				} else {
+					machine.LosePower()
+				}
+			}
+			returned := startWithin(t, random, cluster.Machines(), 400*time.Millisecond)
+			var asking sync.WaitGroup
+			for _, machine := range cluster.Fronts {
+				for number := range 4 {
+					asking.Go(func() {
+						name := fmt.Sprintf("early-%d-%s-%d", round, machine.Host, number)
+						path := []string{"/lookup/", "/talk/kept/"}[number%2] + name
+						answer := cluster.Forward(machine, forwarding.Query{Name: name, Path: path, Program: name, Budgeted: true, Budget: 1000, TokensOut: 40})
+						if took := time.Since(returned); !answer.Complete() || took > 2*time.Second {
+							t.Errorf("round %d: %s got %d %v %s after the return", round, path, answer.Status, answer.Err, took)
+						}
+					})
+				}
+			}
+			asking.Wait()
+			t.Logf("round %d: all are answered %s after the return", round, time.Since(returned))
+			cluster.Settle(3 * time.Second)
+		}
+	})
+}
+
+// TestAFrontThatHasBeenCutOffForLongRefusesAtOnce: its callers lose no time that they could
+// use at another.
+func TestAFrontThatHasBeenCutOffForLongRefusesAtOnce(t *testing.T) {
+	forwardSimulate(t, func(t *testing.T, cluster *Cluster) {
+		front := cluster.Fronts[0]
+		cluster.Network.Isolate(front.Host)
+		cluster.Settle(4 * time.Second)
+		began := time.Now()
+		answer := cluster.Forward(front, forwarding.Query{Name: "cut-1", Path: "/lookup/cut-1"})
+		if took := time.Since(began); !answer.Refused() || took > 0 {
+			t.Fatalf("after %s: %d %v", took, answer.Status, answer.Err)
+		}
+		cluster.Network.Rejoin(front.Host)
+		if answer := cluster.Forward(cluster.Fronts[1], forwarding.Query{Name: "cut-2", Path: "/lookup/cut-2"}); !answer.Complete() {
+			t.Fatalf("the other front: %d %v", answer.Status, answer.Err)
+		}
+	})
+}
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -50,9 +50,10 @@
 	seeds      atomic.Pointer[[]string]
 	view       atomic.Pointer[feed.View]
 	members    atomic.Pointer[[]feed.Member]
-	freshUntil atomic.Int64  // since began, on the monotonic clock
-	controlled atomic.Int64  // when a control quorum answered last, since began
-	adopting   chan struct{} // holds one token while no view is being taken
+	freshUntil atomic.Int64                  // since began, on the monotonic clock
+	renewed    atomic.Pointer[chan struct{}] // closed when freshUntil next grows
+	controlled atomic.Int64                  // when a control quorum answered last, since began
+	adopting   chan struct{}                 // holds one token while no view is being taken
 	control    string
 	known      []string
 	turns      int
@@ -77,6 +78,7 @@
 	}
 	follower.view.Store(held)
 	follower.members.Store(&[]feed.Member{})
+	follower.renewed.Store(new(make(chan struct{})))
 	follower.SetSeeds(seeds)
 	follower.context, follower.stop = context.WithCancel(context.Background())
 	follower.adopting <- struct{}{}
@@ -114,6 +116,31 @@
 	return view, nil
 }
 
+// AwaitFresh is Fresh for those who can wait: a node that has just started, or whose view
+// was fresh until lately, mostly soon hears that nothing newer exists. Patience counts from
+// when the view was fresh last, or from the start; once it is over, nobody waits.
+//
+//	view, err := following.AwaitFresh(ctx, 1500*time.Millisecond)
+func (follower *Follower) AwaitFresh(ctx context.Context, patience time.Duration) (*feed.View, error) {
+	for {
+		renewed := *follower.renewed.Load()
+		view, err := follower.Fresh()
+		left := time.Duration(follower.freshUntil.Load()) + patience - time.Since(follower.began)
+		if err == nil || left <= 0 {
+			return view, err
+		}
+		tick := time.NewTimer(left)
+		select {
+		case <-renewed:
+			tick.Stop()
+		case <-tick.C:
+		case <-ctx.Done():
+			tick.Stop()
+			return nil, err
+		}
+	}
+}
+
 // ControlledWithin tells whether a control quorum answered that lately.
 //
 //	if following.ControlledWithin(5 * time.Second) { ... }
@@ -152,6 +179,7 @@
 	until := int64(asked.Sub(follower.began) + Window)
 	if until > follower.freshUntil.Load() {
 		follower.freshUntil.Store(until)
+		close(*follower.renewed.Swap(new(make(chan struct{}))))
 	}
 }
 
--- a/system/forwarding/forwarder.go
+++ b/system/forwarding/forwarder.go
@@ -32,6 +32,8 @@
 	Node string
 	// Fresh tells whether the view held may be acted on.
 	Fresh func() error
+	// AwaitFresh waits for that, if there is hope that it will soon be so.
+	AwaitFresh func(ctx context.Context) error
 	// Rules gives what is in force; Routing is nil while nothing is.
 	Rules    func() Rules
 	Balancer *balancer.Balancer
@@ -57,7 +59,7 @@
 
 // New makes a forwarder.
 //
-//	forwarder := forwarding.New(forwarding.Settings{Node: "front-1", Fresh: fresh, Rules: rules, Balancer: balancing, Pool: pool, Records: stores})
+//	forwarder := forwarding.New(forwarding.Settings{Node: "front-1", Fresh: fresh, AwaitFresh: awaitFresh, Rules: rules, Balancer: balancing, Pool: pool, Records: stores})
 //	err := forwarder.Serve(ctx, query, answer)
 func New(settings Settings) *Forwarder {
 	if settings.HeldBytes == 0 {
@@ -137,9 +139,19 @@
 	return false, forwarder.hold(going, int64(len(going.Body)))
 }
 
-func requireFresh(forwarder *Forwarder, _ context.Context, going *passage) (bool, error) {
+// freshShare is the part of its time that a query may wait for the view to be fresh.
+const freshShare = 0.5
+
+func requireFresh(forwarder *Forwarder, ctx context.Context, going *passage) (bool, error) {
 	if err := forwarder.settings.Fresh(); err != nil {
-		return false, err
+		if !going.Deadline.IsZero() {
+			limited, cancel := context.WithTimeout(ctx, time.Duration(freshShare*float64(time.Until(going.Deadline))))
+			defer cancel()
+			ctx = limited
+		}
+		if err := forwarder.settings.AwaitFresh(ctx); err != nil {
+			return false, err
+		}
 	}
 	going.rules = forwarder.settings.Rules()
 	if going.rules.Routing == nil {
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -91,7 +91,7 @@
 	node.board = scheduling.NewBoard(node.name, settings.Domain, node.boardState, node.tellOfRunner)
 	node.pool = runnerpool.New(network, settings.Dialect)
 	node.balancer = balancer.New(settings.Domain, rand.Uint64(), nil)
-	node.forward = forwarding.New(forwarding.Settings{Node: node.name, Fresh: node.fresh, Rules: node.routes, Balancer: node.balancer, Pool: node.pool, Records: node.stores, HeldBytes: settings.HeldBytes})
+	node.forward = forwarding.New(forwarding.Settings{Node: node.name, Fresh: node.fresh, AwaitFresh: node.awaitFresh, Rules: node.routes, Balancer: node.balancer, Pool: node.pool, Records: node.stores, HeldBytes: settings.HeldBytes})
 	linkListener, err := network.Listen(settings.Address)
 	if err != nil {
 		return nil, mishap.New(mishap.BadSettings, "cannot listen on "+settings.Address+": "+err.Error(), "use an address of this machine that is free")
@@ -138,6 +138,13 @@
 	return err
 }
 
+// awaitFresh is fresh for a query that can wait until the view was confirmed anew, as
+// after an outage of all control nodes.
+func (node *Node) awaitFresh(ctx context.Context) error {
+	_, err := node.follow.AwaitFresh(ctx, freshPatience)
+	return err
+}
+
 // routes gives the routes in force.
 func (node *Node) routes() forwarding.Rules {
 	rules := node.rules.Load()
@@ -341,8 +348,11 @@
 	tailWait          = time.Second
 	probePatience     = 500 * time.Millisecond
 	joinSettle        = time.Second
-	greetInterval     = 300 * time.Millisecond
-	backgroundPause   = 300 * time.Millisecond
-	provePatience     = 1500 * time.Millisecond
-	sessionsKnown     = 1500 * time.Millisecond
+	// freshPatience is how long after its view was fresh last, or after its start, a front
+	// lets queries wait rather than refuse them.
+	freshPatience   = 1500 * time.Millisecond
+	greetInterval   = 300 * time.Millisecond
+	backgroundPause = 300 * time.Millisecond
+	provePatience   = 1500 * time.Millisecond
+	sessionsKnown   = 1500 * time.Millisecond
 )
