--- a/system/controlplane/changes.go
+++ b/system/controlplane/changes.go
@@ -237,7 +237,7 @@
 	members := slices.Concat(voters, learners)
 	silent := slices.DeleteFunc(slices.Clone(voters), func(name string) bool { return !node.silent(name, silencePatience) })
 	for _, member := range live {
-		if member.Role == feed.RoleControl && !slices.Contains(members, member.Name) && !node.succeeded(member) && len(members)-len(silent) < node.settings.MostControls {
+		if member.Role == feed.RoleControl && !slices.Contains(members, member.Name) && !node.silent(member.Name, doubtPatience) && len(members)-len(silent) < node.settings.MostControls {
 			return change("control_enrolled", member.Name, agreement.Replicas{Voters: voters, Learners: append(slices.Clone(learners), member.Name)})
 		}
 	}
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -26,13 +27,16 @@
 	Window       = 1500 * time.Millisecond
 	askPatience  = 550 * time.Millisecond
 	hedgeAfter   = 300 * time.Millisecond
-	seedPatience = time.Second
+	seedPatience = 500 * time.Millisecond
 	// shortestPause is between the end of a round and the next; after rounds without a
 	// control node it grows to longestPause.
 	shortestPause = 50 * time.Millisecond
 	longestPause  = 300 * time.Millisecond
 	// homeInterval is how often a node looks whether a nearer control node is there.
 	homeInterval = 15 * time.Second
+	settleHome   = 2 * time.Second
+	// askedAtOnce is how many control nodes are asked while none is known to answer.
+	askedAtOnce = 3
 )
 
 // waits tells for how long a control node may hold its answer while nothing changes.
@@ -49,7 +53,7 @@
 	began      time.Time
 	seeds      atomic.Pointer[[]string]
 	view       atomic.Pointer[feed.View]
-	members    atomic.Pointer[[]feed.Member]
+	roll       atomic.Pointer[roll]
 	freshUntil atomic.Int64                  // since began, on the monotonic clock
 	renewed    atomic.Pointer[chan struct{}] // closed when freshUntil next grows
 	controlled atomic.Int64                  // when a control quorum answered last, since began
@@ -59,13 +63,18 @@
 	turns      int
 	failures   int        // rounds in a row without an answer of a control node
 	chosen     time.Time  // when the control node was chosen
-	digest     uint64     // of the members known, as their control node told it
 	foreign    chan error // holds what makes this node's data folder useless here
 	context    context.Context
 	stop       context.CancelFunc
 	done       chan struct{}
 }
 
+// roll is a list of live members, and the digest that its control node gave it.
+type roll struct {
+	members []feed.Member
+	digest  uint64
+}
+
 // Start begins to follow. The view given, if any, is what the node's disk held;
 // onView is called with every newer one, in order, before it is shown; what it refuses
 // is not shown, and is offered again.
@@ -77,8 +86,8 @@
 		held = &feed.View{}
 	}
 	follower.view.Store(held)
-	follower.members.Store(&[]feed.Member{})
 	follower.renewed.Store(new(make(chan struct{})))
+	follower.roll.Store(&roll{})
 	follower.SetSeeds(seeds)
 	follower.context, follower.stop = context.WithCancel(context.Background())
 	follower.adopting <- struct{}{}
@@ -102,7 +111,7 @@
 // Members gives the live nodes, by the control nodes' sessions.
 //
 //	for _, member := range following.Members() { ... }
-func (follower *Follower) Members() []feed.Member { return *follower.members.Load() }
+func (follower *Follower) Members() []feed.Member { return follower.roll.Load().members }
 
 // Fresh gives the view if it may be acted on: within the window, a control
 // quorum or a store majority said that nothing newer exists.
@@ -211,53 +220,62 @@
 }
 
 // round asks a control node, which may hold its answer for a while if it answered last
-// time, and the stores too if the answer is late. It tells whether the control node
-// confirmed.
+// time, and the stores too if the answer is late. While no control node answers, a few are
+// asked at once: some may be gone and say nothing. It tells whether one confirmed.
 func (follower *Follower) round() bool {
-	wait := time.Duration(0)
-	if follower.failures == 0 && follower.controlled.Load() > 0 {
+	wait, asked := time.Duration(0), follower.pickControls()
+	if follower.control != "" {
 		wait = cmp.Or(waits[follower.member.Role], usualWait)
 	}
-	byControl := make(chan bool, 1)
-	go func() { byControl <- follower.askControl(wait) }()
+	ctx, cancel := context.WithTimeout(follower.context, wait+askPatience)
+	defer cancel()
+	confirmed := make(chan string, len(asked)) // the address that did, or ""
+	for _, address := range asked {
+		go func() {
+			if follower.askControl(ctx, address, wait) {
+				confirmed <- address
+			} else {
+				confirmed <- ""
+			}
+		}()
+	}
 	hedge := time.NewTimer(wait + hedgeAfter)
 	defer hedge.Stop()
-	select {
-	case confirmed := <-byControl:
-		if !confirmed {
+	hedged := false
+	for left := len(asked); left > 0; {
+		select {
+		case address := <-confirmed:
+			if left--; address != "" {
+				if follower.control != address { // the quickest of a few; home soon
+					follower.control, follower.chosen = address, time.Now().Add(settleHome-homeInterval)
+				}
+				return true
+			}
+		case <-hedge.C:
+			hedged = true
 			follower.askStores()
 		}
-		return confirmed
-	case <-hedge.C:
+	}
+	follower.control = ""
+	if !hedged {
 		follower.askStores()
-		return <-byControl
 	}
+	return false
 }
 
-func (follower *Follower) askControl(wait time.Duration) bool {
-	address := follower.pickControl()
-	if address == "" {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(follower.context, wait+askPatience)
-	defer cancel()
+func (follower *Follower) askControl(ctx context.Context, address string, wait time.Duration) bool {
 	asked, view := time.Now(), follower.view.Load()
-	reply, err := follower.caller.Call(ctx, address, &wire.Query{Fleet: view.Bound(), Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{Member: follower.member, After: view.Number, Wait: wait, Known: follower.digest}})
+	reply, err := follower.caller.Call(ctx, address, &wire.Query{Fleet: view.Bound(), Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{Member: follower.member, After: view.Number, Wait: wait, Known: follower.roll.Load().digest}})
 	if err != nil || reply.Follow == nil {
-		if ctx.Err() != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			follower.caller.Drop(address)
 		}
-		if follower.context.Err() == nil && err != nil {
+		if ctx.Err() != context.Canceled && err != nil {
 			log.WithFields(log.Fields{"node": follower.member.Name, "control": address, "error": err.Error()}).Warn("follow_failed")
 		}
-		follower.control, follower.digest = "", 0
 		follower.noteForeign(err)
 		return false
 	}
-	if reply.Follow.Known != 0 {
-		follower.members.Store(&reply.Follow.Members)
-		follower.digest = reply.Follow.Known
-	}
 	next := *view
 	if reply.Follow.Reset {
 		next = reply.Follow.View
@@ -273,6 +291,9 @@
 	if !follower.Adopt(&next) {
 		return false
 	}
+	if reply.Follow.Known != 0 {
+		follower.roll.Store(&roll{reply.Follow.Members, reply.Follow.Known})
+	}
 	follower.confirm(confirmed)
 	return true
 }
@@ -295,9 +316,9 @@
 //	err := <-following.Foreign()
 func (follower *Follower) Foreign() <-chan error { return follower.foreign }
 
-// pickControl keeps to one control node while it answers, but comes home to the one that
-// is best for this node; else it takes the next of those the view or the seeds name.
-func (follower *Follower) pickControl() string {
+// pickControls keeps to the control node that answered last, but comes home to the one that
+// is best for this node; else it takes the next few of those the view or the seeds name.
+func (follower *Follower) pickControls() []string {
 	view := follower.view.Load()
 	if follower.control != "" && time.Since(follower.chosen) > homeInterval {
 		follower.chosen = time.Now()
@@ -306,20 +327,22 @@
 		}
 	}
 	if follower.control != "" {
-		return follower.control
+		return []string{follower.control}
 	}
 	if len(follower.known) == 0 {
 		follower.known = follower.ranked(view)
 		follower.turns++
 		if len(follower.known) == 0 || follower.turns%2 == 0 {
-			follower.known = append(follower.askSeeds(), follower.known...)
+			for _, address := range follower.askSeeds() {
+				if !slices.Contains(follower.known, address) {
+					follower.known = append(follower.known, address)
+				}
+			}
 		}
 	}
-	if len(follower.known) == 0 {
-		return ""
-	}
-	follower.control, follower.known, follower.chosen = follower.known[0], follower.known[1:], time.Now()
-	return follower.control
+	picked := follower.known[:min(askedAtOnce, len(follower.known))]
+	follower.known = follower.known[len(picked):]
+	return picked
 }
 
 // ranked lists the control nodes of a view, those of this node's domain first, and spread
