--- /dev/null
+++ b/proof/simulator/huntfaults_test.go
@@ -0,0 +1,713 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/charter"
+	"yardrock.example/system/controlplane"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/forwarding"
+	"yardrock.example/system/mishap"
+)
+
+// routingOrder is a routing as an operator sent it.
+type routingOrder struct {
+	revision uint64
+	routing  charter.Routing
+	judged   charter.Routing // the same, indexed
+	sent     time.Time
+	acked    time.Time // zero if it was not acknowledged
+	refused  bool      // it lost or was invalid: it may never be in force
+}
+
+// routingAt makes the routing of a revision: tools' work moves between services, one
+// route is there for this revision and the next.
+func routingAt(revision uint64, random *rand.Rand) charter.Routing {
+	seconds := func(count float64) charter.Duration { return charter.Duration(count * float64(time.Second)) }
+	route := func(name, prefix string, kind charter.RouteKind, patience float64, tries int, shares ...charter.Share) charter.Route {
+		return charter.Route{Name: name, Host: RoutedHost, Prefix: prefix, Kind: kind, Patience: seconds(patience), Target: seconds(0.25), Gap: seconds(0.4), Shares: shares, Tries: tries}
+	}
+	shares := func() []charter.Share {
+		switch random.IntN(3) {
+		case 0:
+			return []charter.Share{{Service: "tools", Weight: 1}}
+		case 1:
+			return []charter.Share{{Service: "others", Weight: 1}}
+		}
+		return []charter.Share{{Service: "tools", Weight: 2}, {Service: "others", Weight: 1}}
+	}
+	kept := route("kept", "/talk/kept/", charter.Streaming, 3.5+random.Float64(), 2, charter.Share{Service: "engines", Weight: 1})
+	kept.KeepsHistory, kept.Keep, kept.Sticky = true, seconds(120), true
+	chat := route("chat", "/talk/chat/", charter.Streaming, 3.5+random.Float64(), 3, charter.Share{Service: "engines", Weight: 1})
+	chat.Resumable, chat.Sticky, chat.Urgency = true, true, 1
+	routing := charter.Routing{
+		Revision: revision,
+		Services: []charter.Service{
+			{Name: "engines", HealthPath: "/health", MostConnections: 60, ColdFor: charter.Duration(huntColdFor), ColdRate: huntColdRate, Engine: &charter.Engine{Slots: 32, CacheTokens: 190000, TokensPerEvent: 4}},
+			{Name: "tools", HealthPath: "/health", MostConnections: 60, ColdFor: charter.Duration(huntColdFor), ColdRate: huntColdRate},
+			{Name: "others", HealthPath: "/health", MostConnections: 60, ColdFor: charter.Duration(huntColdFor), ColdRate: huntColdRate},
+		},
+		Routes: []charter.Route{
+			kept, chat,
+			route("lookup", "/lookup/", charter.Repeatable, 1.5+random.Float64(), 3, shares()...),
+			route("order", "/order/", charter.Once, 2+random.Float64(), 2, shares()...),
+			route("only", fmt.Sprintf("/only-%d/", revision), charter.Repeatable, 1, 2, shares()...),
+		},
+		Bounds: charter.Bounds{HeaderBytes: 16384, BodyBytes: 4 << 20, HeaderWait: seconds(3), Idle: seconds(15)},
+	}
+	return routing
+}
+
+// begin puts the first routing in force, and awaits that all fronts serve.
+func (hunt *hunt) begin() {
+	cluster := hunt.cluster
+	hunt.mutex.Lock()
+	for position, machine := range cluster.Engines {
+		if machine.Group == "tools" && position%2 == 1 { // some work for the others
+			machine.Group = "others"
+		}
+		hunt.runners = append(hunt.runners, &runnerLife{machine: machine, engine: machine.Engine, group: machine.Group, listed: true})
+	}
+	hunt.mutex.Unlock()
+	for _, group := range []string{"tools", "others", "others"} {
+		hunt.startRunner("", group, domain(len(hunt.runners)), 0)
+	}
+	if !hunt.order(cluster.Random(59), 0, 1, false) {
+		hunt.t.Fatal("the first routing is not acknowledged")
+	}
+	if err := cluster.AwaitForwarding(10 * time.Second); err != nil {
+		hunt.t.Fatal(err)
+	}
+	for _, machine := range cluster.Fronts {
+		hunt.adopt(machine)
+	}
+}
+
+// list publishes the runners. The caller holds no lock.
+func (hunt *hunt) list() {
+	hunt.mutex.Lock()
+	listed := []feed.Runner{}
+	for _, life := range hunt.runners {
+		if !life.listed {
+			continue
+		}
+		runner := feed.Runner{Life: life.engine.Life, Address: life.machine.Host + ":8000", Group: life.group, Domain: life.machine.Domain, State: feed.Serving, Slots: 32}
+		if len(life.cold) > 0 {
+			if left := time.Until(life.cold[len(life.cold)-1].until); left > 0 {
+				runner.State, runner.ColdFor = feed.Cold, left
+			}
+		}
+		if !life.leavingAt.IsZero() {
+			runner.State, runner.ColdFor = feed.Leaving, 0
+		}
+		listed = append(listed, runner)
+	}
+	for _, machine := range hunt.cluster.Runners {
+		group := "small"
+		if strings.HasPrefix(machine.Host, "10.0.4.") {
+			group = "application"
+		}
+		listed = append(listed, feed.Runner{Address: machine.Host + ":8000", Group: group, Domain: machine.Domain, State: feed.Serving})
+	}
+	hunt.mutex.Unlock()
+	hunt.cluster.Roster.Put(listed)
+}
+
+// startRunner starts a runner, at a host that was used before or "" for a new one.
+func (hunt *hunt) startRunner(host, group, domain string, cold time.Duration) *runnerLife {
+	hunt.mutex.Lock()
+	if hunt.hosts++; host == "" {
+		host = fmt.Sprintf("10.0.6.%d", hunt.hosts)
+	}
+	machine := &EngineMachine{Host: host, Domain: domain, Group: group}
+	name := fmt.Sprintf("life-%d", hunt.hosts)
+	hunt.mutex.Unlock()
+	if err := machine.Return(hunt.cluster, name); err != nil {
+		hunt.t.Errorf("a runner does not start: %v", err)
+		return nil
+	}
+	life := &runnerLife{machine: machine, engine: machine.Engine, group: group, listed: true}
+	if cold > 0 {
+		life.cold = []coldSpan{{time.Now(), time.Now(), time.Now().Add(cold)}}
+	}
+	hunt.mutex.Lock()
+	hunt.runners = append(hunt.runners, life)
+	hunt.cluster.Engines = append(hunt.cluster.Engines, machine)
+	hunt.mutex.Unlock()
+	hunt.list()
+	return life
+}
+
+func (hunt *hunt) endRunner(life *runnerLife) {
+	hunt.mutex.Lock()
+	life.endedAt = time.Now()
+	hunt.mutex.Unlock()
+	life.machine.Leave()
+}
+
+// some gives a serving runner of a group that has enough of them.
+func (hunt *hunt) some(random *rand.Rand, least int) *runnerLife {
+	hunt.mutex.Lock()
+	defer hunt.mutex.Unlock()
+	groups := map[string][]*runnerLife{}
+	for _, life := range hunt.runners {
+		if life.listed && life.leavingAt.IsZero() && life.endedAt.IsZero() {
+			groups[life.group] = append(groups[life.group], life)
+		}
+	}
+	fit := []*runnerLife{}
+	for _, group := range []string{"engines", "tools", "others"} {
+		if len(groups[group]) >= least {
+			fit = append(fit, groups[group]...)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	return fit[random.IntN(len(fit))]
+}
+
+// troubleRunners releases runners one after another, crashes some, and turns some cold.
+func (hunt *hunt) troubleRunners(random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		<-time.After(time.Duration(500+random.IntN(2500)) * time.Millisecond)
+		switch random.IntN(4) {
+		case 0, 1:
+			hunt.release(random)
+		case 2:
+			if life := hunt.some(random, 3); life != nil { // it stays on the list for a while
+				hunt.endRunner(life)
+				<-time.After(time.Duration(500+random.IntN(2500)) * time.Millisecond)
+				hunt.startRunner("", life.group, life.machine.Domain, huntColdFor)
+				hunt.mutex.Lock()
+				life.listed = false
+				hunt.mutex.Unlock()
+				hunt.list()
+			}
+		case 3:
+			if life := hunt.some(random, 2); life != nil {
+				hunt.mutex.Lock()
+				life.cold = append(life.cold, coldSpan{time.Now(), time.Now().Add(noticeCold), time.Now().Add(huntColdFor)})
+				hunt.mutex.Unlock()
+				hunt.list()
+				<-time.After(huntColdFor)
+			}
+		}
+	}
+}
+
+// release lets a runner's next life come, the runner leave, and a runner of another
+// service take its address.
+func (hunt *hunt) release(random *rand.Rand) {
+	old := hunt.some(random, 1)
+	if old == nil {
+		return
+	}
+	hunt.startRunner("", old.group, old.machine.Domain, huntColdFor)
+	<-time.After(time.Duration(random.IntN(1500)) * time.Millisecond)
+	hunt.mutex.Lock()
+	old.leavingAt = time.Now()
+	hunt.mutex.Unlock()
+	hunt.list()
+	<-time.After(drainBound + time.Duration(200+random.IntN(800))*time.Millisecond)
+	hunt.endRunner(old)
+	if random.IntN(2) == 0 {
+		hunt.mutex.Lock()
+		old.listed = false
+		hunt.mutex.Unlock()
+		hunt.list()
+	}
+	<-time.After(2 * time.Second)
+	hunt.mutex.Lock()
+	old.listed = false
+	hunt.mutex.Unlock()
+	hunt.list()
+	if group := map[string]string{"tools": "others", "others": "engines", "engines": "tools"}[old.group]; random.IntN(2) == 0 {
+		hunt.startRunner(old.machine.Host, group, old.machine.Domain, huntColdFor)
+	}
+}
+
+// troubleAnswers makes single answers go wrong.
+func (hunt *hunt) troubleAnswers(random *rand.Rand, until time.Time) {
+	faults := []standin.Fault{standin.Refuses, standin.Loses, standin.Breaks, standin.Fails, standin.Unvouched, standin.Foreign, standin.Extra, standin.Garbles, standin.Hangs, standin.Plain, standin.Rejects, standin.Repeats}
+	for time.Now().Before(until) {
+		<-time.After(time.Duration(50+random.IntN(400)) * time.Millisecond)
+		if life := hunt.some(random, 1); life != nil {
+			life.engine.Next(faults[random.IntN(len(faults))])
+		}
+	}
+}
+
+// order sends a new routing on a base; by amendment if wanted. It tells whether it was
+// acknowledged.
+func (hunt *hunt) order(random *rand.Rand, base, revision uint64, amends bool) bool {
+	hunt.mutex.Lock()
+	one := &routingOrder{revision: revision, routing: routingAt(revision, random), sent: time.Now()}
+	one.judged = one.routing
+	one.judged.Index()
+	hunt.orders = append(hunt.orders, one)
+	hunt.mutex.Unlock()
+	digest := fmt.Sprintf("%d-%d", revision, random.Uint64())
+	err := hunt.cluster.order(random.IntN(3), 8*time.Second, func(ctx context.Context, node *controlplane.Node) error {
+		if amends {
+			return node.AmendRouting(ctx, "root", base, charter.Amendment{Revision: revision, Routes: one.routing.Routes}, digest)
+		}
+		return node.ReplaceRouting(ctx, "root", base, one.routing, digest)
+	})
+	hunt.mutex.Lock()
+	defer hunt.mutex.Unlock()
+	if err == nil {
+		one.acked = time.Now()
+	}
+	one.refused = mishap.Is(err, mishap.Conflict) || mishap.Is(err, mishap.Invalid)
+	return err == nil
+}
+
+// operate changes the routing, alone or with another operator at the same time, and
+// empties and refills domains.
+func (hunt *hunt) operate(random *rand.Rand, until time.Time) {
+	base, newest := uint64(1), uint64(1)
+	for time.Now().Before(until) {
+		<-time.After(time.Duration(500+random.IntN(3500)) * time.Millisecond)
+		if random.IntN(4) == 0 {
+			hunt.empty(random)
+			continue
+		}
+		var read *charter.Routing
+		err := hunt.cluster.order(random.IntN(3), 3*time.Second, func(ctx context.Context, node *controlplane.Node) (err error) {
+			read, err = node.ReadRouting(ctx)
+			return err
+		})
+		if err != nil {
+			continue
+		}
+		if read.Revision < base {
+			hunt.t.Errorf("CONFIG: revision %d was read back after %d was acknowledged", read.Revision, base)
+		}
+		base = read.Revision
+		count := 1 + random.IntN(3)/2
+		told := make(chan bool, count)
+		for range count {
+			newest = max(newest, base) + 1 + uint64(random.IntN(3))
+			seed, revision := random.Uint64(), newest
+			go func() { told <- hunt.order(rand.New(rand.NewPCG(seed, 3)), base, revision, seed%2 == 0) }()
+		}
+		acked := 0
+		for range count {
+			if <-told {
+				acked++
+			}
+		}
+		if acked > 1 {
+			hunt.t.Errorf("CONFIG: two routings on revision %d were acknowledged", base)
+		}
+	}
+}
+
+func (hunt *hunt) empty(random *rand.Rand) {
+	name := domain(random.IntN(3))
+	set := func(state string) bool {
+		return hunt.cluster.order(random.IntN(3), 4*time.Second, func(ctx context.Context, node *controlplane.Node) error {
+			return node.SetDomainState(ctx, "root", name, state)
+		}) == nil
+	}
+	span := &emptiedSpan{domain: name}
+	if set(feed.Emptied) {
+		span.acked = time.Now()
+		hunt.mutex.Lock()
+		hunt.emptied = append(hunt.emptied, span)
+		hunt.mutex.Unlock()
+	}
+	<-time.After(time.Duration(4000+random.IntN(5000)) * time.Millisecond)
+	hunt.mutex.Lock()
+	span.refilled = time.Now()
+	for _, life := range hunt.runners { // they became cold shortly before
+		if life.machine.Domain == name && life.listed && life.leavingAt.IsZero() && life.endedAt.IsZero() && !span.acked.IsZero() && random.IntN(2) == 0 {
+			life.cold = append(life.cold, coldSpan{time.Now(), time.Now().Add(noticeCold), time.Now().Add(huntColdFor)})
+		}
+	}
+	hunt.mutex.Unlock()
+	hunt.list()
+	for !set(feed.Serving) {
+		<-time.After(200 * time.Millisecond)
+	}
+}
+
+// troubleMachines lets one machine after another go wrong.
+func (hunt *hunt) troubleMachines(random *rand.Rand, until time.Time) {
+	faults := []struct {
+		name   string
+		strike func(random *rand.Rand)
+	}{
+		{"front killed", hunt.killFront}, {"front frozen", hunt.freezeFront}, {"front drained", hunt.drainFront}, {"front drained", hunt.drainFront}, {"front cut off", hunt.isolateFront},
+		{"store killed", hunt.killStore}, {"store without power", hunt.powerStore}, {"store wiped", hunt.wipeStore}, {"disk full", hunt.fillStore}, {"disk stalled", hunt.stallStore},
+		{"store cut off", hunt.isolateStore}, {"store added", hunt.addStore}, {"store retired", hunt.retireStore}, {"store replaced", hunt.replaceStore},
+		{"control killed", hunt.killControl}, {"control cut off", hunt.isolateControl}, {"control cut one way", hunt.cutControl}, {"control wiped", hunt.wipeControl}, {"control replaced", hunt.replaceControl},
+		{"all controls lost", hunt.loseControls},
+	}
+	for time.Now().Before(until) {
+		<-time.After(time.Duration(500+random.IntN(6000)) * time.Millisecond)
+		one := faults[random.IntN(len(faults))]
+		hunt.t.Logf("%s: %s", time.Now().Format("05.000"), one.name)
+		one.strike(random)
+	}
+	hunt.t.Logf("%s: the machines' trouble ends", time.Now().Format("05.000"))
+}
+
+func while(random *rand.Rand, least, most time.Duration) {
+	<-time.After(least + time.Duration(random.Int64N(int64(most-least))))
+}
+
+func (hunt *hunt) someFront(random *rand.Rand) (*Machine, func()) {
+	machine := hunt.cluster.Fronts[random.IntN(len(hunt.cluster.Fronts))]
+	return machine, hunt.note(machine.Host)
+}
+
+func (hunt *hunt) killFront(random *rand.Rand) {
+	machine, end := hunt.someFront(random)
+	defer end()
+	hunt.endFront(machine)
+	while(random, 50*time.Millisecond, 2*time.Second)
+	hunt.startFront(machine)
+}
+
+func (hunt *hunt) freezeFront(random *rand.Rand) {
+	machine, end := hunt.someFront(random)
+	defer end()
+	hunt.cluster.Network.Freeze(machine.Host)
+	while(random, 100*time.Millisecond, 5*time.Second)
+	hunt.cluster.Network.Thaw(machine.Host)
+}
+
+func (hunt *hunt) isolateFront(random *rand.Rand) {
+	machine, end := hunt.someFront(random)
+	defer end()
+	hunt.cluster.Network.Isolate(machine.Host)
+	while(random, 500*time.Millisecond, 6*time.Second)
+	hunt.cluster.Network.Rejoin(machine.Host)
+}
+
+// drainFront ends a front in order, as its face does, and starts it again.
+func (hunt *hunt) drainFront(random *rand.Rand) {
+	machine := hunt.cluster.Fronts[random.IntN(len(hunt.cluster.Fronts))]
+	hunt.mutex.Lock()
+	var life *frontLife
+	for _, one := range hunt.fronts {
+		if one.machine == machine && !one.dead.Load() {
+			life = one
+		}
+	}
+	life.left = time.Now()
+	hunt.mutex.Unlock()
+	life.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	for life.open.Load() > 0 && ctx.Err() == nil {
+		<-time.After(20 * time.Millisecond)
+	}
+	machine.Front.Drain(ctx)
+	cancel()
+	defer hunt.note(machine.Host)()
+	hunt.endFront(machine)
+	while(random, 50*time.Millisecond, time.Second)
+	hunt.startFront(machine)
+}
+
+// coreTrouble does something to the core, and ends the trouble once all is whole again.
+func (hunt *hunt) coreTrouble(strike func(), heals bool) {
+	defer hunt.note("core")()
+	strike()
+	if heals {
+		hunt.cluster.awaitHealed(hunt.t)
+		if err := hunt.cluster.Await(20*time.Second, "groups whole", func() error { return hunt.cluster.keptBy(hunt.cluster.Stores...) }); err != nil {
+			hunt.t.Error(err)
+		}
+	}
+}
+
+func (hunt *hunt) someStore(random *rand.Rand) (int, *Machine) {
+	at := random.IntN(len(hunt.cluster.Stores))
+	return at, hunt.cluster.Stores[at]
+}
+
+func (hunt *hunt) must(machine *Machine) {
+	if err := machine.Start(); err != nil {
+		hunt.t.Errorf("%s does not start: %v", machine.Host, err)
+	}
+}
+
+func (hunt *hunt) killStore(random *rand.Rand) {
+	_, store := hunt.someStore(random)
+	hunt.coreTrouble(func() { store.Kill(); while(random, 50*time.Millisecond, 3*time.Second); hunt.must(store) }, false)
+}
+
+func (hunt *hunt) powerStore(random *rand.Rand) {
+	_, store := hunt.someStore(random)
+	hunt.coreTrouble(func() { store.LosePower(); while(random, 50*time.Millisecond, 3*time.Second); hunt.must(store) }, false)
+}
+
+func (hunt *hunt) wipeStore(random *rand.Rand) {
+	_, store := hunt.someStore(random)
+	hunt.coreTrouble(func() {
+		store.Kill()
+		store.Wipe()
+		while(random, 50*time.Millisecond, 2*time.Second)
+		hunt.must(store)
+	}, true)
+}
+
+func (hunt *hunt) fillStore(random *rand.Rand) {
+	_, store := hunt.someStore(random)
+	hunt.coreTrouble(func() {
+		store.Disk.Fill(true)
+		while(random, 500*time.Millisecond, 4*time.Second)
+		store.Disk.Fill(false)
+	}, false)
+}
+
+func (hunt *hunt) stallStore(random *rand.Rand) {
+	_, store := hunt.someStore(random)
+	hunt.coreTrouble(func() { store.Disk.Stall(); while(random, 500*time.Millisecond, 4*time.Second); store.Disk.Resume() }, false)
+}
+
+func (hunt *hunt) isolateStore(random *rand.Rand) {
+	_, store := hunt.someStore(random)
+	hunt.coreTrouble(func() {
+		hunt.cluster.Network.Isolate(store.Host)
+		while(random, 500*time.Millisecond, 4*time.Second)
+		hunt.cluster.Network.Rejoin(store.Host)
+	}, false)
+}
+
+func (hunt *hunt) freshStore(near string) *Machine {
+	hunt.hosts++
+	fresh := hunt.cluster.AddStore(hunt.hosts)
+	fresh.Domain = near
+	return fresh
+}
+
+func (hunt *hunt) addStore(*rand.Rand) {
+	if len(hunt.cluster.Stores) > 4 {
+		return
+	}
+	hunt.coreTrouble(func() {
+		fresh := hunt.freshStore(domain(len(hunt.cluster.Stores)))
+		hunt.must(fresh)
+		hunt.cluster.Stores = append(hunt.cluster.Stores, fresh)
+	}, false)
+	<-time.After(5 * time.Second)
+}
+
+func (hunt *hunt) retireStore(random *rand.Rand) {
+	if len(hunt.cluster.Stores) < 4 {
+		hunt.addStore(random)
+	}
+	hunt.cluster.awaitHealed(hunt.t)
+	at, store := hunt.someStore(random)
+	machine := "storage " + store.Host
+	if err := hunt.cluster.beginRetire(random.IntN(3), machine); err != nil {
+		hunt.t.Errorf("retiring %s: %v", machine, err)
+		return
+	}
+	hunt.cluster.awaitRetired(hunt.t, machine)
+	hunt.coreTrouble(func() {
+		store.LosePower()
+		store.Wipe()
+		hunt.cluster.Stores = slices.Delete(slices.Clone(hunt.cluster.Stores), at, at+1)
+	}, false)
+}
+
+func (hunt *hunt) replaceStore(random *rand.Rand) {
+	at, store := hunt.someStore(random)
+	hunt.coreTrouble(func() {
+		store.LosePower()
+		while(random, 50*time.Millisecond, 3*time.Second)
+		fresh := hunt.freshStore(store.Domain)
+		hunt.cluster.Stores[at] = fresh
+		hunt.must(fresh)
+	}, true)
+}
+
+func (hunt *hunt) someControl(random *rand.Rand) (int, *Machine) {
+	at := random.IntN(len(hunt.cluster.Controls))
+	return at, hunt.cluster.Controls[at]
+}
+
+func (hunt *hunt) killControl(random *rand.Rand) {
+	_, control := hunt.someControl(random)
+	hunt.coreTrouble(func() { control.LosePower(); while(random, 50*time.Millisecond, 4*time.Second); hunt.must(control) }, false)
+}
+
+func (hunt *hunt) isolateControl(random *rand.Rand) {
+	_, control := hunt.someControl(random)
+	hunt.coreTrouble(func() {
+		hunt.cluster.Network.Isolate(control.Host)
+		while(random, 500*time.Millisecond, 4*time.Second)
+		hunt.cluster.Network.Rejoin(control.Host)
+	}, false)
+}
+
+// cutControl lets a control node send to its siblings but hear nothing, or the other way
+// round.
+func (hunt *hunt) cutControl(random *rand.Rand) {
+	_, control := hunt.someControl(random)
+	hears := random.IntN(2) == 0
+	hunt.coreTrouble(func() {
+		others := []*Machine{}
+		for _, other := range hunt.cluster.Controls {
+			if other != control {
+				others = append(others, other)
+			}
+		}
+		for _, other := range others {
+			if hears {
+				hunt.cluster.Network.CutOneWay(control.Host, other.Host)
+			} else {
+				hunt.cluster.Network.CutOneWay(other.Host, control.Host)
+			}
+		}
+		while(random, 500*time.Millisecond, 4*time.Second)
+		for _, other := range others {
+			hunt.cluster.Network.Mend(control.Host, other.Host)
+		}
+	}, false)
+}
+
+func (hunt *hunt) awaitControls() {
+	if err := hunt.cluster.Await(15*time.Second, "three control nodes that vote", func() error {
+		if voting := hunt.cluster.votingControls(); len(voting) != 3 || slices.ContainsFunc(hunt.cluster.Controls, func(machine *Machine) bool {
+			return !slices.Contains(voting, machine.Host+" "+machine.Control.Name())
+		}) {
+			return fmt.Errorf("voting: %v", voting)
+		}
+		return nil
+	}); err != nil {
+		hunt.t.Error(err)
+	}
+}
+
+func (hunt *hunt) wipeControl(random *rand.Rand) {
+	_, control := hunt.someControl(random)
+	hunt.coreTrouble(func() {
+		control.Kill()
+		control.Wipe()
+		while(random, 50*time.Millisecond, 2*time.Second)
+		hunt.must(control)
+		hunt.awaitControls()
+	}, false)
+}
+
+func (hunt *hunt) replaceControl(random *rand.Rand) {
+	at, lost := hunt.someControl(random)
+	hunt.coreTrouble(func() {
+		lost.LosePower()
+		while(random, 50*time.Millisecond, 2*time.Second)
+		hunt.hosts++
+		fresh := hunt.cluster.AddControl(hunt.hosts)
+		hunt.cluster.Controls[at] = fresh
+		for seed, address := range hunt.cluster.seeds {
+			if hostOf(address) == lost.Host {
+				hunt.cluster.seeds = slices.Clone(hunt.cluster.seeds)
+				hunt.cluster.seeds[seed] = fresh.Host + ":7000"
+			}
+		}
+		hunt.must(fresh)
+		hunt.awaitControls()
+		for _, machine := range hunt.cluster.Fronts { // their settings files change
+			machine.Front.SetSeeds(hunt.cluster.seeds)
+		}
+	}, false)
+}
+
+// loseControls loses all control nodes at once. If their disks are lost too, their
+// operators found them anew, and what was acknowledged comes from the stores.
+func (hunt *hunt) loseControls(random *rand.Rand) {
+	wiped := random.IntN(2) == 0
+	hunt.coreTrouble(func() {
+		for _, control := range hunt.cluster.Controls {
+			control.LosePower()
+			if wiped {
+				control.Wipe()
+			}
+		}
+		hunt.founds.Store(wiped)
+		while(random, 100*time.Millisecond, 5*time.Second)
+		for _, control := range hunt.cluster.Controls {
+			hunt.must(control)
+		}
+		hunt.awaitControls()
+		hunt.founds.Store(false)
+	}, false)
+}
+
+// outage ends the day: all machines lose power at once, and come back. From recoverBound
+// on, what is asked is served, and turns that were answered whole are known.
+func (hunt *hunt) outage(random *rand.Rand) {
+	hunt.note("core")
+	cluster := hunt.cluster
+	whole := []*askedQuery{}
+	hunt.mutex.Lock()
+	for _, asked := range hunt.asked {
+		if asked.answer != nil && asked.answer.Complete() && strings.HasPrefix(asked.query.Path, "/talk/kept/") && time.Since(asked.back) < 90*time.Second {
+			whole = append(whole, asked)
+		}
+	}
+	newest := uint64(0)
+	for _, one := range hunt.orders {
+		if !one.acked.IsZero() {
+			newest = max(newest, one.revision)
+		}
+	}
+	hunt.mutex.Unlock()
+	slices.SortFunc(whole, func(left, right *askedQuery) int { return left.at.Compare(right.at) })
+	for _, machine := range cluster.Fronts {
+		hunt.endFront(machine)
+	}
+	for _, machine := range slices.Concat(cluster.Controls, cluster.Stores) {
+		machine.LosePower()
+	}
+	while(random, 100*time.Millisecond, 5*time.Second)
+	for _, machine := range slices.Concat(cluster.Controls, cluster.Stores) {
+		hunt.must(machine)
+	}
+	for _, machine := range cluster.Fronts {
+		hunt.startFront(machine)
+	}
+	<-time.After(recoverBound)
+	if read := cluster.mustRead(hunt.t, 6*time.Second); read.Revision < newest {
+		hunt.t.Errorf("LOST: revision %d was acknowledged, %d is read back", newest, read.Revision)
+	}
+	served, all := 0, 0
+	for position, asked := range whole {
+		if position%max(1, len(whole)/60) != 0 {
+			continue
+		}
+		words := fmt.Sprintf("after %d. ", position)
+		program := fmt.Sprintf("after-%d", position)
+		hunt.mutex.Lock()
+		hunt.budgets[program] = 1000
+		hunt.mutex.Unlock()
+		chain := asked.chain + string(asked.query.Body) + asked.answer.Said()
+		query := forwarding.Query{Path: "/talk/kept/1", Follows: asked.query.Name, Body: []byte(words), Program: program, Budgeted: true, Budget: 1000, TokensOut: turnTokens}
+		on := hunt.try(random, query, chain, 4*time.Second, 0)
+		lookup := hunt.try(random, forwarding.Query{Method: http.MethodGet, Path: "/lookup/1"}, "", 2*time.Second, 0)
+		for _, one := range []*askedQuery{on, lookup} {
+			if all++; one.answer.Complete() {
+				served++
+			}
+		}
+		if !on.answer.Complete() {
+			hunt.t.Logf("after the outage, on from %s: %v", asked.query.Name, on.answer.Err)
+		}
+	}
+	if served*4 < all*3 {
+		hunt.t.Errorf("RECOVER: %d of %d are served after the outage", served, all)
+	}
+	hunt.t.Logf("after the outage %d of %d are served", served, all)
+}
--- a/proof/standin/engine.go
+++ b/proof/standin/engine.go
@@ -62,6 +62,7 @@
 	Body   string
 	At     time.Time
 	Header http.Header
+	Fault  Fault
 }
 
 // Engine is a stand-in runner that queries are forwarded to unchanged.
@@ -142,10 +143,10 @@
 	return fault
 }
 
-func (engine *Engine) run(query *http.Request, body string) {
+func (engine *Engine) run(query *http.Request, body string, fault Fault) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	engine.ran = append(engine.ran, Ran{Query: query.Header.Get(Dialect.Query), Method: query.Method, Target: query.URL.RequestURI(), Body: body, At: time.Now(), Header: query.Header.Clone()})
+	engine.ran = append(engine.ran, Ran{Query: query.Header.Get(Dialect.Query), Method: query.Method, Target: query.URL.RequestURI(), Body: body, At: time.Now(), Header: query.Header.Clone(), Fault: fault})
 }
 
 // EventData is what an engine puts into one event of a stream. It depends on the whole
@@ -190,7 +191,7 @@
 	case Foreign:
 		header.Set(Dialect.Query, "another")
 	}
-	engine.run(query, string(body))
+	engine.run(query, string(body), fault)
 	header.Set("Seal", engine.Life+"/"+name)
 	switch {
 	case fault == Loses:
