Groups of lines have as many copies as the losses to be borne need

Copies are a founding setting (2 x losses + 1); they are spread so that no domain holds a majority. Test: two of six disks of different domains lost at once, every turn stays known.

--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -34,6 +34,8 @@
 // Shape is how many nodes a cluster has, over three domains.
 type Shape struct {
 	Controls, Stores, Fronts, Models, Applications int
+	// Copies of each group of lines; 0 means three.
+	Copies uint32
 	// Groups of lines; 0 means 8.
 	Groups uint32
 	// Engines and Tools answer forwarded queries; with any, the control nodes are given
@@ -87,6 +89,7 @@
 	platform *http.Server
 	Seed     uint64
 	groups   uint32
+	copies   uint32
 	enrols   bool
 	caller   *Host
 	adjust   func(cluster *Cluster, settings *controlplane.Settings)
@@ -100,7 +103,7 @@
 //	cluster, err := simulator.Start(7, simulator.Small, charterSource)
 //	defer cluster.Stop()
 func Start(seed uint64, shape Shape, rules string) (*Cluster, error) {
-	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), enrols: shape.AutoEnrol, Platform: &standin.Platform{}, adjust: shape.Adjust, held: shape.HeldBytes}
+	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), copies: shape.Copies, enrols: shape.AutoEnrol, Platform: &standin.Platform{}, adjust: shape.Adjust, held: shape.HeldBytes}
 	if shape.Engines+shape.Tools > 0 {
 		cluster.Roster = &Roster{}
 	}
@@ -164,7 +167,7 @@
 	machine.start = func() (err error) {
 		settings := controlplane.Settings{
 			Address: machine.Host + ":7000", Administration: machine.Host + ":7200", Domain: machine.Domain, Seeds: cluster.seeds,
-			FoundingStores: 3, Groups: cluster.groups, MostControls: 5, Replica: cluster.pace(index), AutoEnrol: cluster.enrols,
+			FoundingStores: 3, Groups: cluster.groups, Copies: cluster.copies, MostControls: 5, Replica: cluster.pace(index), AutoEnrol: cluster.enrols,
 		}
 		if cluster.Roster != nil {
 			settings.Roster = cluster.Roster
--- /dev/null
+++ b/proof/simulator/copies_test.go
@@ -0,0 +1,63 @@
+package simulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"yardrock.example/system/forwarding"
+)
+
+// Where two disks may be lost at once, five copies keep every turn, and the fleet goes on.
+func TestTwoDisksLostAtOnceLoseNoTurn(t *testing.T) {
+	shape := Shape{Controls: 5, Stores: 6, Fronts: 2, Models: 1, Applications: 1, Engines: 3, Tools: 2, AutoEnrol: true, Copies: 5}
+	simulate(t, shape, func(t *testing.T, cluster *Cluster) {
+		if err := cluster.PutCharter(RoutedRules); err != nil {
+			t.Fatal(err)
+		}
+		if err := cluster.AwaitForwarding(10 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		turn := func(program, name, follows string) *Forwarded {
+			return cluster.Forward(cluster.Fronts[0], forwarding.Query{Name: name, Path: "/talk/kept/1", Follows: follows, Body: []byte("words of " + name), Program: program, Budgeted: true, Budget: 10000, TokensOut: 40})
+		}
+		said := map[string]string{}
+		for number := range 24 {
+			program := fmt.Sprintf("p%d", number)
+			first := turn(program, program+"-1", "")
+			if !first.Complete() {
+				t.Fatalf("%s: %d %v", program, first.Status, first.Err)
+			}
+			said[program] = "words of " + program + "-1" + first.Said()
+		}
+		lost := []*Machine{cluster.Stores[0], cluster.Stores[1]} // of two domains
+		for _, machine := range lost {
+			machine.LosePower()
+			machine.Wipe()
+		}
+		check := func(step string) {
+			for program, before := range said {
+				name := program + step
+				if err := cluster.Await(4*time.Second, "a turn of "+program, func() error {
+					name += "'"
+					if answer := turn(program, name, program+"-1"); !answer.Complete() {
+						return fmt.Errorf("%d: %w", answer.Status, answer.Err)
+					}
+					return nil
+				}); err != nil {
+					t.Fatal(err)
+				}
+				if got := promptOf(cluster, name); got != before+"words of "+name {
+					t.Fatalf("%s was heard as %q", name, got)
+				}
+			}
+		}
+		check("-away")
+		for _, machine := range lost {
+			if err := machine.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		check("-back")
+	})
+}
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -52,8 +52,10 @@
 	Seeds          []string
 	FoundingStores int
 	Groups         uint32
-	MostControls   int
-	Replica        replica.Settings
+	// Copies is how many replicas a group of lines has; 0 is placement.Factor.
+	Copies       uint32
+	MostControls int
+	Replica      replica.Settings
 	// Machine is what the operator calls this machine; it may be empty.
 	Machine string
 	// Joins tells that the fleet has started before: with an empty disk, this node
@@ -292,7 +294,7 @@
 			continue
 		}
 		if !reply.Status.Empty && slices.Contains(reply.Status.Founding, node.Name()) {
-			node.foundWith(foundingView(reply.Status.Founding, reply.Status.Controls, node.settings.Groups))
+			node.foundWith(foundingView(reply.Status.Founding, reply.Status.Controls, node.settings))
 			return
 		}
 		if reply.Status.Role == feed.RoleControl && reply.Status.Empty {
@@ -310,16 +312,16 @@
 		names = append(names, status.Name)
 		members = append(members, feed.Member{Name: status.Name, Role: feed.RoleControl, Address: status.Address, Domain: status.Domain})
 	}
-	node.foundWith(foundingView(names, members, node.settings.Groups))
+	node.foundWith(foundingView(names, members, node.settings))
 }
 
 // foundingView is the same on every founder.
-func foundingView(names []string, members []feed.Member, groups uint32) feed.View {
+func foundingView(names []string, members []feed.Member, settings Settings) feed.View {
 	names = slices.Sorted(slices.Values(names))
 	members = slices.Clone(members)
 	slices.SortFunc(members, func(left, right feed.Member) int { return strings.Compare(left.Name, right.Name) })
 	sum := sha256.Sum256([]byte(strings.Join(names, " ")))
-	return feed.View{Fleet: hex.EncodeToString(sum[:8]), Number: 1, Controls: members, Groups: groups, Founding: names}
+	return feed.View{Fleet: hex.EncodeToString(sum[:8]), Number: 1, Controls: members, Groups: settings.Groups, Copies: settings.Copies, Founding: names}
 }
 
 func (node *Node) foundWith(view feed.View) {
--- a/system/controlplane/retire.go
+++ b/system/controlplane/retire.go
@@ -10,7 +10,6 @@
 
 	"yardrock.example/system/feed"
 	"yardrock.example/system/mishap"
-	"yardrock.example/system/placement"
 	"yardrock.example/system/wire"
 )
 
@@ -30,8 +29,8 @@
 		case view.Stores[at].State == feed.Retiring:
 			return nil, nil
 		}
-		if left := len(view.StorePlaces()); left <= placement.Factor {
-			return nil, mishap.New(mishap.Conflict, fmt.Sprintf("only %d stores are left, and each group needs %d", left, placement.Factor), "enrol another store first")
+		if left := len(view.StorePlaces()); left <= view.Factor() {
+			return nil, mishap.New(mishap.Conflict, fmt.Sprintf("only %d stores are left, and each group needs %d", left, view.Factor()), "enrol another store first")
 		}
 		next := slices.Clone(view.Stores)
 		next[at].State = feed.Retiring
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -186,7 +186,7 @@
 			there++
 		}
 	}
-	if there >= placement.Factor {
+	if there >= view.Factor() {
 		next = slices.DeleteFunc(next, func(store feed.Member) bool {
 			lost := store.State != feed.Retiring && node.silent(store.Name, lostPatience)
 			if lost {
@@ -235,7 +235,7 @@
 	count := 0
 	for group := range view.Groups {
 		voters := slices.Sorted(slices.Values(leaders[group].Voters))
-		if !slices.Equal(voters, slices.Sorted(slices.Values(placement.ReplicasOf(group, view.StorePlaces())))) {
+		if !slices.Equal(voters, slices.Sorted(slices.Values(placement.ReplicasOf(group, view.StorePlaces(), view.Factor())))) {
 			count++
 		}
 	}
--- a/system/feed/feed.go
+++ b/system/feed/feed.go
@@ -132,7 +132,10 @@
 	Controls       []Member
 	Duties         []Duty
 	Groups         uint32
-	Founding       []string
+	// Copies is how many replicas a group has, fixed when the fleet is founded; 0 is
+	// placement.Factor.
+	Copies   uint32
+	Founding []string
 	// Retired are the stores that were emptied and have left the list, the last of them.
 	Retired []Member
 }
@@ -292,9 +295,19 @@
 	return Duty{Key: key}
 }
 
+// Factor is how many replicas a group has.
+//
+//	names := placement.ReplicasOf(group, view.StorePlaces(), view.Factor())
+func (view *View) Factor() int {
+	if view.Copies == 0 {
+		return placement.Factor
+	}
+	return int(view.Copies)
+}
+
 // StorePlaces lists the stores that replicas may be put on.
 //
-//	names := placement.ReplicasOf(group, view.StorePlaces())
+//	names := placement.ReplicasOf(group, view.StorePlaces(), view.Factor())
 func (view *View) StorePlaces() []placement.Place { return Places(view.Stores) }
 
 // Places turns members into places, leaving out those that go away.
--- a/system/placement/placement.go
+++ b/system/placement/placement.go
@@ -9,9 +9,16 @@
 	"strings"
 )
 
-// Factor is how many replicas a group has.
+// Factor is how many replicas a group has where nothing else is said: a majority
+// outlives the loss of one.
 const Factor = 3
 
+// Copies is how many replicas a group needs so that a majority outlives the loss of some
+// at once, with their disks.
+//
+//	copies := placement.Copies(2) // 5
+func Copies(lost int) int { return max(2*lost+1, Factor) }
+
 // Place is one node that may be picked, with its domain.
 type Place struct {
 	Name   string
@@ -59,24 +66,24 @@
 	return ranked
 }
 
-// ReplicasOf gives a group's replica set: the highest scores, but no domain twice
-// while another domain is left.
+// ReplicasOf gives a group's replica set: the highest scores, but no domain holds more
+// than another by two while that one has a place left.
 //
-//	names := placement.ReplicasOf(7, stores)
-func ReplicasOf(group uint32, places []Place) []string {
+//	names := placement.ReplicasOf(7, stores, 3)
+func ReplicasOf(group uint32, places []Place, copies int) []string {
 	key := string(binary.BigEndian.AppendUint32([]byte("group"), group))
 	ranked := Ranked(key, places)
-	chosen, used := []string{}, map[string]bool{}
-	for _, again := range []bool{false, true} {
+	chosen, used := []string{}, map[string]int{}
+	for round := 1; len(chosen) < min(copies, len(ranked)); round++ {
 		for _, place := range ranked {
-			if len(chosen) == Factor {
+			if len(chosen) == copies {
 				break
 			}
-			if slices.Contains(chosen, place.Name) || (!again && used[place.Domain]) {
+			if slices.Contains(chosen, place.Name) || used[place.Domain] == round {
 				continue
 			}
 			chosen = append(chosen, place.Name)
-			used[place.Domain] = true
+			used[place.Domain]++
 		}
 	}
 	return chosen
--- a/system/settings/settings.go
+++ b/system/settings/settings.go
@@ -20,6 +20,7 @@
 	"yardrock.example/system/files"
 	"yardrock.example/system/link"
 	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
 )
 
 // Version is what --version tells.
@@ -93,6 +94,7 @@
 	Administration string `arg:"--administration" json:"administration" help:"IP and port for operators"`
 	FoundingStores int    `arg:"--founding-stores" json:"founding_stores" help:"stores that must be there to found the store list [default: 3]"`
 	Groups         uint32 `arg:"--groups" json:"groups" help:"groups of lines, fixed when the fleet is founded [default: 32]"`
+	Copies         uint32 `arg:"--copies" json:"copies" help:"replicas of each group of lines, fixed when the fleet is founded [default: 3]"`
 	MostControls   int    `arg:"--most-controls" json:"most_controls" help:"voters of the control group at most [default: 5]"`
 	RootTokenHash  string `arg:"--root-token-hash" json:"root_token_hash" help:"SHA-256 (hex) of the token that administers until a charter names operators"`
 }
@@ -189,6 +191,9 @@
 	if settings.FoundingStores < 1 {
 		return bad("founding_stores", "is below 1", "use 3, or the number of stores at the start")
 	}
+	if settings.Copies%2 == 0 || settings.Copies > 9 {
+		return bad("copies", strconv.Itoa(int(settings.Copies)), "use an odd number from 1 to 9")
+	}
 	if settings.Groups < 1 || settings.Groups > 4096 {
 		return bad("groups", "is out of range", "use 1 to 4096")
 	}
@@ -210,7 +215,7 @@
 //
 //	loaded, err := settings.LoadControlPlane(os.Args[1:], os.Stdout)
 func LoadControlPlane(arguments []string, output io.Writer) (*ControlPlane, error) {
-	loaded := &ControlPlane{FoundingStores: 3, Groups: 32, MostControls: 5}
+	loaded := &ControlPlane{FoundingStores: 3, Groups: 32, Copies: placement.Factor, MostControls: 5}
 	return loaded, load(loaded, "yardrock-control-plane", arguments, output)
 }
 
--- a/system/store/moves.go
+++ b/system/store/moves.go
@@ -55,7 +55,7 @@
 	places, moving := view.StorePlaces(), 0
 	var steps sync.WaitGroup
 	for group, status := range node.host.Statuses() {
-		target := placement.ReplicasOf(group, places)
+		target := placement.ReplicasOf(group, places, view.Factor())
 		if !status.Confirmed {
 			node.leaveIfRemoved(group, status, target)
 			continue
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -279,7 +279,7 @@
 func (node *Node) foundGroups(view *feed.View) {
 	founders := feed.Places(view.FoundingStores)
 	for group := uint32(0); len(founders) > 0 && group < view.Groups; group++ {
-		voters := placement.ReplicasOf(group, founders)
+		voters := placement.ReplicasOf(group, founders, view.Factor())
 		if slices.Contains(voters, node.Name()) {
 			node.host.Found(group, voters, nil)
 		}
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -457,6 +457,7 @@
   groups @11 :UInt32;
   founding @12 :List(Text);
   retired @13 :List(Member);
+  copies @14 :UInt32;
 }
 
 struct ControlImage {
