Lines of programs under way stay in memory; a history is whole or not told

A program's turns follow each other within seconds, so each found its history archived in part. A line of a program is archived once it is quiet for 15 s, holds 512 events, or its group holds a megabyte.

--- a/proof/simulator/turns_test.go
+++ b/proof/simulator/turns_test.go
@@ -87,7 +87,10 @@
 				take(program, name+"-on", name, whole("a")+whole("c")+whole(name))
 				take(program, name+"-beside", "a", whole("a"))
 			}
-			<-time.After(12 * time.Second)
+			<-time.After(25 * time.Second)
+			if names, err := cluster.Stores[0].Cold.Names(); err != nil || len(names) == 0 {
+				t.Fatalf("nothing was archived: %v", err)
+			}
 		}
 		refused(mishap.NotFound, "p", "g", "none")
 		refused(mishap.NotFound, "new", "g", "none")
@@ -338,3 +341,45 @@
 		}
 	})
 }
+
+// TestAHistoryIsWholeOrNotTold lets the archived copies of a turn rot at every store.
+func TestAHistoryIsWholeOrNotTold(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		origin, end := cluster.origin("10.8.0.1")
+		defer end()
+		begin := func(program, name, follows string) (*storeorigin.Begun, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+			defer cancel()
+			return origin.BeginTurn(ctx, programTurn(program, name, follows))
+		}
+		begun, err := begin("p", "a", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := origin.EndTurn(t.Context(), programTurnEnd("p", "a", line.OutcomeComplete, begun.Seq, 1)); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(25 * time.Second)
+		rot := func(stores []*Machine) {
+			for _, store := range stores {
+				names, err := store.Cold.Names()
+				if err != nil || len(names) == 0 {
+					t.Fatalf("nothing was archived: %v", err)
+				}
+				for _, name := range names {
+					store.Cold.FlipBit(name, -30)
+				}
+			}
+		}
+		rot(cluster.Stores[:2])
+		if begun, err = begin("p", "b", "a"); err != nil || string(begun.History) != whole("a") {
+			t.Fatalf("with one good copy: %+v, %v", begun, err)
+		}
+		rot(cluster.Stores[2:])
+		for _, program := range []string{"p", "q"} {
+			if begun, err := begin(program, "c"+program, "a"); !mishap.Is(err, mishap.NotRun) {
+				t.Fatalf("%s without a good copy: %+v, %v", program, begun, err)
+			}
+		}
+	})
+}
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -53,12 +53,12 @@
 	view := node.machine(group).View()
 	chunks, acks := []wire.ColdChunk{}, []line.Ack{}
 	budget, now := archiveBatch, node.clock(group)
-	expired := view.AnyExpired(now)
+	expired, full := view.AnyExpired(now), hotBytes(view) > mostHotBytes
 	for session := range view.Hot() {
 		if budget <= 0 {
 			break
 		}
-		if session.Expires().UnixNano() < now {
+		if session.Expires().UnixNano() < now || (!full && underWay(session, now)) {
 			continue
 		}
 		events := session.Hot[:min(len(session.Hot), budget)]
@@ -81,6 +81,28 @@
 	}
 }
 
+// A program's turns follow each other soon, and each goes on from all before it. So its
+// line stays in memory while it is under way, as long as there is room.
+const (
+	quietFor     = 15 * time.Second
+	mostHot      = 512
+	mostHotBytes = 1 << 20
+)
+
+func underWay(session *line.Session, now int64) bool {
+	return len(session.Turns) > 0 && len(session.Hot) < mostHot && now-session.TouchedAt < int64(quietFor)
+}
+
+func hotBytes(view *line.View) int {
+	size := 0
+	for session := range view.Hot() {
+		for _, event := range session.Hot {
+			size += len(event.Data)
+		}
+	}
+	return size
+}
+
 // putOnMajority has the replicas put chunks into their cold stores. Siblings hold the
 // events themselves, as a rule, and are only told which.
 func (node *Node) putOnMajority(ctx context.Context, voters []string, chunks []wire.ColdChunk) bool {
