--- a/proof/simulator/membership_test.go
+++ b/proof/simulator/membership_test.go
@@ -1,14 +1,18 @@
 package simulator
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"yardrock.example/system/controlplane"
 	"yardrock.example/system/feed"
 	"yardrock.example/system/follower"
+	"yardrock.example/system/line"
 	"yardrock.example/system/link"
 	"yardrock.example/system/mishap"
 )
@@ -368,3 +372,72 @@
 		}
 	})
 }
+
+// TestTurnsAreNeverUnknownWhileStoresAreExchanged has programs take turn after turn, and
+// others go on from them, while one store after another loses its disk.
+func TestTurnsAreNeverUnknownWhileStoresAreExchanged(t *testing.T) {
+	simulate(t, byThemselves(3, 3), func(t *testing.T, cluster *Cluster) {
+		origin, end := cluster.origin("10.8.0.1")
+		defer end()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		turn := func(program, name, follows, history string) bool {
+			limited, cancel := context.WithTimeout(ctx, 4*time.Second)
+			defer cancel()
+			wanted := programTurn(program, name, follows)
+			wanted.Budgeted = false
+			begun, err := origin.BeginTurn(limited, wanted)
+			if mishap.Is(err, mishap.NotFound) {
+				t.Errorf("%s: turn %s goes on from %s, which was answered whole: %v", program, name, follows, err)
+			}
+			if err != nil {
+				return false
+			}
+			if string(begun.History) != history {
+				t.Errorf("%s: turn %s has the history %q, not %q", program, name, begun.History, history)
+			}
+			return origin.EndTurn(limited, programTurnEnd(program, name, line.OutcomeComplete, begun.Seq, 10)) == nil
+		}
+		var taking sync.WaitGroup
+		taken := atomic.Int64{}
+		for number := range 6 {
+			taking.Go(func() {
+				program, follows, history := fmt.Sprintf("p%d", number), "", ""
+				for step := 0; ctx.Err() == nil; step++ {
+					name := fmt.Sprintf("%d-%d", number, step)
+					if !turn(program, name, follows, history) {
+						continue
+					}
+					follows, history = name, history+whole(name)
+					taken.Add(1)
+					if step%5 == 0 { // another program goes on from it
+						turn(fmt.Sprintf("%s-%d", program, step), name+"-other", follows, history)
+					}
+					if len(history) > 2000 {
+						program, follows, history = fmt.Sprintf("%s-%d-on", program, step), "", ""
+					}
+					<-time.After(100 * time.Millisecond)
+				}
+			})
+		}
+		random := cluster.Random(43)
+		for range 4 {
+			<-time.After(time.Duration(3000+random.IntN(3000)) * time.Millisecond)
+			lost := cluster.Stores[random.IntN(3)]
+			lost.LosePower()
+			lost.Wipe()
+			<-time.After(time.Duration(500+random.IntN(1500)) * time.Millisecond)
+			if err := lost.Start(); err != nil {
+				t.Fatal(err)
+			}
+			if err := cluster.Await(4500*time.Millisecond, "all groups whole", func() error { return cluster.keptBy(cluster.Stores...) }); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cancel()
+		taking.Wait()
+		if taken.Load() < 400 {
+			t.Fatalf("only %d turns were taken", taken.Load())
+		}
+	})
+}
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -31,7 +31,7 @@
 	// shortestPause is between the end of a round and the next; after rounds without a
 	// control node it grows to longestPause.
 	shortestPause = 50 * time.Millisecond
-	longestPause  = 300 * time.Millisecond
+	longestPause  = 200 * time.Millisecond
 	// homeInterval is how often a node looks whether a nearer control node is there.
 	homeInterval = 15 * time.Second
 	settleHome   = 2 * time.Second
