--- a/proof/simulator/turns_test.go
+++ b/proof/simulator/turns_test.go
@@ -115,6 +115,23 @@
 		if _, err := origin.BeginTurn(ctx, large); !mishap.Is(err, mishap.Exhausted) {
 			t.Fatalf("beyond the allowance: %v", err)
 		}
+		// One store less, and a turn of another line is found in time, or proven unknown.
+		cluster.Network.Isolate(cluster.Stores[2].Host)
+		<-time.After(3 * time.Second)
+		for number := range 4 {
+			soon, give := context.WithTimeout(ctx, 2500*time.Millisecond)
+			began := time.Now()
+			program, name := fmt.Sprintf("less%d", number), fmt.Sprintf("less%d", number)
+			if begun, err := origin.BeginTurn(soon, programTurn(program, name, "d")); err != nil || string(begun.History) != whole("a")+whole("b")+whole("d") {
+				t.Fatalf("with a store less: %+v, %v", begun, err)
+			}
+			if _, err := origin.BeginTurn(soon, programTurn(program, name+"-not", "none")); !mishap.Is(err, mishap.NotFound) {
+				t.Fatalf("with a store less: %v", err)
+			}
+			give()
+			t.Logf("with a store less: %s", time.Since(began))
+		}
+		cluster.Network.Rejoin(cluster.Stores[2].Host)
 		// While a group has no quorum, nothing is said to be unknown.
 		cluster.Network.Isolate(cluster.Stores[0].Host)
 		cluster.Network.Isolate(cluster.Stores[1].Host)
--- a/system/store/turns.go
+++ b/system/store/turns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
@@ -104,6 +105,10 @@
 	return wanted, nil
 }
 
+// findPatience is how long a quorum may take to confirm a group; others are not held up
+// by one that has none.
+const findPatience = 300 * time.Millisecond
+
 // answerFind looks for a turn in every group that a quorum confirms to be led here.
 func (node *Node) answerFind(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandPatience)
@@ -117,7 +122,9 @@
 			continue
 		}
 		asking.Go(func() {
-			view, err := node.confirmed(ctx, group)
+			limited, cancel := context.WithTimeout(ctx, findPatience)
+			view, err := node.confirmed(limited, group)
+			cancel()
 			if err != nil {
 				return
 			}
--- a/system/storeorigin/turns.go
+++ b/system/storeorigin/turns.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"yardrock.example/system/feed"
 	"yardrock.example/system/line"
 	"yardrock.example/system/mishap"
 	"yardrock.example/system/wire"
@@ -187,50 +185,50 @@
 // confirmed by a quorum, knows no such turn.
 func (origin *Origin) find(ctx context.Context, name string) ([]line.AdoptedTurn, error) {
 	covered := map[uint32]bool{}
-	for pause := firstPause; ; pause = min(2*pause, longestPause) {
-		view := origin.view()
-		open := false
-		for _, reply := range origin.findAtAll(ctx, view, name) {
-			if reply.Found {
-				return reply.Chain, nil
-			}
-			open = open || reply.Open
-			for _, group := range reply.Covered {
-				covered[group] = true
-			}
-		}
-		if open {
-			return nil, beginMishaps[line.TurnOpen]()
-		}
-		if view.Groups > 0 && len(covered) >= int(view.Groups) {
-			return nil, unknownTurn()
+	for patience := silencePatience; ; patience = min(2*patience, callPatience) {
+		chain, err := origin.findOnce(ctx, name, patience, covered)
+		if chain != nil || err != nil {
+			return chain, err
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(longestPause):
 		case <-ctx.Done():
 			return nil, mishap.Later(mishap.NotRun, "not all groups of lines could be asked for the turn in time", "ask again", laterPause)
 		}
 	}
 }
 
-// findAtAll asks every store for the groups that it leads.
-func (origin *Origin) findAtAll(ctx context.Context, view *feed.View, name string) []*wire.FindReply {
-	ctx, cancel := context.WithTimeout(ctx, callPatience)
+// findOnce asks every store for the groups that it leads. It waits for no more answers
+// once the turn is found, or every group is covered. Neither a chain nor a failure
+// tells that groups are left.
+func (origin *Origin) findOnce(ctx context.Context, name string, patience time.Duration, covered map[uint32]bool) ([]line.AdoptedTurn, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	var mutex sync.Mutex
-	var asking sync.WaitGroup
-	found := []*wire.FindReply{}
+	view := origin.view()
+	replies := make(chan *wire.FindReply, len(view.Stores))
 	for _, member := range view.Stores {
-		asking.Go(func() {
+		go func() {
 			reply, err := origin.caller.Call(ctx, member.Address, &wire.Query{Fleet: view.Fleet, Which: schema.Query_Which_find, Find: &wire.FindQuery{Name: name}})
 			if err != nil || reply.Found == nil {
-				return
+				reply = &wire.Reply{Found: &wire.FindReply{}}
 			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			found = append(found, reply.Found)
-		})
+			replies <- reply.Found
+		}()
+	}
+	for range view.Stores {
+		reply := <-replies
+		switch {
+		case reply.Found:
+			return reply.Chain, nil
+		case reply.Open:
+			return nil, beginMishaps[line.TurnOpen]()
+		}
+		for _, group := range reply.Covered {
+			covered[group] = true
+		}
+		if view.Groups > 0 && len(covered) >= int(view.Groups) {
+			return nil, unknownTurn()
+		}
 	}
-	asking.Wait()
-	return found
+	return nil, nil
 }
