A lookup that a runner leaves unanswered goes to another while there is time

A runner whose answer was lost kept a lookup until its time was over, though it may run again and had a try left; the caller then had no time to ask again, and its program failed. Now a runner may say nothing for 0.45 of the time left, 0.25 s at least, as long as a try is left.

--- a/system/forwarding/dispatch.go
+++ b/system/forwarding/dispatch.go
@@ -27,8 +27,32 @@
 	// leastLeft is the time that must be left for another runner to be worth trying.
 	leastLeft = 50 * time.Millisecond
 	endPause  = 50 * time.Millisecond
+	// silentShare is the part of the time left that a runner may say nothing before a
+	// query that may run again is sent to another.
+	silentShare = 0.45
+	// leastSilent is how long it may say nothing in any case.
+	leastSilent = 250 * time.Millisecond
 )
 
+// silence bounds how long a runner may leave a query unanswered, if it may run at another
+// and there is a try left; else it is 0.
+func (going *passage) silence() time.Duration {
+	if going.route.Kind != charter.Repeatable || going.sent+1 >= going.route.Tries {
+		return 0
+	}
+	return max(leastSilent, time.Duration(silentShare*float64(time.Until(going.deadline))))
+}
+
+// silenced is a context that ends after a while unless it is told that an answer has
+// come. Zero sets no bound.
+func silenced(ctx context.Context, patience time.Duration) (waiting context.Context, heard func() bool, cancel context.CancelFunc) {
+	waiting, cancel = context.WithCancel(ctx)
+	if patience == 0 {
+		return waiting, func() bool { return true }, cancel
+	}
+	return waiting, time.AfterFunc(patience, cancel).Stop, cancel
+}
+
 // streamed is what has been passed on of a stream.
 type streamed struct {
 	begun  bool
@@ -94,11 +118,14 @@
 	ending, load := balancer.Unused, (*runnerpool.Load)(nil)
 	defer func() { lease.Release(ending, load) }()
 	began := time.Now()
-	reply, err := forwarder.settings.Pool.Send(ctx, runnerpool.Dispatch{
+	waiting, heard, cancel := silenced(ctx, going.silence())
+	defer cancel()
+	reply, err := forwarder.settings.Pool.Send(waiting, runnerpool.Dispatch{
 		Runner: lease.Runner, Most: lease.Connections, Method: going.Method, Target: going.Target, Host: going.Host, Header: going.Header,
 		Body: going.body, Name: going.Name, Deadline: going.deadline, Resume: going.stream.last,
 		Look: func() error { return forwarder.look(going, lease) },
 	})
+	silent := !heard() && ctx.Err() == nil
 	if err != nil {
 		told := mishap.Of(err)
 		if !told.NeverSent {
@@ -108,6 +135,9 @@
 			going.tried = append(going.tried, lease.Runner.Life)
 		}
 		ending = endingOf(ctx, told)
+		if silent && !told.NeverSent {
+			ending = balancer.Abandoned
+		}
 		return going.refusal(err), going.mayGoOn(told)
 	}
 	going.sent++
