--- a/proof/simulator/forward_test.go
+++ b/proof/simulator/forward_test.go
@@ -113,6 +113,9 @@
 			if answer.Complete() != one.complete {
 				t.Errorf("%s with %s: complete is %t (%d %q)", one.path, one.fault, answer.Complete(), answer.Status, answer.Body)
 			}
+			if promise := map[int]bool{408: true, 421: true, 429: true, 503: true}[answer.Status]; promise {
+				t.Errorf("%s with %s: a runner's %d was passed on, which vouches for nothing", one.path, one.fault, answer.Status)
+			}
 			every(cluster, standin.NoFault)
 			cluster.Settle(3 * time.Second)
 		}
--- a/proof/simulator/forwardbounds_test.go
+++ b/proof/simulator/forwardbounds_test.go
@@ -237,6 +237,47 @@
 	})
 }
 
+func TestAKeptTurnWhoseEndIsNotCommittedNeverLooksWhole(t *testing.T) {
+	forwardSimulate(t, func(t *testing.T, cluster *Cluster) {
+		ended := make(chan *Forwarded, 1)
+		go func() { ended <- cluster.kept(0, "turn", "", "one ") }()
+		for runsOf(cluster, "turn") == 0 {
+			cluster.Settle(time.Millisecond)
+		}
+		for _, store := range cluster.Stores {
+			cluster.Network.Isolate(store.Host)
+		}
+		turn := <-ended
+		if turn.Err == nil || turn.Refused() {
+			t.Fatalf("the turn ended with %d %v", turn.Status, turn.Err)
+		}
+	})
+}
+
+func TestAQueryHeldUpBeforeItsFirstByteIsNotSentByAnOldView(t *testing.T) {
+	forwardSimulate(t, func(t *testing.T, cluster *Cluster) {
+		front := cluster.Fronts[0]
+		front.Kill() // it keeps no connections to runners
+		if err := front.Start(); err != nil {
+			t.Fatal(err)
+		}
+		cluster.Settle(4 * time.Second)
+		cluster.Network.Freeze(front.Host)
+		ended := make(chan *Forwarded, 1)
+		go func() {
+			ended <- cluster.Forward(front, forwarding.Query{Name: "held", Path: "/order/1", Body: []byte("x")})
+		}()
+		cluster.Settle(2500 * time.Millisecond)
+		cluster.Network.Thaw(front.Host)
+		if answer := <-ended; answer.Status != 0 || runsOf(cluster, "held") != 0 {
+			t.Fatalf("%d %v, ran %d times", answer.Status, answer.Err, runsOf(cluster, "held"))
+		}
+		if err := cluster.AwaitForwarding(5 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // TestBookingsMayBeWaitedForWhileMoreComes drains fronts while turns end.
 func TestBookingsMayBeWaitedForWhileMoreComes(t *testing.T) {
 	forwardSimulate(t, func(t *testing.T, cluster *Cluster) {
