A round of reads stands for a heartbeat; sessions are told without an answer, mostly

Confirmations for followers wait at the leader as long as heartbeats are apart; those of operators don't wait. A control node that is gone no longer holds up what the others are told.

--- a/system/agreement/core.go
+++ b/system/agreement/core.go
@@ -67,14 +67,16 @@
 	applied         uint64
 	stable          uint64
 	electionElapsed int
-	quorumElapsed   int
-	electionTimeout int
-	votes           map[string]bool
-	siblings        map[string]*progress
-	round           uint64
-	reads           []pendingRead
-	handOver        string
-	handOverElapsed int
+	// heartbeatElapsed counts the ticks since the leader last spoke to all siblings.
+	heartbeatElapsed int
+	quorumElapsed    int
+	electionTimeout  int
+	votes            map[string]bool
+	siblings         map[string]*progress
+	round            uint64
+	reads            []pendingRead
+	handOver         string
+	handOverElapsed  int
 
 	written     uint64
 	synced      uint64
@@ -318,7 +320,7 @@
 			return
 		}
 	}
-	if core.electionElapsed%core.settings.HeartbeatTicks == 0 {
+	if core.heartbeatElapsed++; core.heartbeatElapsed >= core.settings.HeartbeatTicks {
 		core.broadcast(true)
 	}
 }
@@ -740,6 +742,9 @@
 }
 
 func (core *Core) broadcast(heartbeat bool) {
+	if heartbeat { // a round of reads is one too
+		core.heartbeatElapsed = 0
+	}
 	for _, name := range core.siblingNames() {
 		core.sendAppend(name, core.siblings[name], heartbeat)
 	}
--- a/system/controlplane/follow.go
+++ b/system/controlplane/follow.go
@@ -15,10 +15,12 @@
 
 const (
 	// confirmInterval is the shortest time between two confirmations for followers; all
-	// who ask in between share the next.
-	confirmInterval = 100 * time.Millisecond
-	confirmPatience = 500 * time.Millisecond
-	longestWait     = 2 * time.Second
+	// who ask in between share the next. The leader's, which it asks its siblings for, is
+	// as long as that between heartbeats, and stands for one.
+	confirmInterval       = 100 * time.Millisecond
+	leaderConfirmInterval = 200 * time.Millisecond
+	confirmPatience       = 500 * time.Millisecond
+	longestWait           = 2 * time.Second
 	// liveAge is how old the list of live members that followers are told may be.
 	liveAge = 200 * time.Millisecond
 )
@@ -28,7 +30,11 @@
 func (node *Node) answerFollow(ctx context.Context, query *wire.Query) (*wire.Reply, error) {
 	follow, came := query.Follow, time.Now()
 	if follow.SessionOnly {
-		state, _, err := node.confirmShared(ctx)
+		confirm := node.confirmNow
+		if follow.Wait > 0 {
+			confirm = node.confirmSoon
+		}
+		state, err := confirm(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -76,9 +82,19 @@
 	return answer
 }
 
+// confirmNow is confirm for those who should not wait.
+func (node *Node) confirmNow(ctx context.Context) (*feedState, error) { return node.confirm(ctx, 0) }
+
+// confirmSoon is confirm for those who can wait for others.
+func (node *Node) confirmSoon(ctx context.Context) (*feedState, error) {
+	state, _, err := node.confirmShared(ctx)
+	return state, err
+}
+
 // confirm gives a state than which none was newer when it was asked for, by a quorum of the
-// control group: its leader's, wherever that is.
-func (node *Node) confirm(ctx context.Context) (*feedState, error) {
+// control group: its leader's, wherever that is. The leader may wait so long for others who
+// ask.
+func (node *Node) confirm(ctx context.Context, wait time.Duration) (*feedState, error) {
 	if node.Leading() {
 		if err := node.host.Read(ctx, controlGroup); err != nil {
 			return nil, err
@@ -86,7 +102,7 @@
 		return node.machine.state(), nil
 	}
 	own := node.machine.state()
-	reply, err := node.viaLeader(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{SessionOnly: true, After: own.view.Number}})
+	reply, err := node.viaLeader(ctx, &wire.Query{Which: schema.Query_Which_follow, Follow: &wire.FollowQuery{SessionOnly: true, After: own.view.Number, Wait: wait}})
 	if err != nil {
 		return nil, err
 	}
@@ -132,7 +148,11 @@
 	if joined == nil {
 		joined = &confirmation{done: make(chan struct{})}
 		shared.next = joined
-		pause := max(0, confirmInterval-time.Since(shared.last))
+		pause := confirmInterval
+		if node.Leading() {
+			pause = leaderConfirmInterval
+		}
+		pause = max(0, pause-time.Since(shared.last))
 		time.AfterFunc(pause, func() { node.runConfirmation(joined) })
 	}
 	shared.mutex.Unlock()
@@ -153,7 +173,7 @@
 	node.confirmations.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(node.context, confirmPatience)
 	defer cancel()
-	shared.state, shared.err = node.confirm(ctx)
+	shared.state, shared.err = node.confirm(ctx, leaderConfirmInterval)
 	if shared.err != nil && ctx.Err() != nil && !mishap.Is(shared.err, mishap.NoQuorum) {
 		shared.err = noQuorum()
 	}
--- a/system/controlplane/node.go
+++ b/system/controlplane/node.go
@@ -34,6 +34,7 @@
 	doubtPatience  = 1200 * time.Millisecond
 	fewestControls = 3
 	gossipInterval = 500 * time.Millisecond
+	gossipLook     = 4 // one gossip of so many wants an answer
 	steerInterval  = 300 * time.Millisecond
 	busyInterval   = 50 * time.Millisecond // while the fleet is being steered
 	// foundingSettle is how long no other store may have come before the list is made.
@@ -101,6 +102,8 @@
 	// charterRoster is the source that is used if none is given.
 	charterRoster charterRoster
 	confirmations confirmations
+	telling       sync.Map // addresses of control nodes that are being told sessions
+	gossips       int
 	listed        atomic.Pointer[liveList]
 }
 
@@ -440,20 +443,32 @@
 		}
 	}
 	delete(targets, node.settings.Address)
-	var told sync.WaitGroup
+	node.gossips++
+	look := node.gossips%gossipLook == 0
+	query := &wire.Query{Fleet: node.View().Fleet, Which: schema.Query_Which_sessions, Sessions: batch}
 	for address := range targets {
-		told.Go(func() {
-			ctx, cancel := context.WithTimeout(node.context, gossipInterval)
-			defer cancel()
-			if _, err := node.caller.Call(ctx, address, &wire.Query{Fleet: node.View().Fleet, Which: schema.Query_Which_sessions, Sessions: batch}); err != nil && ctx.Err() != nil {
-				node.caller.Drop(address)
-			}
-		})
-	}
-	told.Wait()
+		if _, telling := node.telling.LoadOrStore(address, true); telling {
+			continue // it is not there, or slow
+		}
+		go func() {
+			defer node.telling.Delete(address)
+			node.tell(address, *query, look)
+		}()
+	}
 	node.noteControls()
 }
 
+// tell sends sessions to a control node; now and then it looks whether that node answers.
+func (node *Node) tell(address string, query wire.Query, look bool) {
+	ctx, cancel := context.WithTimeout(node.context, gossipInterval)
+	defer cancel()
+	if !look {
+		node.caller.Tell(ctx, address, &query)
+	} else if _, err := node.caller.Call(ctx, address, &query); err != nil && ctx.Err() != nil {
+		node.caller.Drop(address)
+	}
+}
+
 // noteControls keeps on disk where the control nodes are, so that they find each other
 // when all start again, whatever their seeds say.
 func (node *Node) noteControls() {
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -277,7 +277,7 @@
 // confirmedView reads the view by a quorum, wherever the leader is. Only what this node
 // has not applied yet is carried.
 func (node *Node) confirmedView(ctx context.Context) (*feed.View, error) {
-	state, err := node.confirm(ctx)
+	state, err := node.confirmNow(ctx)
 	if err != nil {
 		return nil, unreachable(err)
 	}
--- a/system/follower/follower.go
+++ b/system/follower/follower.go
@@ -25,8 +25,8 @@
 	// Window is how long one confirmation that nothing newer exists holds,
 	// counted from when it was asked for.
 	Window       = 1500 * time.Millisecond
-	askPatience  = 550 * time.Millisecond
-	hedgeAfter   = 300 * time.Millisecond
+	askPatience  = 600 * time.Millisecond
+	hedgeAfter   = 400 * time.Millisecond
 	seedPatience = 500 * time.Millisecond
 	// shortestPause is between the end of a round and the next; after rounds without a
 	// control node it grows to longestPause.
