--- a/system/forwarding/forwarder.go
+++ b/system/forwarding/forwarder.go
@@ -140,7 +140,7 @@
 }
 
 // freshShare is the part of its time that a query may wait for the view to be fresh.
-const freshShare = 0.5
+const freshShare = 0.35
 
 func requireFresh(forwarder *Forwarder, ctx context.Context, going *passage) (bool, error) {
 	if err := forwarder.settings.Fresh(); err != nil {
@@ -181,8 +181,12 @@
 }
 
 const (
-	// beginShare is the part of the time left that a turn may wait for its record.
-	beginShare = 0.6
+	// beginShare is the part of its whole time after which a turn no longer waits for its
+	// record: what can't be offered to a runner by then is refused, with time left for the
+	// caller to ask elsewhere.
+	beginShare = 0.45
+	// beginLeast is what a turn may wait all the same.
+	beginLeast = 100 * time.Millisecond
 	beginMost  = 2500 * time.Millisecond
 	// bookPatience is how long an end is tried to be booked behind the caller's back;
 	// what stays unbooked goes on counting at its most.
@@ -206,7 +210,9 @@
 	}
 	going.line = lineOf(going.Query)
 	left := time.Until(going.deadline)
-	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(float64(left)*beginShare), beginMost))
+	whole := going.deadline.Sub(going.Received)
+	wait := time.Until(going.Received.Add(time.Duration(float64(whole) * beginShare)))
+	ctx, cancel := context.WithTimeout(ctx, min(max(wait, beginLeast), beginMost))
 	defer cancel()
 	begun, err := forwarder.settings.Records.BeginTurn(ctx, storeorigin.Turn{
 		Line: going.line, Name: going.Name, Follows: going.Follows, Input: going.Body,
