--- a/system/charter/charter.go
+++ b/system/charter/charter.go
@@ -98,7 +98,14 @@
 	Limits    Limits                        `json:"limits"`
 	Platform  Platform                      `json:"platform"`
 	// Routing is how queries are forwarded unchanged; nil if nothing is.
-	Routing *Routing `json:"routing,omitempty"`
+	Routing  *Routing `json:"routing,omitempty"`
+	Openings Openings `json:"openings,omitzero"`
+}
+
+// Openings tells whether the beginnings that conversations of one route have in common are
+// kept once for many.
+type Openings struct {
+	Share bool `json:"share"`
 }
 
 // Compile checks CUE source and gives the charter and its compiled form. What is
--- a/system/charter/schema.cue
+++ b/system/charter/schema.cue
@@ -100,6 +100,8 @@
 		runner_list: =~"^http://" | *""
 		poll: #Duration | *"1s"
 	}
+	// whether the beginnings that conversations of one route have in common are kept once
+	openings?: share: bool | *false
 	// how queries are forwarded unchanged; left out, what is in force stays
 	routing?: #Routing
 }
--- a/system/controlplane/query.go
+++ b/system/controlplane/query.go
@@ -141,6 +141,7 @@
 		}
 		return []string{"group", "leader", "voters", "learners"}, rows
 	},
+	"openings": showOpenings,
 	"tallies": func(service Administration, ctx context.Context, view *feed.View, made *charter.Charter) ([]string, [][]string) {
 		stores := storeorigin.New(service.node.caller, func() *feed.View { return view })
 		rows := [][]string{}
--- a/system/controlplane/stores.go
+++ b/system/controlplane/stores.go
@@ -250,6 +250,10 @@
 
 // groupLeaders asks all stores and keeps what each group's leader says.
 func (node *Node) groupLeaders(ctx context.Context, view *feed.View) map[uint32]ledGroup {
+	return node.askLeaders(ctx, view, wire.StatusQuery{})
+}
+
+func (node *Node) askLeaders(ctx context.Context, view *feed.View, asking wire.StatusQuery) map[uint32]ledGroup {
 	var mutex sync.Mutex
 	var asked sync.WaitGroup
 	leaders := map[uint32]ledGroup{}
@@ -257,7 +261,7 @@
 		asked.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, callPatience)
 			defer cancel()
-			reply, err := node.caller.Call(limited, node.addressOf(store.Name), &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{}})
+			reply, err := node.caller.Call(limited, node.addressOf(store.Name), &wire.Query{Which: schema.Query_Which_status, Status: &asking})
 			if err != nil || reply.Status == nil {
 				return
 			}
--- a/system/forwarding/forwarder.go
+++ b/system/forwarding/forwarder.go
@@ -24,6 +24,8 @@
 type Rules struct {
 	View    *feed.View
 	Routing *charter.Routing
+	// Openings tells whether inputs may be shared among conversations.
+	Openings charter.Openings
 }
 
 // Settings join a forwarder to the rest of its front.
@@ -216,7 +218,7 @@
 	defer cancel()
 	begun, err := forwarder.settings.Records.BeginTurn(ctx, storeorigin.Turn{
 		Line: going.line, Name: going.Name, Follows: going.Follows, Input: going.Body,
-		Keeps: going.route.KeepsHistory, Keep: time.Duration(going.route.Keep),
+		Keeps: going.route.KeepsHistory, Keep: time.Duration(going.route.Keep), Scope: going.scope(),
 		Budgeted: going.Budgeted, Most: going.TokensOut, Allowance: going.Budget,
 		Dispatch: forwarder.settings.Node, Life: left + turnMargin,
 	})
@@ -234,6 +236,15 @@
 	return false, nil
 }
 
+// scope is whose openings the turn's input may share: those of its route alone, while the
+// charter shares any.
+func (going *passage) scope() string {
+	if !going.rules.Openings.Share {
+		return ""
+	}
+	return going.route.Name
+}
+
 // lineOf names the line of record of a query's program; turns of no program have lines
 // of their own.
 func lineOf(query *Query) string {
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -148,7 +148,7 @@
 // routes gives the routes in force.
 func (node *Node) routes() forwarding.Rules {
 	rules := node.rules.Load()
-	return forwarding.Rules{View: rules.view, Routing: rules.charter.Routing}
+	return forwarding.Rules{View: rules.view, Routing: rules.charter.Routing, Openings: rules.charter.Openings}
 }
 
 // balance tells the balancer what is in force and how many fronts share the runners.
--- a/system/line/machine.go
+++ b/system/line/machine.go
@@ -16,7 +16,11 @@
 )
 
 // ImageVersion is the newest checkpoint format that this program reads.
-const ImageVersion = 2
+const ImageVersion = 3
+
+// imageWithoutOpenings is written as long as a group holds none, so that programs that know
+// no openings read it.
+const imageWithoutOpenings = 2
 
 // View is a group's content at one applied index. It never changes.
 type View struct {
@@ -35,6 +39,9 @@
 	// turns finds the turns of programs by name. Only adopted turns are in more lines
 	// than one.
 	turns *immutable.Map[string, []*Turn]
+	// openings are found by name, and by the scope that may share them, longest first.
+	openings *immutable.Map[string, *Opening]
+	scopes   *immutable.Map[string, []*Opening]
 }
 
 // Sums are digests over a group's lines, one a bucket of them.
@@ -116,13 +123,15 @@
 			view.hot = view.hot.Delete(name)
 			view.sums.Toggle(name, session.ArchivedSeq)
 			view.forgetTurns(session)
+			view.release(session)
 		}
 	}
 }
 
 func emptyView() *View {
 	return &View{sessions: immutable.NewMap[string, *Session](nil), tallies: immutable.NewMap[string, *Tally](nil),
-		hot: immutable.NewMap[string, struct{}](nil), expiries: immutable.NewSortedMap[string, string](nil), turns: immutable.NewMap[string, []*Turn](nil)}
+		hot: immutable.NewMap[string, struct{}](nil), expiries: immutable.NewSortedMap[string, string](nil), turns: immutable.NewMap[string, []*Turn](nil),
+		openings: immutable.NewMap[string, *Opening](nil), scopes: immutable.NewMap[string, []*Opening](nil)}
 }
 
 // Session finds a line.
@@ -196,6 +205,9 @@
 	Settle:        (*View).settle,
 	BeginTurn:     (*View).beginTurn,
 	EndTurn:       (*View).endTurn,
+
+	ShareOpening:    (*View).shareOpening,
+	BeginSharedTurn: (*View).beginSharedTurn,
 }
 
 // Apply carries out one committed command and publishes the result.
@@ -330,6 +342,7 @@
 		}
 	}
 	view.forgetExpired()
+	view.freeIdle()
 	return Outcome{}
 }
 
@@ -391,7 +404,7 @@
 //
 //	image := machine.View().Image()
 func (view *View) Image() Image {
-	image := Image{Version: ImageVersion, Clock: view.clock}
+	image := Image{Version: imageWithoutOpenings, Clock: view.clock}
 	for session := range view.Sessions() {
 		image.Sessions = append(image.Sessions, *session)
 		image.Turns = view.appendRecords(image.Turns, session)
@@ -399,6 +412,9 @@
 	for tally := range view.Tallies() {
 		image.Tallies = append(image.Tallies, *tally)
 	}
+	if image.Openings = view.openingRecords(); len(image.Openings) > 0 {
+		image.Version = ImageVersion
+	}
 	return image
 }
 
@@ -430,6 +446,7 @@
 	}
 	view.sessions, view.tallies, view.hot, view.expiries = sessions.Map(), tallies.Map(), hot.Map(), expiries.Map()
 	view.turns = restoredTurns(image.Turns)
+	view.restoreOpenings(image)
 	machine.published.Store(view)
 	return nil
 }
--- a/system/line/turns.go
+++ b/system/line/turns.go
@@ -177,6 +177,10 @@
 	if command.Keeps {
 		event.Data = command.Data
 	}
+	if command.Kind == BeginSharedTurn {
+		event.Opening = command.Opening
+		view.refer(&session, command.Opening)
+	}
 	if followed != nil {
 		event.Follows = followed.Seq
 	}
--- a/system/line/types.go
+++ b/system/line/types.go
@@ -54,6 +54,8 @@
 	Deadline    int64
 	// Data is a turn's input in its beginning, and its output in its end.
 	Data []byte
+	// Opening names what comes before Data; "" is nothing.
+	Opening string
 }
 
 // CommandKind selects what a command does.
@@ -70,6 +72,12 @@
 	Settle
 	BeginTurn
 	EndTurn
+	// ShareOpening lets a group hold an opening once, and refers the lines to it that
+	// are named in Acks and still hold it whole.
+	ShareOpening
+	// BeginSharedTurn is BeginTurn whose Data comes after an opening that the group holds.
+	// It has a number of its own, so that a program that knows no openings refuses it.
+	BeginSharedTurn
 )
 
 // Ack tells how far a line's events are in the cold store.
@@ -111,6 +119,10 @@
 	Budgeted bool
 	Keeps    bool
 	Adopted  []AdoptedTurn
+	// Scope is whose opening may be shared; "" shares none. Opening names the one that
+	// Data follows.
+	Scope   string
+	Opening string
 }
 
 // AdoptedTurn is a turn that was answered whole in another line: its input with its
@@ -140,6 +152,10 @@
 	TurnCut
 	// TurnTaken: another dispatch began the turn, or it has ended.
 	TurnTaken
+	// UnknownOpening: the group holds no such opening for that scope (any more).
+	UnknownOpening
+	// OpeningsFull: the scope has as many openings as it may.
+	OpeningsFull
 )
 
 // Outcome is what applying a command answers.
@@ -182,6 +198,8 @@
 	Reserved uint64
 	// Turns names the line's turns in the order in which they began.
 	Turns []string
+	// Openings names those that events of the line refer to, archived ones too.
+	Openings []string
 }
 
 // Expires tells when the line's keeping time ends.
@@ -251,4 +269,5 @@
 	Sessions []Session
 	Tallies  []Tally
 	Turns    []TurnRecord
+	Openings []OpeningRecord
 }
--- a/system/querylanguage/querylanguage.go
+++ b/system/querylanguage/querylanguage.go
@@ -90,7 +90,7 @@
 var parser = participle.MustBuild[Statement](participle.Lexer(words), participle.Unquote("Text"), participle.UseLookahead(4))
 
 // Tables are what can be shown.
-var Tables = []string{"changes", "charter", "controls", "demand", "domains", "duties", "groups", "nodes", "programs", "routes", "runners", "services", "stores", "tallies", "weights"}
+var Tables = []string{"changes", "charter", "controls", "demand", "domains", "duties", "groups", "nodes", "openings", "programs", "routes", "runners", "services", "stores", "tallies", "weights"}
 
 // Parse reads one line. A failure names the column and what was expected.
 //
--- a/system/store/archive.go
+++ b/system/store/archive.go
@@ -53,7 +53,7 @@
 	view := node.machine(group).View()
 	chunks, acks := []wire.ColdChunk{}, []line.Ack{}
 	budget, now := archiveBatch, node.clock(group)
-	expired, full := view.AnyExpired(now), hotBytes(view) > mostHotBytes
+	expired, full := view.AnyExpired(now) || view.AnyIdleOpening(now), hotBytes(view) > mostHotBytes
 	for session := range view.Hot() {
 		if budget <= 0 {
 			break
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -20,6 +20,7 @@
 	"yardrock.example/system/line"
 	"yardrock.example/system/link"
 	"yardrock.example/system/mishap"
+	"yardrock.example/system/openings"
 	"yardrock.example/system/placement"
 	"yardrock.example/system/replica"
 	"yardrock.example/system/storeorigin"
@@ -65,6 +66,7 @@
 	machines  sync.Map // group number to *lineMachine
 	clocks    sync.Map // group number to clockAnchor
 	lines     *storeorigin.Origin
+	noticer   openings.Noticer
 	held      atomic.Pointer[feed.View]
 	viewed    chan struct{} // holds one token after a view with other orders was taken
 
@@ -297,6 +299,7 @@
 	schema.Query_Which_getCold:   (*Node).answerGetCold,
 	schema.Query_Which_digests:   (*Node).answerDigests,
 	schema.Query_Which_find:      (*Node).answerFind,
+	schema.Query_Which_opening:   (*Node).answerOpening,
 }
 
 // Answer answers one query of another process.
@@ -318,11 +321,15 @@
 	return reply
 }
 
-func (node *Node) answerStatus(context.Context, *wire.Query) (*wire.Reply, error) {
+func (node *Node) answerStatus(_ context.Context, query *wire.Query) (*wire.Reply, error) {
 	view := node.held.Load()
 	groups := []wire.GroupStatus{}
 	for number, status := range node.host.Statuses() {
-		groups = append(groups, wire.GroupStatus{Group: number, Leading: status.Confirmed && !status.Changing, Voters: status.Replicas.Voters, Learners: status.Replicas.Learners})
+		told := wire.GroupStatus{Group: number, Leading: status.Confirmed && !status.Changing, Voters: status.Replicas.Voters, Learners: status.Replicas.Learners}
+		if query.Status != nil && query.Status.Openings && told.Leading {
+			told.Openings = node.openingsOf(number)
+		}
+		groups = append(groups, told)
 	}
 	return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{
 		Name: node.Name(), Role: feed.RoleStore, Address: node.settings.Address, Domain: node.settings.Domain,
@@ -361,6 +368,7 @@
 	for position, command := range query.Command.Commands {
 		command.Now = node.clock(query.Command.Group)
 		node.expect(query.Command.Group, &command)
+		node.share(query.Command.Group, &command)
 		commands[position] = wire.MustEncode(schema.Command_TypeID, &command)
 	}
 	outcomes, err := node.host.Propose(ctx, query.Command.Group, commands)
@@ -370,6 +378,11 @@
 	list := &wire.OutcomeList{}
 	for position, outcome := range outcomes {
 		told := outcome.(applied)
+		if told.outcome.Status == line.UnknownOpening {
+			if told, err = node.beginWhole(ctx, query.Command.Group, query.Command.Commands[position]); err != nil {
+				return nil, err
+			}
+		}
 		list.Outcomes = append(list.Outcomes, told.outcome)
 		if command := &query.Command.Commands[position]; command.Kind == line.BeginTurn && command.Keeps && told.outcome.Status == line.Done {
 			if list.History, err = node.history(ctx, query.Command.Group, told.view, command.Line, command.Producer); err != nil {
@@ -436,6 +449,9 @@
 		return nil, mishap.New(mishap.NotFound, "no line is named "+read.Line, "check the name; a line is forgotten when its keeping time is over")
 	}
 	events, err := node.merged(ctx, group, session, read.After, read.Limit)
+	if err == nil {
+		err = node.allWhole(ctx, group, view, events)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/system/store/turns.go
+++ b/system/store/turns.go
@@ -69,17 +69,21 @@
 		switch {
 		case seq == 0:
 		case seq > session.ArchivedSeq:
-			pieces[position] = session.Hot[seq-session.ArchivedSeq-1].Data
+			pieces[position], err = node.whole(ctx, group, view, &session.Hot[seq-session.ArchivedSeq-1])
 		default:
-			pieces[position] = cold[seq]
+			pieces[position], err = node.whole(ctx, group, view, cold[seq])
+		}
+		if err != nil {
+			return nil, err
 		}
 	}
 	return pieces, nil
 }
 
-// coldData reads those of a line's events that are archived, without a gap.
-func (node *Node) coldData(ctx context.Context, group uint32, session *line.Session, seqs []uint64) (map[uint64][]byte, error) {
-	wanted := map[uint64][]byte{}
+// coldData reads those of a line's events that are archived, without a gap, as they are
+// kept.
+func (node *Node) coldData(ctx context.Context, group uint32, session *line.Session, seqs []uint64) (map[uint64]*line.Event, error) {
+	wanted := map[uint64]*line.Event{}
 	first, last := uint64(0), uint64(0)
 	for _, seq := range seqs {
 		if seq != 0 && seq <= session.ArchivedSeq {
@@ -98,7 +102,7 @@
 		for _, event := range events {
 			after = event.Seq
 			if _, asked := wanted[event.Seq]; asked {
-				wanted[event.Seq] = event.Data
+				wanted[event.Seq] = &event
 			}
 		}
 	}
--- a/system/storeorigin/turns.go
+++ b/system/storeorigin/turns.go
@@ -20,6 +20,8 @@
 	// Input is what the turn brings. With Keeps it is kept for the turns that follow.
 	Input []byte
 	Keeps bool
+	// Scope is whose opening the input may share; "" shares none.
+	Scope string
 	// Keep is how long the turn is kept from the end of its answer.
 	Keep time.Duration
 	// Budgeted turns put out Most tokens at most, of the program's Allowance.
@@ -72,6 +74,7 @@
 	command := line.Command{Kind: line.BeginTurn, Producer: turn.Name, ProducerSeq: 1, Follows: turn.Follows, Dispatch: turn.Dispatch, Keeps: turn.Keeps,
 		KeepFor: max(turn.Keep, leastKept), Budgeted: turn.Budgeted, Tokens: turn.Most, Allowance: turn.Allowance, Life: turn.Life}
 	if turn.Keeps {
+		command.Scope = turn.Scope
 		command.Data = turn.Input
 	}
 	for {
--- a/system/wire/hot.go
+++ b/system/wire/hot.go
@@ -337,7 +337,7 @@
 		set   func(string) error
 	}{
 		{value.Words, target.SetWords}, {value.Outcome, target.SetOutcome}, {value.Runner, target.SetRunner}, {value.Dispatch, target.SetDispatch},
-		{value.Digest, target.SetDigest}, {value.Name, target.SetName}, {value.Producer, target.SetProducer},
+		{value.Digest, target.SetDigest}, {value.Name, target.SetName}, {value.Producer, target.SetProducer}, {value.Opening, target.SetOpening},
 	} {
 		if text.value == "" {
 			continue
@@ -356,7 +356,8 @@
 	reading := &taking{}
 	*value = line.Event{Seq: source.Seq(), At: source.At(), Kind: line.EventKind(source.Kind()), Turn: source.Turn(), Follows: source.Follows(), Part: source.Part(),
 		ProducerSeq: source.ProducerSeq(), Charter: source.Charter(), Deadline: source.Deadline(), Words: field(reading, source.Words), Outcome: field(reading, source.Outcome),
-		Runner: field(reading, source.Runner), Dispatch: field(reading, source.Dispatch), Digest: field(reading, source.Digest), Name: field(reading, source.Name), Producer: field(reading, source.Producer), Data: bytesOf(reading, source.Data)}
+		Runner: field(reading, source.Runner), Dispatch: field(reading, source.Dispatch), Digest: field(reading, source.Digest), Name: field(reading, source.Name), Producer: field(reading, source.Producer), Data: bytesOf(reading, source.Data),
+		Opening: field(reading, source.Opening)}
 	return reading.failed
 }
 
@@ -387,6 +388,7 @@
 	}{
 		{value.Line, target.SetLine}, {value.Team, target.SetTeam}, {value.Program, target.SetProgram}, {value.WorkKind, target.SetWorkKind}, {value.Producer, target.SetProducer},
 		{value.Reservation, target.SetReservation}, {value.Follows, target.SetFollows}, {value.Dispatch, target.SetDispatch}, {value.Outcome, target.SetOutcome},
+		{value.Scope, target.SetScope}, {value.Opening, target.SetOpening},
 	} {
 		if text.value == "" {
 			continue
@@ -426,7 +428,7 @@
 		ExpectedSeq: source.ExpectedSeq(), Words: source.Words(), Allowance: source.Allowance(), Life: time.Duration(source.Life()), Line: field(reading, source.Line), Team: field(reading, source.Team),
 		Program: field(reading, source.Program), WorkKind: field(reading, source.WorkKind), Producer: field(reading, source.Producer), Reservation: field(reading, source.Reservation),
 		Follows: field(reading, source.Follows), Dispatch: field(reading, source.Dispatch), Outcome: field(reading, source.Outcome), Data: bytesOf(reading, source.Data),
-		Tokens: source.Tokens(), Budgeted: source.Budgeted(), Keeps: source.Keeps()}
+		Tokens: source.Tokens(), Budgeted: source.Budgeted(), Keeps: source.Keeps(), Scope: field(reading, source.Scope), Opening: field(reading, source.Opening)}
 	if reading.failed != nil {
 		return reading.failed
 	}
@@ -616,7 +618,11 @@
 	for position, turn := range value.OpenTurns {
 		open.Set(position, turn)
 	}
-	return nil
+	if len(value.Openings) == 0 {
+		return nil
+	}
+	openings, err := target.NewOpenings(int32(len(value.Openings)))
+	return putTexts(openings, err, value.Openings)
 }
 
 func takeSession(source schema.Session, value *line.Session) error {
@@ -641,7 +647,8 @@
 	for position := range open.Len() {
 		value.OpenTurns = append(value.OpenTurns, open.At(position))
 	}
-	return nil
+	value.Openings, err = takeTexts(source.Openings())
+	return err
 }
 
 func putReservation(target schema.Reservation, value *line.Reservation) error {
@@ -683,6 +690,17 @@
 	return err
 }
 
+func putOpening(target schema.Opening, value *line.OpeningRecord) error {
+	target.SetUntil(value.Until)
+	return errors.Join(target.SetName(value.Name), target.SetScope(value.Scope), target.SetData(value.Data))
+}
+
+func takeOpening(source schema.Opening, value *line.OpeningRecord) error {
+	reading := &taking{}
+	*value = line.OpeningRecord{Until: source.Until(), Name: field(reading, source.Name), Scope: field(reading, source.Scope), Data: bytesOf(reading, source.Data)}
+	return reading.failed
+}
+
 func putImage(target schema.LineImage, value *line.Image) error {
 	target.SetVersion(value.Version)
 	target.SetClock(value.Clock)
@@ -695,7 +713,11 @@
 		return err
 	}
 	turns, err := target.NewTurns(int32(len(value.Turns)))
-	return putList(turns, err, value.Turns, putTurnRecord)
+	if err := putList(turns, err, value.Turns, putTurnRecord); err != nil || len(value.Openings) == 0 {
+		return err
+	}
+	openings, err := target.NewOpenings(int32(len(value.Openings)))
+	return putList(openings, err, value.Openings, putOpening)
 }
 
 func takeImage(source schema.LineImage, value *line.Image) error {
@@ -709,7 +731,11 @@
 		return err
 	}
 	turns, err := source.Turns()
-	value.Turns, err = takeList(turns, err, takeTurnRecord)
+	if value.Turns, err = takeList(turns, err, takeTurnRecord); err != nil {
+		return err
+	}
+	openings, err := source.Openings()
+	value.Openings, err = takeList(openings, err, takeOpening)
 	return err
 }
 
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -23,6 +23,7 @@
     getCold @13 :GetColdQuery;
     runner @14 :RunnerNote;
     find @15 :FindQuery;
+    opening @16 :OpeningQuery;
   }
 }
 
@@ -39,6 +40,7 @@
     digests @8 :DigestReply;
     chunks @9 :ColdChunkBatch;
     found @10 :FindReply;
+    opening @11 :Opening;
   }
 }
 
@@ -121,6 +123,7 @@
 struct StatusQuery {
   address @0 :Text;
   traffic @1 :Bool;
+  openings @2 :Bool;
 }
 
 struct KindTraffic {
@@ -159,6 +162,15 @@
   leading @1 :Bool;
   voters @2 :List(Text);
   learners @3 :List(Text);
+  openings @4 :List(OpeningStatus);
+}
+
+struct OpeningStatus {
+  name @0 :Text;
+  scope @1 :Text;
+  size @2 :UInt64;
+  lines @3 :UInt64;
+  damaged @4 :Bool;
 }
 
 struct Member {
@@ -191,6 +203,7 @@
   charter @14 :UInt64;
   deadline @15 :Int64;
   data @16 :Data;
+  opening @17 :Text;
 }
 
 struct Command {
@@ -220,6 +233,20 @@
   budgeted @23 :Bool;
   keeps @24 :Bool;
   adopted @25 :List(AdoptedTurn);
+  scope @26 :Text;
+  opening @27 :Text;
+}
+
+struct Opening {
+  name @0 :Text;
+  scope @1 :Text;
+  data @2 :Data;
+  until @3 :Int64;
+}
+
+struct OpeningQuery {
+  group @0 :UInt32;
+  name @1 :Text;
 }
 
 struct AdoptedTurn {
@@ -292,6 +319,7 @@
   until @12 :Int64;
   spent @13 :UInt64;
   reserved @14 :UInt64;
+  openings @15 :List(Text);
 }
 
 struct Reservation {
@@ -313,6 +341,7 @@
   sessions @2 :List(Session);
   tallies @3 :List(Tally);
   turns @4 :List(TurnRecord);
+  openings @5 :List(Opening);
 }
 
 struct CommandQuery {
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -42,6 +42,7 @@
 	GetCold   *GetColdQuery
 	Runner    *RunnerNote
 	Find      *FindQuery
+	Opening   *OpeningQuery
 }
 
 // Reply answers a Query; a Mishap with a Kind says that it failed.
@@ -57,6 +58,7 @@
 	Digests  *DigestReply
 	Chunks   *ColdChunkBatch
 	Found    *FindReply
+	Opening  *line.OpeningRecord
 }
 
 // Mishap is a typed failure on its way.
@@ -83,6 +85,8 @@
 type StatusQuery struct {
 	Address string
 	Traffic bool
+	// Openings asks for the openings that the groups led there hold.
+	Openings bool
 }
 
 // KindTraffic counts the queries of one kind that a process asked and answered since
@@ -127,6 +131,23 @@
 	Leading  bool
 	Voters   []string
 	Learners []string
+	Openings []OpeningStatus
+}
+
+// OpeningStatus tells of an opening that a group holds once for many lines; Size is in
+// bytes. It never carries its content.
+type OpeningStatus struct {
+	Name    string
+	Scope   string
+	Size    uint64
+	Lines   uint64
+	Damaged bool
+}
+
+// OpeningQuery asks a replica for its copy of an opening.
+type OpeningQuery struct {
+	Group uint32
+	Name  string
 }
 
 // CommandQuery asks a group's leader to commit commands.
