--- /dev/null
+++ b/proof/simulator/openings_test.go
@@ -0,0 +1,426 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"yardrock.example/system/forwarding"
+	"yardrock.example/system/line"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/placement"
+	"yardrock.example/system/storeorigin"
+	"yardrock.example/system/wire"
+)
+
+// sharingRules are routed rules under which openings are shared.
+const sharingRules = RoutedRules + "openings: share: true\n"
+
+// prose makes text of some length that a seed alone decides.
+func prose(seed uint64, length int) string {
+	random, made := rand.New(rand.NewPCG(seed, 1)), &strings.Builder{}
+	for made.Len() < length {
+		fmt.Fprintf(made, "word%d ", random.IntN(100000))
+	}
+	return made.String()[:length]
+}
+
+// programsOf gives names of programs whose lines are in one group.
+func programsOf(group uint32, prefix string, count int) []string {
+	names := []string{}
+	for number := 0; len(names) < count; number++ {
+		if name := fmt.Sprintf("%s-%d", prefix, number); placement.GroupOf("program/"+name, 8) == group {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// agent is a program that takes one turn after the other and knows what it heard.
+type agent struct {
+	cluster  *Cluster
+	program  string
+	opening  string
+	history  string
+	follows  string
+	tries    int
+	complete []string
+	refused  []string
+	broken   []string
+}
+
+// turn takes one turn at a front, under a new name each time that it was refused or broken
+// off, and checks what the engine heard.
+func (agent *agent) turn(t *testing.T, front int) {
+	t.Helper()
+	for began := time.Now(); ; {
+		agent.tries++
+		name := fmt.Sprintf("%s-t%d", agent.program, agent.tries)
+		words := fmt.Sprintf(" turn %d of %s. ", len(agent.complete), agent.program)
+		if agent.follows == "" {
+			words = agent.opening + words
+		}
+		answer := agent.cluster.Forward(agent.cluster.Fronts[front%2], forwarding.Query{Name: name, Path: "/talk/kept/1", Follows: agent.follows, Body: []byte(words), Program: agent.program, Budgeted: true, Budget: 100000, TokensOut: 40})
+		if runsOf(agent.cluster, name) > 0 && promptOf(agent.cluster, name) != agent.history+words {
+			t.Fatalf("%s was heard with %d bytes, not the %d that were said", name, len(promptOf(agent.cluster, name)), len(agent.history+words))
+		}
+		switch {
+		case answer.Complete():
+			agent.complete, agent.follows, agent.history = append(agent.complete, name), name, agent.history+words+answer.Said()
+			return
+		case mishap.Is(answer.Err, mishap.NotFound):
+			t.Fatalf("%s was told that %s is unknown", name, agent.follows)
+		case answer.Refused():
+			agent.refused = append(agent.refused, name)
+		default:
+			agent.broken = append(agent.broken, name)
+		}
+		if time.Since(began) > 40*time.Second {
+			t.Fatalf("%s gets nowhere: %v", name, answer.Err)
+		}
+		agent.cluster.Settle(200 * time.Millisecond)
+	}
+}
+
+// check compares what the agent was told with what the engines did.
+func (agent *agent) check(t *testing.T) {
+	t.Helper()
+	for _, told := range []struct {
+		names       []string
+		least, most int
+	}{{agent.complete, 1, 1}, {agent.refused, 0, 0}, {agent.broken, 0, 1}} {
+		for _, name := range told.names {
+			if runs := runsOf(agent.cluster, name); runs < told.least || runs > told.most {
+				t.Errorf("%s ran %d times, not %d to %d", name, runs, told.least, told.most)
+			}
+		}
+	}
+}
+
+// sharing sums up what a group's leader holds once.
+func (cluster *Cluster) sharing(t *testing.T, group uint32) (lines, saved uint64, state string) {
+	t.Helper()
+	_, rows := cluster.show(t, "show openings where group = "+strconv.Itoa(int(group)))
+	for _, row := range rows {
+		lines += mustNumber(row[5])
+		saved += mustNumber(row[6])
+		state = row[7]
+	}
+	return lines, saved, state
+}
+
+func mustNumber(text string) uint64 {
+	number, _ := strconv.ParseUint(text, 10, 64)
+	return number
+}
+
+// storeFaults hit the store that leads a group, and end.
+var storeFaults = map[string]func(t *testing.T, cluster *Cluster, machine *Machine) (end func()){
+	"killed": func(t *testing.T, _ *Cluster, machine *Machine) func() {
+		machine.Kill()
+		return func() { mustStart(t, machine) }
+	},
+	"power lost": func(t *testing.T, _ *Cluster, machine *Machine) func() {
+		machine.LosePower()
+		return func() { mustStart(t, machine) }
+	},
+	"wiped": func(t *testing.T, cluster *Cluster, machine *Machine) func() {
+		machine.Kill()
+		machine.Wipe()
+		return func() {
+			mustStart(t, machine)
+			cluster.awaitHealed(t)
+		}
+	},
+	"frozen": func(_ *testing.T, cluster *Cluster, machine *Machine) func() {
+		cluster.Network.Freeze(machine.Host)
+		return func() { cluster.Network.Thaw(machine.Host) }
+	},
+	"cut off": func(_ *testing.T, cluster *Cluster, machine *Machine) func() {
+		cluster.Network.Isolate(machine.Host)
+		return func() { cluster.Network.Rejoin(machine.Host) }
+	},
+}
+
+// during lets a fault hit the store that leads an agent's line while work is done.
+func (cluster *Cluster) during(t *testing.T, fault func(*testing.T, *Cluster, *Machine) func(), one *agent, work func()) {
+	t.Helper()
+	leader := cluster.leaderOf("program/" + one.program)
+	if leader == nil {
+		t.Fatal("nobody leads the group")
+	}
+	end := fault(t, cluster, leader)
+	work()
+	end()
+}
+
+func mustStart(t *testing.T, machine *Machine) {
+	t.Helper()
+	if err := machine.Start(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAgentsGoOnWholeWhileAStoreThatHoldsAMergedOpeningFails lets the store that leads a
+// merged opening fail mid-conversation at each step: as it is merged, once it is held, once
+// what refers to it is archived, and as it is freed.
+func TestAgentsGoOnWholeWhileAStoreThatHoldsAMergedOpeningFails(t *testing.T) {
+	for name, fault := range storeFaults {
+		t.Run(name, func(t *testing.T) {
+			forwardSimulate(t, func(t *testing.T, cluster *Cluster) {
+				if err := cluster.PutCharter(sharingRules); err != nil {
+					t.Fatal(err)
+				}
+				const group = 3
+				opening, agents := prose(7, 2560), []*agent{}
+				join := func(prefix string, count int) {
+					for _, program := range programsOf(group, prefix, count) {
+						agents = append(agents, &agent{cluster: cluster, program: program, opening: opening})
+					}
+				}
+				round := func() {
+					for position, one := range agents {
+						one.turn(t, position)
+					}
+				}
+				during := func(work func()) { cluster.during(t, fault, agents[0], work) }
+				// A merge that fails with its store is proposed again as conversations begin.
+				wantHeld := func(least uint64) {
+					t.Helper()
+					late := programsOf(group, "late", 30)
+					err := cluster.Await(30*time.Second, "a merged opening", func() error {
+						if lines, _, _ := cluster.sharing(t, group); lines >= least {
+							return nil
+						}
+						one := &agent{cluster: cluster, program: late[0], opening: opening}
+						late, agents = late[1:], append(agents, one)
+						one.turn(t, 0)
+						cluster.Settle(time.Second)
+						return fmt.Errorf("less than %d lines refer to it", least)
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+				}
+				join("first", 3)
+				agents[0].turn(t, 0)
+				agents[1].turn(t, 1)
+				merging := make(chan struct{})
+				go func() { // as it is merged: the third opening is what makes it worth it
+					defer close(merging)
+					agents[2].turn(t, 0)
+				}()
+				cluster.Settle(time.Duration(cluster.Random(9).IntN(12)) * time.Millisecond)
+				during(func() { <-merging })
+				join("second", 5)
+				round()
+				wantHeld(3)
+				during(round) // while it is held
+				cluster.Settle(7 * time.Second)
+				during(round) // and archived
+				lines, saved, _ := cluster.sharing(t, group)
+				if lines < 3 || saved < (lines-1)*2000*3 {
+					t.Fatalf("%d lines refer to it, %d bytes are saved", lines, saved)
+				}
+				for _, one := range agents {
+					one.check(t)
+				}
+			})
+		})
+	}
+}
+
+// TestAgentsBeginWholeWhileAnOpeningIsFreed lets a merged opening's lines be forgotten, and
+// its store fail around the time at which it is freed, while others begin with it.
+func TestAgentsBeginWholeWhileAnOpeningIsFreed(t *testing.T) {
+	forwardSimulate(t, func(t *testing.T, cluster *Cluster) {
+		if err := cluster.PutCharter(sharingRules); err != nil {
+			t.Fatal(err)
+		}
+		const group = 3
+		random, all := cluster.Random(11), []*agent{}
+		join := func(prefix string, count int) {
+			for _, program := range programsOf(group, prefix, count) {
+				one := &agent{cluster: cluster, program: program, opening: prose(7, 2560)}
+				one.turn(t, random.IntN(2))
+				all = append(all, one)
+			}
+		}
+		join("first", 5)
+		if lines, _, _ := cluster.sharing(t, group); lines == 0 {
+			t.Fatal("nothing was merged")
+		}
+		cluster.Settle(11*time.Minute + time.Duration(random.IntN(40))*time.Second)
+		names := slices.Sorted(maps.Keys(storeFaults))
+		fault := names[random.IntN(len(names))]
+		t.Log(fault)
+		cluster.during(t, storeFaults[fault], all[0], func() {
+			for step := range 4 {
+				cluster.Settle(time.Duration(random.IntN(20)) * time.Second)
+				join(fmt.Sprintf("step%d", step), 2)
+			}
+		})
+		join("last", 3)
+		for _, one := range all {
+			if one.follows != "" && !strings.HasPrefix(one.program, "first") {
+				one.turn(t, random.IntN(2))
+			}
+			one.check(t)
+		}
+	})
+}
+
+// TestSharingIsPutOnAndOffWhileTurnsRun switches openings off and on; what was merged stays
+// readable, and new turns are kept whole while it is off.
+func TestSharingIsPutOnAndOffWhileTurnsRun(t *testing.T) {
+	forwardSimulate(t, func(t *testing.T, cluster *Cluster) {
+		const group = 5
+		agents := []*agent{}
+		join := func(prefix string) {
+			for _, program := range programsOf(group, prefix, 4) {
+				agents = append(agents, &agent{cluster: cluster, program: program, opening: prose(8, 2560)})
+			}
+		}
+		for position, step := range []struct {
+			rules string
+			share bool
+			most  uint64
+		}{{RoutedRules, false, 0}, {sharingRules, true, 8}, {RoutedRules, false, 8}, {sharingRules, true, 16}} {
+			if err := cluster.PutCharter(step.rules); err != nil {
+				t.Fatal(err)
+			}
+			cluster.Settle(3 * time.Second) // no front obeys an old charter for longer
+			before, _, _ := cluster.sharing(t, group)
+			join(fmt.Sprintf("step%d", position))
+			for range 2 {
+				for front, one := range agents {
+					one.turn(t, front)
+				}
+			}
+			after, _, state := cluster.sharing(t, group)
+			if grew := after > before; grew != step.share || after > step.most {
+				t.Fatalf("step %d: %d lines referred to openings, now %d", position, before, after)
+			}
+			if _, rows := cluster.show(t, "show openings where group = all"); len(rows) != 1 || (rows[0][7] == "on") != step.share || state == "damaged" {
+				t.Fatalf("step %d: %v", position, rows)
+			}
+		}
+		for _, one := range agents {
+			one.check(t)
+		}
+	})
+}
+
+// TestScopesNeverShareOpenings lets two scopes bring the same opening.
+func TestScopesNeverShareOpenings(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		origin, end := cluster.origin("10.8.0.1")
+		defer end()
+		const group = 2
+		opening := prose(9, 2560)
+		for position, name := range programsOf(group, "p", 8) {
+			scope := []string{"identity", "permits", "identity", "permits", "identity", "identity", "", "alone"}[position]
+			turn := programTurn(name, name, "")
+			turn.Scope, turn.Input = scope, []byte(opening+name)
+			if _, err := origin.BeginTurn(context.Background(), turn); err != nil {
+				t.Fatal(err)
+			}
+			cluster.Settle(200 * time.Millisecond)
+		}
+		scopes := []string{}
+		_, rows := cluster.show(t, "show openings where group = 2")
+		for _, row := range rows {
+			scopes = append(scopes, row[2]+" "+row[5])
+		}
+		if len(scopes) != 1 || scopes[0] != "identity 4" {
+			t.Fatalf("%v", scopes)
+		}
+	})
+}
+
+// TestADamagedOpeningIsMendedFromASibling gives the leader a checkpoint in which an opening
+// is not what its name says.
+func TestADamagedOpeningIsMendedFromASibling(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		origin, end := cluster.origin("10.8.0.1")
+		defer end()
+		const group = 2
+		opening, names := prose(9, 2560), programsOf(group, "p", 5)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		for _, name := range names {
+			turn := programTurn(name, name, "")
+			turn.Scope, turn.Input = "identity", []byte(opening+"in "+name+"\n")
+			begun, err := origin.BeginTurn(ctx, turn)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := origin.EndTurn(ctx, programTurnEnd(name, name, line.OutcomeComplete, begun.Seq, 1)); err != nil {
+				t.Fatal(err)
+			}
+			cluster.Settle(200 * time.Millisecond)
+		}
+		leader := cluster.leaderOf("program/" + names[0])
+		damage := func(machine *Machine) {
+			held := machine.Store.Machine(group)
+			image := held.View().Image()
+			for position := range image.Openings {
+				image.Openings[position].Data[100] ^= 1
+			}
+			if err := held.Restore(image); err != nil {
+				t.Fatal(err)
+			}
+		}
+		damage(leader)
+		if _, _, state := cluster.sharing(t, group); state != "damaged" {
+			t.Fatalf("the opening is %s", state)
+		}
+		whole := func(name string) string { return opening + "in " + name + "\nout " + name + "\n" }
+		turn := func(name, follows string) (*storeorigin.Begun, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+			defer cancel()
+			return origin.BeginTurn(ctx, programTurn(follows, name, follows))
+		}
+		begun, err := turn("next", names[4])
+		if err != nil || string(begun.History) != whole(names[4]) {
+			t.Fatalf("%.200q, %v", fmt.Sprint(begun), err)
+		}
+		if _, _, state := cluster.sharing(t, group); state != "held" {
+			t.Fatalf("the opening is %s", state)
+		}
+		cluster.Settle(time.Second) // followers have carried out the mending too
+		// No replica has a sound copy: refused as not run, and nothing shorter is told.
+		for _, machine := range cluster.Stores {
+			damage(machine)
+		}
+		begun, err = turn("last", names[3])
+		if !mishap.Is(err, mishap.NotRun) || mishap.Of(err).RetryAfter <= 0 {
+			t.Fatalf("%.200q, %v", fmt.Sprint(begun), err)
+		}
+		short, over := context.WithTimeout(ctx, 4*time.Second)
+		defer over()
+		if _, err := origin.Read(short, wire.ReadQuery{Line: "program/" + names[3]}); !mishap.Is(err, mishap.Gap) && !mishap.Is(err, mishap.NoQuorum) {
+			t.Fatalf("%v", err)
+		}
+		// The same opening said anew mends it.
+		fresh := programsOf(group, "q", 3)
+		for _, name := range fresh {
+			again := programTurn(name, name, "")
+			again.Scope, again.Input = "identity", []byte(opening+"in "+name+"\n")
+			if _, err := origin.BeginTurn(ctx, again); err != nil {
+				t.Fatal(err)
+			}
+			cluster.Settle(5 * time.Second)
+		}
+		begun, err = turn("later", names[2])
+		if err != nil || string(begun.History) != whole(names[2]) {
+			t.Fatalf("%.200q, %v", fmt.Sprint(begun), err)
+		}
+	})
+}
--- a/system/store/openings.go
+++ b/system/store/openings.go
@@ -141,3 +141,14 @@
 	}
 	return held
 }
+
+// Machine gives the state machine of a group that has a replica here, for tests that
+// damage it; nil is none.
+//
+//	view := node.Machine(3).View()
+func (node *Node) Machine(group uint32) *line.Machine {
+	if held := node.machine(group); held != nil {
+		return held.Machine
+	}
+	return nil
+}
