--- a/proof/cmd/measure/main.go
+++ b/proof/cmd/measure/main.go
@@ -35,7 +35,15 @@
 	size := flag.Int("size", 1000, "bytes of each input and of each output")
 	takes := flag.Duration("sync", 5*time.Millisecond, "how long each sync takes at least")
 	profile := flag.String("profile", "", "write a processor profile of them to this file")
+	openings := flag.Bool("openings", false, "measure them as programs with openings in common, shared and not, in turn")
 	flag.Parse()
+	if *openings {
+		if err := openingCosts(max(*pace, 1), *number, *size, *takes); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	if *pace > 0 {
 		if err := turnCosts(*pace, *number, *size, *takes, *profile); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/proof/cmd/measure/turns.go
+++ b/proof/cmd/measure/turns.go
@@ -93,19 +93,35 @@
 	return sent
 }
 
-// turnCosts runs turns of programs at a pace against three stores on loopback, with
-// real files, and tells what each cost over all processes, fronts' part included.
-func turnCosts(pace, count, size int, takes time.Duration, profile string) error {
+// storesOnLoopback is a small fleet without fronts, on real files; origins stand for
+// fronts.
+type storesOnLoopback struct {
+	network *counted
+	syncs   *atomic.Int64
+	folder  string
+	nodes   []*store.Node
+	origins []*storeorigin.Origin
+	ends    []func()
+}
+
+// end stops the fleet and removes its folder.
+func (fleet *storesOnLoopback) end() {
+	for _, end := range slices.Backward(fleet.ends) {
+		end()
+	}
+}
+
+// startStores starts three control nodes and three stores whose syncs take a time.
+func startStores(takes time.Duration) (*storesOnLoopback, error) {
 	folder, err := os.MkdirTemp("", "measure")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer os.RemoveAll(folder)
-	network, syncs := &counted{}, &atomic.Int64{}
+	fleet := &storesOnLoopback{network: &counted{}, syncs: &atomic.Int64{}, folder: folder, ends: []func(){func() { os.RemoveAll(folder) }}}
 	open := func(name string) files.Folder {
 		made, failed := files.Open(filepath.Join(folder, name))
 		err = errors.Join(err, failed)
-		return slowDisk{made, syncs, takes}
+		return slowDisk{made, fleet.syncs, takes}
 	}
 	seeds := []string{}
 	for index := range 3 {
@@ -114,31 +130,43 @@
 	for index, address := range seeds {
 		name := []string{"east", "middle", "west"}[index]
 		control, failed := controlplane.Start(controlplane.Settings{Address: address, Administration: fmt.Sprintf("127.0.0.1:%d", 17820+index), Domain: name, Seeds: seeds, FoundingStores: 3, Groups: 32, MostControls: 3, Replica: replica.Usual(uint64(index))},
-			open("control"+name), network)
+			open("control"+name), fleet.network)
 		if failed != nil {
-			return failed
+			return fleet, failed
 		}
-		defer control.Close()
-		node, failed := store.Start(store.Settings{Address: fmt.Sprintf("127.0.0.1:%d", 17810+index), Domain: name, Seeds: seeds, Replica: replica.Usual(uint64(10 + index))}, open("store"+name), open("cold"+name), network)
+		fleet.ends = append(fleet.ends, control.Close)
+		node, failed := store.Start(store.Settings{Address: fmt.Sprintf("127.0.0.1:%d", 17810+index), Domain: name, Seeds: seeds, Replica: replica.Usual(uint64(10 + index))}, open("store"+name), open("cold"+name), fleet.network)
 		if failed != nil {
-			return failed
+			return fleet, failed
 		}
-		defer node.Close()
+		fleet.nodes, fleet.ends = append(fleet.nodes, node), append(fleet.ends, node.Close)
 	}
 	if err != nil {
-		return err
+		return fleet, err
 	}
-	origins := []*storeorigin.Origin{}
 	for index := range 6 {
-		caller := link.NewCaller(network)
-		defer caller.Close()
+		caller := link.NewCaller(fleet.network)
 		following := follower.Start(caller, feed.Member{Name: fmt.Sprint("front", index), Role: "client", Address: fmt.Sprintf("127.0.0.1:%d", 17830+index)}, seeds, nil, func(*feed.View) error { return nil })
-		defer following.Stop()
+		fleet.ends = append(fleet.ends, caller.Close, following.Stop)
 		for len(following.View().Stores) == 0 {
 			time.Sleep(50 * time.Millisecond)
 		}
-		origins = append(origins, storeorigin.New(caller, following.View))
+		fleet.origins = append(fleet.origins, storeorigin.New(caller, following.View))
+	}
+	return fleet, nil
+}
+
+// turnCosts runs turns of programs at a pace against three stores on loopback, with
+// real files, and tells what each cost over all processes, fronts' part included.
+func turnCosts(pace, count, size int, takes time.Duration, profile string) error {
+	fleet, err := startStores(takes)
+	if fleet != nil {
+		defer fleet.end()
+	}
+	if err != nil {
+		return err
 	}
+	network, syncs, origins := fleet.network, fleet.syncs, fleet.origins
 	run := func(turns int) (slowest []time.Duration, failed int) {
 		var mutex sync.Mutex
 		var working sync.WaitGroup
