--- a/proof/cmd/measure/openings.go
+++ b/proof/cmd/measure/openings.go
@@ -23,10 +23,10 @@
 	// how many scopes there are.
 	openingBytes  = 2560
 	openingScopes = 4
-	openingRounds = 2
 	// turnsOfAProgram are those of each program; the first brings the opening.
 	turnsOfAProgram = 2
-	archivePause    = 7 * time.Second
+	// archivePause is long enough for lines to be quiet and then archived.
+	archivePause = 25 * time.Second
 )
 
 // openingArm is what was seen with openings shared, or not.
@@ -72,18 +72,22 @@
 	}
 	time.Sleep(3 * time.Second)
 	arms := map[string]*openingArm{"off": {}, "on": {}}
-	for round := range openingRounds {
-		for _, name := range []string{"off", "on"} {
-			arm := arms[name]
-			network, cold := fleet.network.bytes.Load(), fleet.coldBytes()
-			fleet.openingRound(arm, name, round, pace, count, openings, inputs)
-			arm.NetworkBytes += fleet.network.bytes.Load() - network
-			arm.HotBytes, arm.CheckpointHot = fleet.held(name)
-			time.Sleep(archivePause)
-			_, arm.Checkpoint = fleet.held(name)
-			arm.ColdBytes += fleet.coldBytes() - cold
-		}
+	// What is held and sent is seen one way after the other, delays both ways at once.
+	for _, name := range []string{"off", "on"} {
+		arm := arms[name]
+		network, cold := fleet.network.bytes.Load(), fleet.coldBytes()
+		fleet.openingRound(func(int) (*openingArm, string) { return arm, name }, "alone", pace, count, openings, inputs)
+		arm.NetworkBytes = fleet.network.bytes.Load() - network
+		arm.HotBytes, arm.CheckpointHot = fleet.held(name)
+		time.Sleep(archivePause)
+		_, arm.Checkpoint = fleet.held(name)
+		arm.ColdBytes = fleet.coldBytes() - cold
+		arm.begins = nil
 	}
+	fleet.openingRound(func(number int) (*openingArm, string) {
+		name := []string{"off", "on"}[number/openingScopes%2]
+		return arms[name], name
+	}, "beside", pace, 2*count, openings, inputs)
 	for _, arm := range arms {
 		slices.Sort(arm.begins)
 		arm.BeginHalf, arm.Begin99 = arm.begins[len(arm.begins)/2], arm.begins[len(arm.begins)*99/100]
@@ -94,7 +98,7 @@
 }
 
 // openingRound runs programs, each turn once the one before it has ended.
-func (fleet *storesOnLoopback) openingRound(arm *openingArm, name string, round, pace, count int, openings, inputs []string) {
+func (fleet *storesOnLoopback) openingRound(armOf func(number int) (*openingArm, string), round string, pace, count int, openings, inputs []string) {
 	var mutex sync.Mutex
 	var working sync.WaitGroup
 	tick := time.NewTicker(time.Second * turnsOfAProgram / time.Duration(pace))
@@ -102,7 +106,8 @@
 	for number := range count / turnsOfAProgram {
 		<-tick.C
 		working.Go(func() {
-			program, said, follows := fmt.Sprintf("program/%s-%d-%d", name, round, number), "", ""
+			arm, name := armOf(number)
+			program, said, follows := fmt.Sprintf("program/%s-%s-%d", name, round, number), "", ""
 			scope, origin := number%openingScopes, fleet.origins[number%len(fleet.origins)]
 			for position := range turnsOfAProgram {
 				turn := storeorigin.Turn{Line: program, Name: fmt.Sprintf("%s-%d", program, position), Follows: follows, Input: []byte(inputs[(number+position)%len(inputs)]), Keeps: true, Keep: time.Minute, Dispatch: "d", Life: time.Minute}
--- a/proof/simulator/openings_test.go
+++ b/proof/simulator/openings_test.go
@@ -228,9 +228,9 @@
 				join("second", 5)
 				round()
 				wantHeld(3)
-				during(round) // while it is held
+				during(round)                    // while it is held
 				cluster.Settle(25 * time.Second) // quiet lines are archived
-				during(round) // and archived
+				during(round)                    // and archived
 				lines, saved, _ := cluster.sharing(t, group)
 				if lines < 3 || saved < (lines-1)*2000*3 {
 					t.Fatalf("%d lines refer to it, %d bytes are saved", lines, saved)
