--- /dev/null
+++ b/proof/simulator/huntcold_test.go
@@ -0,0 +1,62 @@
+package simulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/controlplane"
+	"yardrock.example/system/forwarding"
+)
+
+// TestColdRunnersAreNotFloodedWhileControlNodesAndFrontsGo presses on runners that stay
+// cold, from four fronts, while control nodes and fronts are killed, cut off, wiped and
+// all lost at once: what one front may send depends on who the others are.
+func TestColdRunnersAreNotFloodedWhileControlNodesAndFrontsGo(t *testing.T) {
+	simulate(t, huntShape(), func(t *testing.T, cluster *Cluster) {
+		hunt := &hunt{t: t, cluster: cluster, asked: map[string]*askedQuery{}, budgets: map[string]uint64{}, hosts: 50}
+		cluster.adjust = func(_ *Cluster, settings *controlplane.Settings) {
+			settings.MostControls, settings.Joins = 3, !hunt.founds.Load()
+		}
+		hunt.begin()
+		const length = 40 * time.Second
+		for range 2 {
+			hunt.startRunner("", "tools", "east", length+20*time.Second)
+			hunt.startRunner("", "others", "west", length+20*time.Second)
+		}
+		until := time.Now().Add(length)
+		var pressing sync.WaitGroup
+		for caller := range 24 {
+			pressing.Go(func() {
+				random := cluster.Random(uint64(100 + caller))
+				for time.Now().Before(until) {
+					hunt.try(random, forwarding.Query{Method: http.MethodGet, Path: fmt.Sprintf("/lookup/%d", random.IntN(50))}, "", time.Second, 0)
+					<-time.After(time.Duration(20+random.IntN(60)) * time.Millisecond)
+				}
+			})
+		}
+		random := cluster.Random(99)
+		strikes := []func(*rand.Rand){hunt.killControl, hunt.isolateControl, hunt.cutControl, hunt.wipeControl, hunt.replaceControl, hunt.loseControls, hunt.killFront, hunt.isolateFront, hunt.freezeFront}
+		for time.Now().Before(until) {
+			strikes[random.IntN(len(strikes))](random)
+			while(random, 100*time.Millisecond, 2*time.Second)
+		}
+		pressing.Wait()
+		most := 0
+		for _, life := range hunt.runners {
+			hunt.judgeCold(life)
+			if len(life.cold) > 0 {
+				most = max(most, len(life.engine.Arrivals()))
+			}
+		}
+		t.Logf("%d tries; a cold runner got %d at most", len(hunt.asked), most)
+		if most < 30 {
+			t.Errorf("a cold runner got only %d queries", most)
+		}
+		every(cluster, standin.NoFault)
+	})
+}
