--- a/system/agreement/core.go
+++ b/system/agreement/core.go
@@ -120,7 +120,7 @@
 
 func init() {
 	inputHandlers = map[InputKind]func(*Core, Input){
-		InputTick:     func(core *Core, _ Input) { core.tick() },
+		InputTick:     func(core *Core, input Input) { core.tick(input.Number) },
 		InputMessage:  func(core *Core, input Input) { core.receive(input.Message) },
 		InputSynced:   func(core *Core, input Input) { core.onSynced(input.Number) },
 		InputPropose:  func(core *Core, input Input) { core.propose(Entry{Kind: EntryCommand, Data: input.Data}) },
@@ -270,10 +270,10 @@
 	}
 }
 
-func (core *Core) tick() {
+func (core *Core) tick(number uint64) {
 	core.electionElapsed++
 	if core.role == leader {
-		core.tickLeader()
+		core.tickLeader(number)
 		return
 	}
 	if core.electionElapsed >= core.electionTimeout && core.isVoter(core.settings.Name) {
@@ -286,7 +286,7 @@
 	}
 }
 
-func (core *Core) tickLeader() {
+func (core *Core) tickLeader(number uint64) {
 	core.quorumElapsed++
 	for _, sibling := range core.siblings {
 		if sibling.checkpointTicks > 0 {
@@ -320,7 +320,11 @@
 			return
 		}
 	}
-	if core.heartbeatElapsed++; core.heartbeatElapsed >= core.settings.HeartbeatTicks {
+	core.heartbeatElapsed++
+	// Groups of one node beat at the same ticks, so that their heartbeats travel together.
+	every := core.settings.HeartbeatTicks
+	together := number > 0 && number%uint64(every) == 0 && 2*core.heartbeatElapsed >= every
+	if together || core.heartbeatElapsed >= every {
 		core.broadcast(true)
 	}
 }
--- a/system/agreement/types.go
+++ b/system/agreement/types.go
@@ -124,7 +124,7 @@
 type InputKind uint16
 
 const (
-	// InputTick tells that one tick went by.
+	// InputTick tells that one tick went by, and the Number of ticks of the node.
 	InputTick InputKind = iota
 	// InputMessage brings a sibling's message.
 	InputMessage
--- a/system/replica/host.go
+++ b/system/replica/host.go
@@ -109,6 +109,7 @@
 	busy     *diskJob
 	outgoing map[string][]agreement.Message
 	reading  uint64
+	ticks    uint64
 	removed  map[uint32]bool
 	statuses atomic.Pointer[map[uint32]agreement.Status]
 	// connections are those on which siblings' messages came, with the sibling.
@@ -278,9 +279,10 @@
 }
 
 func (host *Host) tick() {
+	host.ticks++
 	stalled := host.busy != nil && time.Since(host.busy.began) > host.settings.StallPatience
 	for number, member := range host.groups {
-		host.step(number, agreement.Input{Kind: agreement.InputTick})
+		host.step(number, agreement.Input{Kind: agreement.InputTick, Number: host.ticks})
 		if _, leading := member.core.Leading(); stalled && leading {
 			host.handOver(number, member)
 		}
