--- a/system/controlplane/duties.go
+++ b/system/controlplane/duties.go
@@ -105,13 +105,18 @@
 		log.WithFields(log.Fields{"node": node.Name(), "error": err.Error()}).Warn("roster_refused")
 		return
 	}
-	for _, runner := range change.Runners {
-		if delete(node.roster.cold, runner.Identity()); runner.State == feed.Cold {
-			node.roster.cold[runner.Identity()] = asked.Add(runner.ColdFor)
+	node.roster.told(change.Runners, change.Gone, asked)
+}
+
+// told keeps until when the feed says that runners are cold, by a list asked for at a time.
+func (roster *rosterState) told(changed []feed.Runner, gone []string, asked time.Time) {
+	for _, runner := range changed {
+		if delete(roster.cold, runner.Identity()); runner.State == feed.Cold {
+			roster.cold[runner.Identity()] = asked.Add(runner.ColdFor)
 		}
 	}
-	for _, name := range change.Gone {
-		delete(node.roster.cold, name)
+	for _, name := range gone {
+		delete(roster.cold, name)
 	}
 }
 
--- /dev/null
+++ b/system/controlplane/duties_test.go
@@ -0,0 +1,96 @@
+package controlplane
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"yardrock.example/system/charter"
+	"yardrock.example/system/feed"
+)
+
+// TestOnlyWhatChangedOfTheRosterIsTold compares lists that follow one another, each so long
+// after the last, and names the runners that are told as changed and as gone.
+func TestOnlyWhatChangedOfTheRosterIsTold(t *testing.T) {
+	runner := func(life, state string, cold time.Duration) feed.Runner {
+		return feed.Runner{Life: life, Address: "10.0.3.1:8000", Group: "small", Domain: "east", State: state, ColdFor: cold}
+	}
+	a, b := runner("a", feed.Serving, 0), runner("b", feed.Serving, 0)
+	moved := a
+	moved.Address = "10.0.3.9:8000"
+	type step struct {
+		after   time.Duration
+		listed  []feed.Runner
+		changed []string
+		gone    []string
+	}
+	for name, steps := range map[string][]step{
+		"new, the same, gone": {
+			{0, []feed.Runner{a, b}, []string{"a", "b"}, nil},
+			{time.Second, []feed.Runner{b, a}, nil, nil},
+			{time.Second, []feed.Runner{b}, nil, []string{"a"}},
+			{time.Second, nil, nil, []string{"b"}},
+		},
+		"listed twice": {{0, []feed.Runner{a, a}, []string{"a"}, nil}},
+		"another life at the address": {
+			{0, []feed.Runner{a}, []string{"a"}, nil},
+			{time.Second, []feed.Runner{b}, []string{"b"}, []string{"a"}},
+		},
+		"another address of the life": {
+			{0, []feed.Runner{a}, []string{"a"}, nil},
+			{time.Second, []feed.Runner{moved}, []string{"a"}, nil},
+		},
+		"cold that counts down, and is over": {
+			{0, []feed.Runner{runner("a", feed.Cold, 3*time.Second)}, []string{"a"}, nil},
+			{time.Second, []feed.Runner{runner("a", feed.Cold, 2*time.Second)}, nil, nil},
+			{time.Second, []feed.Runner{runner("a", feed.Cold, 900*time.Millisecond)}, nil, nil},
+			{time.Second, []feed.Runner{a}, []string{"a"}, nil},
+		},
+		"cold again while cold": {
+			{0, []feed.Runner{runner("a", feed.Cold, 3*time.Second)}, []string{"a"}, nil},
+			{2 * time.Second, []feed.Runner{runner("a", feed.Cold, 2800*time.Millisecond)}, []string{"a"}, nil},
+			{time.Second, []feed.Runner{runner("a", feed.Cold, 1900*time.Millisecond)}, nil, nil},
+		},
+		"leaving": {
+			{0, []feed.Runner{a, b}, []string{"a", "b"}, nil},
+			{time.Second, []feed.Runner{a, runner("b", feed.Leaving, 0)}, []string{"b"}, nil},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			roster := rosterState{serving: map[string]time.Time{}, cold: map[string]time.Time{}}
+			view, now := feed.View{}, time.Unix(1000, 0)
+			for position, step := range steps {
+				now = now.Add(step.after)
+				changed, gone := roster.compare(view.Runners, step.listed, nil, now)
+				names := []string{}
+				for _, one := range changed {
+					names = append(names, one.Life)
+				}
+				slices.Sort(names)
+				if !slices.Equal(names, step.changed) || !slices.Equal(gone, step.gone) {
+					t.Fatalf("step %d tells %v and gone %v, not %v and %v", position, names, gone, step.changed, step.gone)
+				}
+				roster.told(changed, gone, now)
+				view = feed.Fold(view, feed.Change{Number: view.Number + 1, Kind: feed.ChangeRoster, Partial: true, Runners: changed, Gone: gone})
+				if len(view.Runners) > len(step.listed) {
+					t.Fatalf("step %d: the view has %v", position, view.Runners)
+				}
+			}
+		})
+	}
+}
+
+// TestARunnerIsWarmOnceItHasServedForTheRamp holds for lists that don't tell it.
+func TestARunnerIsWarmOnceItHasServedForTheRamp(t *testing.T) {
+	roster := rosterState{serving: map[string]time.Time{}, cold: map[string]time.Time{}}
+	groups := map[string]charter.Group{"small": {Ramp: charter.Duration(2 * time.Second)}}
+	listed := []feed.Runner{{Address: "10.0.3.1:8000", Group: "small", State: feed.Serving}}
+	now, view := time.Unix(1000, 0), feed.View{}
+	for position, warm := range []bool{false, false, true, true} {
+		changed, gone := roster.compare(view.Runners, listed, groups, now.Add(time.Duration(position)*time.Second))
+		view = feed.Fold(view, feed.Change{Number: view.Number + 1, Kind: feed.ChangeRoster, Partial: true, Runners: changed, Gone: gone})
+		if len(view.Runners) != 1 || view.Runners[0].Warmed != warm || view.Runners[0].Since != now.UnixNano() {
+			t.Fatalf("after %d s: %+v, not warm: %v", position, view.Runners, warm)
+		}
+	}
+}
