--- a/proof/cmd/scale/main.go
+++ b/proof/cmd/scale/main.go
@@ -117,11 +117,16 @@
 		limited, cancel := context.WithTimeout(ctx, chosen.Patience)
 		measured, failed := scale.Run(limited, scale.Settings{Programs: chosen.Binaries, Folder: folder, Quiet: chosen.Quiet, Real: scale.RealProcesses, Borne: scale.Borne(chosen.Against)}, step)
 		cancel()
+		if failed != nil {
+			measured.Failed = failed.Error()
+		}
+		if len(measured.Figures) > 0 {
+			told.Measured = append(told.Measured, measured)
+		}
 		if failed != nil {
 			err = failed
 			break
 		}
-		told.Measured = append(told.Measured, measured)
 	}
 	slopes, failed := scale.Slopes(chosen.Against, told.Measured)
 	told.Slopes = slopes
--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -45,6 +45,8 @@
 	Step      Step               `json:"step"`
 	Figures   map[string]float64 `json:"figures"`
 	Processes []Process          `json:"processes"`
+	// Failed tells why the step did not come to its end; its figures are those before.
+	Failed string `json:"failed,omitempty"`
 }
 
 // phase is one part of a step.
@@ -99,7 +101,7 @@
 	}
 	for _, phase := range phases {
 		if err := phase.run(ctx); err != nil {
-			return trial.told, fmt.Errorf("%s at %+v: %w", phase.name, step, err)
+			return trial.told, fmt.Errorf("%s: %w", phase.name, err)
 		}
 		if err := trial.withinMemory(ctx); err != nil {
 			return trial.told, err
