--- a/proof/simulator/openings_test.go
+++ b/proof/simulator/openings_test.go
@@ -433,3 +433,47 @@
 		}
 	})
 }
+
+// TestATurnWaitsForNoMoreWithSharedOpenings begins turns with and without shared openings in
+// turn, on one fleet; the network's delays are the same for both.
+func TestATurnWaitsForNoMoreWithSharedOpenings(t *testing.T) {
+	simulate(t, Small, func(t *testing.T, cluster *Cluster) {
+		origin, end := cluster.origin("10.8.0.1")
+		defer end()
+		opening, waited := prose(9, 2560), map[string][]time.Duration{}
+		take := func(turn storeorigin.Turn, arm, want string) {
+			began := time.Now()
+			begun, err := origin.BeginTurn(context.Background(), turn)
+			if err != nil || string(begun.History) != want {
+				t.Fatalf("%s: %v", turn.Name, err)
+			}
+			waited[arm] = append(waited[arm], time.Since(began))
+			ended := storeorigin.TurnEnd{Line: turn.Line, Name: turn.Name, Seq: begun.Seq, Output: []byte("out"), Outcome: line.OutcomeComplete, Kept: true}
+			if err := origin.EndTurn(context.Background(), ended); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for number := range 150 {
+			for arm, scope := range map[string]string{"off": "", "on": "identity"} {
+				name := fmt.Sprintf("%s-%d", arm, number)
+				first := programTurn(name, name, "")
+				first.Scope, first.Input, first.Budgeted = scope, []byte(opening+name), false
+				take(first, arm, "")
+				second := programTurn(name, name+"-second", name)
+				second.Scope, second.Budgeted = scope, false
+				take(second, arm, opening+name+"out")
+			}
+		}
+		for _, part := range []int{50, 99} {
+			at := func(arm string) time.Duration {
+				slices.Sort(waited[arm])
+				return waited[arm][len(waited[arm])*part/100]
+			}
+			off, on := at("off"), at("on")
+			t.Logf("of 100 begins, %d took up to %s without and %s with shared openings", part, off, on)
+			if on > off+off/4 {
+				t.Errorf("of 100 begins, %d took up to %s without and %s with shared openings", part, off, on)
+			}
+		}
+	})
+}
