--- a/proof/cmd/measure/turns.go
+++ b/proof/cmd/measure/turns.go
@@ -93,6 +93,20 @@
 	return sent
 }
 
+// freeAddresses gives addresses of this machine on which nobody listens.
+func freeAddresses(count int) ([]string, error) {
+	found := []string{}
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		found = append(found, listener.Addr().String())
+	}
+	return found, nil
+}
+
 // storesOnLoopback is a small fleet without fronts, on real files; origins stand for
 // fronts.
 type storesOnLoopback struct {
@@ -123,19 +137,20 @@
 		err = errors.Join(err, failed)
 		return slowDisk{made, fleet.syncs, takes}
 	}
-	seeds := []string{}
-	for index := range 3 {
-		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", 17800+index))
+	free, failed := freeAddresses(15)
+	if failed != nil {
+		return nil, failed
 	}
+	seeds := free[:3]
 	for index, address := range seeds {
 		name := []string{"east", "middle", "west"}[index]
-		control, failed := controlplane.Start(controlplane.Settings{Address: address, Administration: fmt.Sprintf("127.0.0.1:%d", 17820+index), Domain: name, Seeds: seeds, FoundingStores: 3, Groups: 32, MostControls: 3, Replica: replica.Usual(uint64(index))},
+		control, failed := controlplane.Start(controlplane.Settings{Address: address, Administration: free[3+index], Domain: name, Seeds: seeds, FoundingStores: 3, Groups: 32, MostControls: 3, Replica: replica.Usual(uint64(index))},
 			open("control"+name), fleet.network)
 		if failed != nil {
 			return fleet, failed
 		}
 		fleet.ends = append(fleet.ends, control.Close)
-		node, failed := store.Start(store.Settings{Address: fmt.Sprintf("127.0.0.1:%d", 17810+index), Domain: name, Seeds: seeds, Replica: replica.Usual(uint64(10 + index))}, open("store"+name), open("cold"+name), fleet.network)
+		node, failed := store.Start(store.Settings{Address: free[6+index], Domain: name, Seeds: seeds, Replica: replica.Usual(uint64(10 + index))}, open("store"+name), open("cold"+name), fleet.network)
 		if failed != nil {
 			return fleet, failed
 		}
@@ -146,7 +161,7 @@
 	}
 	for index := range 6 {
 		caller := link.NewCaller(fleet.network)
-		following := follower.Start(caller, feed.Member{Name: fmt.Sprint("front", index), Role: "client", Address: fmt.Sprintf("127.0.0.1:%d", 17830+index)}, seeds, nil, func(*feed.View) error { return nil })
+		following := follower.Start(caller, feed.Member{Name: fmt.Sprint("front", index), Role: "client", Address: free[9+index]}, seeds, nil, func(*feed.View) error { return nil })
 		fleet.ends = append(fleet.ends, caller.Close, following.Stop)
 		for len(following.View().Stores) == 0 {
 			time.Sleep(50 * time.Millisecond)
