--- a/proof/simulator/huntjudge_test.go
+++ b/proof/simulator/huntjudge_test.go
@@ -31,13 +31,6 @@
 	})
 }
 
-// calm tells whether the core was out of trouble all the while.
-func (hunt *hunt) calm(from, to time.Time) bool {
-	return !slices.ContainsFunc(hunt.troubles, func(one *trouble) bool {
-		return one.where == "core" && one.from.Before(to) && (one.to.IsZero() || one.to.After(from.Add(-inTouch)))
-	})
-}
-
 // services gives the services that an order's routing allows a path to go to; found is
 // false if it has no route for it.
 func (order *routingOrder) services(path string) (services []string, found bool) {
@@ -115,10 +108,7 @@
 	came := life.engine.Arrivals()
 	for first := range came {
 		at := slices.IndexFunc(life.cold, func(span coldSpan) bool {
-			// One that becomes cold while the core is in trouble is listed as cold only once
-			// another control node has taken the list over.
-			unnoticed := span.judged.After(span.from) && !hunt.calm(span.from, span.judged)
-			return !unnoticed && !came[first].Before(span.judged) && came[first].Add(time.Second).Before(span.until)
+			return !came[first].Before(span.judged) && came[first].Add(time.Second).Before(span.until)
 		})
 		last := first
 		for last < len(came) && came[last].Sub(came[first]) < time.Second {
