--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -35,6 +35,8 @@
 	Controls     int
 	Models       int
 	Applications int
+	// Groups of lines; 0 means the daemons' own default.
+	Groups int
 }
 
 // Deployments are those of the brief, and a small one for trials.
@@ -247,7 +249,11 @@
 
 var roleArguments = map[string]func(running *Fleet, outside string) []string{
 	"control": func(running *Fleet, outside string) []string {
-		return []string{"--administration", outside, "--root-token-hash", charter.Hash(RootToken), "--founding-stores", strconv.Itoa(running.Deployment.Stores)}
+		arguments := []string{"--administration", outside, "--root-token-hash", charter.Hash(RootToken), "--founding-stores", strconv.Itoa(running.Deployment.Stores)}
+		if running.Deployment.Groups > 0 {
+			arguments = append(arguments, "--groups", strconv.Itoa(running.Deployment.Groups))
+		}
+		return arguments
 	},
 	"store": func(_ *Fleet, outside string) []string { return []string{"--role", "store", "--health", outside} },
 	"front": func(_ *Fleet, outside string) []string { return []string{"--role", "front", "--public", outside} },
@@ -486,6 +492,7 @@
 	process.command.Stdout, process.command.Stderr = output, output
 	process.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.command.Start(); err != nil {
+		process.command = nil // nothing runs that could be ended
 		return err
 	}
 	process.started, process.waited = time.Now(), make(chan struct{})
@@ -503,6 +510,16 @@
 	}
 }
 
+// ID is the number that the system gave the process; 0 while it does not run.
+//
+//	usage, err := scale.UsageOf(process.ID())
+func (process *Process) ID() int {
+	if process.command == nil {
+		return 0
+	}
+	return process.command.Process.Pid
+}
+
 // Kill ends the process at once.
 //
 //	process.Kill()
--- /dev/null
+++ b/proof/scale/hollow_test.go
@@ -0,0 +1,170 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"yardrock.example/proof/simulator"
+	"yardrock.example/system/link"
+)
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.New())
+	m.Run()
+}
+
+// simulated runs a body beside a small cluster on the simulated network and clock.
+func simulated(t *testing.T, body func(ctx context.Context, cluster *simulator.Cluster, herd *Herd, caller *link.Caller, controls []string)) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, err := simulator.Start(1, simulator.Shape{Controls: 3, Stores: 3, Fronts: 1, Models: 1, Applications: 1}, simulator.Rules)
+		herd := &Herd{}
+		if cluster != nil {
+			defer func() {
+				herd.Stop()
+				cluster.Stop()
+				<-time.After(time.Minute) // what still waits on the bubble's clock ends
+			}()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		caller := link.NewCaller(cluster.Network.At("10.9.9.8"))
+		defer caller.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		controls := []string{}
+		for _, control := range cluster.Controls {
+			controls = append(controls, control.Host+":7000")
+		}
+		body(ctx, cluster, herd, caller, controls)
+	})
+}
+
+func hosts(cluster *simulator.Cluster) func(int) link.Network {
+	return func(position int) link.Network { return cluster.Network.At(fmt.Sprintf("10.8.0.%d", position+1)) }
+}
+
+func TestHollowNodesHoldSessionsAndTakeEveryChangeInTime(t *testing.T) {
+	simulated(t, func(ctx context.Context, cluster *simulator.Cluster, herd *Herd, caller *link.Caller, controls []string) {
+		const nodes = 30
+		if err := herd.Grow(ctx, nodes, time.Second, "10.8.0.1:7000", controls, hosts(cluster)); err != nil {
+			t.Fatal(err)
+		}
+		if err := herd.Await(ctx, "fresh", (*Hollow).Fresh); err != nil {
+			t.Fatal(err)
+		}
+		if err := herd.Await(ctx, "told of all", func(node *Hollow) bool { return node.Members() >= nodes }); err != nil {
+			t.Fatal(err)
+		}
+		for position := range 6 {
+			asked := time.Now()
+			number, err := propose(ctx, caller, controls, domainChange(position%2 == 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			delays, err := herd.Delays(ctx, number, asked)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if most := delays[len(delays)-1]; most > 2*time.Second || len(delays) != nodes {
+				t.Errorf("change %d was in force at %d nodes after %s", number, len(delays), most)
+			}
+		}
+	})
+}
+
+func TestHollowNodesFollowANewLeaderWhenTheirsDies(t *testing.T) {
+	simulated(t, func(ctx context.Context, cluster *simulator.Cluster, herd *Herd, caller *link.Caller, controls []string) {
+		if err := herd.Grow(ctx, 20, time.Second, "10.8.0.1:7000", controls, hosts(cluster)); err != nil {
+			t.Fatal(err)
+		}
+		if err := herd.Await(ctx, "fresh", (*Hollow).Fresh); err != nil {
+			t.Fatal(err)
+		}
+		for _, control := range cluster.Controls {
+			if control.Control.Leading() {
+				control.Kill()
+				break
+			}
+		}
+		killed := time.Now()
+		number, err := propose(ctx, caller, controls, domainChange(true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		delays, err := herd.Delays(ctx, number, killed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if most := delays[len(delays)-1]; most > 6*time.Second {
+			t.Errorf("the change was in force everywhere %s after its leader's end", most)
+		}
+	})
+}
+
+// TestWhatAHollowNodeReadsGrowsNoFasterThanItsFleet is the small sibling of the scale
+// run against nodes: with every node told of all others, a node's part grows with the
+// fleet at most, never with its square.
+func TestWhatAHollowNodeReadsGrowsNoFasterThanItsFleet(t *testing.T) {
+	simulated(t, func(ctx context.Context, cluster *simulator.Cluster, herd *Herd, caller *link.Caller, controls []string) {
+		sizes, read := []float64{}, []float64{}
+		for _, nodes := range []int{8, 16, 32} {
+			if err := herd.Grow(ctx, nodes, time.Second, "10.8.0.1:7000", controls, hosts(cluster)); err != nil {
+				t.Fatal(err)
+			}
+			if err := herd.Await(ctx, "told of all", func(node *Hollow) bool { return node.Fresh() && node.Members() >= nodes }); err != nil {
+				t.Fatal(err)
+			}
+			<-time.After(2 * time.Second)
+			before := herd.Volume.Read.Load()
+			const quiet = 3 * time.Second
+			<-time.After(quiet)
+			sizes = append(sizes, float64(nodes))
+			read = append(read, float64(herd.Volume.Read.Load()-before)/quiet.Seconds()/float64(nodes))
+		}
+		slope, err := Fit("hollow.bytes_in_per_s", "nodes", sizes, read, Linear)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("bytes a second a node over %v: %.0f, to the power %.2f", sizes, read, slope.Exponent)
+		if slope.Worse {
+			t.Errorf("what a node reads grows as %+v over %v", slope, read)
+		}
+	})
+}
+
+func TestARosterAndARoutingOfASizeAreMade(t *testing.T) {
+	seen := map[string]bool{}
+	for _, runner := range Roster(2600) {
+		seen[runner.Address] = true
+	}
+	if len(seen) != 2600 {
+		t.Errorf("%d addresses for 2600 runners", len(seen))
+	}
+	routing := Routing(2000, 3)
+	names := map[string]bool{}
+	for _, route := range routing.Routes {
+		names[route.Name] = len(route.Written) > 0 && len(route.Shares) == 2
+	}
+	if len(names) != 2000 || !names["route-01999"] || routing.Revision != 3 || len(routing.Services) != 3 {
+		t.Errorf("made %d routes under revision %d", len(names), routing.Revision)
+	}
+}
+
+func TestNoControlNodeIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		caller := link.NewCaller(simulator.NewNetwork(1).At("10.9.9.8"))
+		defer caller.Close()
+		if _, err := propose(ctx, caller, []string{"10.0.0.1:7000"}, domainChange(true)); err == nil {
+			t.Error("a change was taken by nobody")
+		}
+	})
+}
--- /dev/null
+++ b/proof/scale/load.go
@@ -0,0 +1,124 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/charter"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/link"
+	"yardrock.example/system/mishap"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+// groups that the stand-in platform's runners are of, by turns.
+var groups = []string{"small", "large", "application"}
+
+// Roster makes a platform list of a size; nobody is at its addresses.
+//
+//	list := scale.Roster(2600)
+func Roster(size int) []standin.ListedRunner {
+	list := []standin.ListedRunner{}
+	for position := range size {
+		list = append(list, standin.ListedRunner{
+			Address: fmt.Sprintf("127.77.%d.%d:8000", position/250, position%250+1),
+			Group:   groups[position%len(groups)], Domain: domains[position%len(domains)], State: feed.Serving,
+		})
+	}
+	return list
+}
+
+// putRoster gives the stand-in platform a list.
+func putRoster(ctx context.Context, platform string, list []standin.ListedRunner) error {
+	data, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	query, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+platform+"/runners", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(query)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("the platform took no list: %s", answer.Status)
+	}
+	return nil
+}
+
+// Routing makes a routing of a size, as an operator would write it: every route has
+// two services to share among, and carries the item it was made from.
+//
+//	made.Routing = scale.Routing(2000, 7)
+func Routing(routes int, revision uint64) *charter.Routing {
+	routing := &charter.Routing{Revision: revision}
+	for _, name := range groups {
+		routing.Services = append(routing.Services, charter.Service{Name: name, HealthPath: "/healthz", MostConnections: 400, ColdFor: charter.Duration(5 * time.Second), ColdRate: 4})
+	}
+	for position := range routes {
+		route := charter.Route{
+			Name: fmt.Sprintf("route-%05d", position), Host: fmt.Sprintf("team-%04d.example", position/2), Prefix: fmt.Sprintf("/work/%d", position%2),
+			Kind: charter.Streaming, Patience: charter.Duration(4 * time.Second), Target: charter.Duration(250 * time.Millisecond), Gap: charter.Duration(500 * time.Millisecond),
+			Shares: []charter.Share{{Service: groups[0], Weight: 3}, {Service: groups[1], Weight: float64(1 + revision%7)}}, Tries: 3,
+			KeepsHistory: true, Keep: charter.Duration(time.Hour),
+		}
+		if written, err := json.Marshal(route); err == nil {
+			route.Written = written
+		}
+		routing.Routes = append(routing.Routes, route)
+	}
+	return routing
+}
+
+// withRouting is a change of the charter to another routing.
+func withRouting(view *feed.View, routes int, revision uint64) (feed.Change, error) {
+	made, err := charter.Decode(view.Compiled)
+	if err != nil {
+		return feed.Change{}, err
+	}
+	made.Routing = Routing(routes, revision)
+	compiled, err := json.Marshal(made)
+	return feed.Change{Kind: feed.ChangeCharter, By: "scale", Source: view.Source, Compiled: compiled}, err
+}
+
+// propose has a control node take a change, and tells its number.
+func propose(ctx context.Context, caller *link.Caller, controls []string, change feed.Change) (uint64, error) {
+	failed := error(nil)
+	for ctx.Err() == nil {
+		for _, address := range controls {
+			asked, cancel := context.WithTimeout(ctx, 2*time.Second)
+			reply, err := caller.Call(asked, address, &wire.Query{Which: schema.Query_Which_change, Change: &wire.ChangeQuery{Change: change}})
+			cancel()
+			if err == nil && reply.Change != nil && reply.Change.Acknowledged {
+				return reply.Change.Number, nil
+			}
+			if failed = err; mishap.Is(err, mishap.Unavailable) {
+				caller.Drop(address)
+			}
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	return 0, fmt.Errorf("no control node took a change: %w", failed)
+}
+
+// domainChange is the smallest change: whether a domain takes work. Nobody's runners
+// are in this one.
+func domainChange(emptied bool) feed.Change {
+	state := feed.Serving
+	if emptied {
+		state = feed.Emptied
+	}
+	return feed.Change{Kind: feed.ChangeDomain, By: "scale", Domain: feed.Domain{Name: "nowhere", State: state, Since: time.Now().UnixNano()}}
+}
--- /dev/null
+++ b/proof/scale/run.go
@@ -0,0 +1,486 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"yardrock.example/proof/fleet"
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/feed"
+	"yardrock.example/system/link"
+	"yardrock.example/system/wire"
+	"yardrock.example/system/wire/schema"
+)
+
+// Settings are what all steps of a run share.
+type Settings struct {
+	Programs string        // folder of the built programs
+	Folder   string        // for data and logs of the real processes
+	Quiet    time.Duration // how long nothing changes while usage is measured
+	Real     fleet.Deployment
+}
+
+// RealProcesses is the deployment beside which hollow nodes are put.
+var RealProcesses = fleet.Deployment{Name: "scale", Domains: domains, Fronts: 2, Stores: 3, Controls: 3}
+
+// Process is what one real process used a second during the quiet time.
+type Process struct {
+	Name    string `json:"name"`
+	Role    string `json:"role"`
+	Leading bool   `json:"leading,omitempty"` // the control group
+	Rate
+}
+
+// Measured is what one step cost. Figures are by name; those of a role are means over
+// its processes, unless the name says most.
+type Measured struct {
+	Step      Step               `json:"step"`
+	Figures   map[string]float64 `json:"figures"`
+	Processes []Process          `json:"processes"`
+}
+
+// trial is one step under way.
+type trial struct {
+	settings Settings
+	step     Step
+	fleet    *fleet.Fleet
+	caller   *link.Caller
+	herd     *Herd
+	notes    *link.Server
+	told     Measured
+}
+
+// Run measures one step on a fleet of its own, and ends it.
+//
+//	measured, err := scale.Run(ctx, settings, step)
+func Run(ctx context.Context, settings Settings, step Step) (Measured, error) {
+	deployment := settings.Real
+	deployment.Groups = step.Groups
+	folder := filepath.Join(settings.Folder, fmt.Sprintf("nodes-%d-runners-%d-routes-%d-groups-%d", step.Nodes, step.Runners, step.Routes, step.Groups))
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return Measured{}, err
+	}
+	running, err := fleet.Start(ctx, deployment, settings.Programs, folder, standin.Pace{}, false)
+	if err != nil {
+		return Measured{}, fmt.Errorf("%w (logs are in %s)", err, folder)
+	}
+	defer running.Stop()
+	trial := &trial{settings: settings, step: step, fleet: running, caller: link.NewCaller(link.TCP{}), herd: &Herd{}, told: Measured{Step: step, Figures: map[string]float64{}}}
+	defer trial.caller.Close()
+	defer trial.herd.Stop()
+	for _, phase := range []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"fill", trial.fill}, {"join", trial.join}, {"quiet", trial.quiet}, {"small changes", trial.smallChanges},
+		{"charters", trial.charters}, {"runner leaves", trial.runnerLeaves}, {"fail-over", trial.failOver},
+	} {
+		if err := phase.run(ctx); err != nil {
+			return trial.told, fmt.Errorf("%s at %+v: %w (logs are in %s)", phase.name, step, err, folder)
+		}
+		if err := trial.withinMemory(ctx); err != nil {
+			return trial.told, err
+		}
+	}
+	if trial.notes != nil {
+		trial.notes.Close()
+	}
+	return trial.told, os.RemoveAll(folder)
+}
+
+func (trial *trial) controls() []string {
+	addresses := []string{}
+	for _, control := range trial.fleet.Of("control") {
+		if control.ID() > 0 {
+			addresses = append(addresses, control.Address)
+		}
+	}
+	return addresses
+}
+
+// status asks a process who it is and what it said so far.
+func (trial *trial) status(ctx context.Context, address string) (*wire.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	reply, err := trial.caller.Call(ctx, address, &wire.Query{Which: schema.Query_Which_status, Status: &wire.StatusQuery{Traffic: true}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.Status == nil {
+		return nil, errors.New(address + " told no status")
+	}
+	return reply.Status, nil
+}
+
+// fill puts the runners and the routes in force.
+func (trial *trial) fill(ctx context.Context) error {
+	if err := putRoster(ctx, trial.fleet.Platform, Roster(trial.step.Runners)); err != nil {
+		return err
+	}
+	watch := &Herd{}
+	defer watch.Stop()
+	if err := watch.Grow(ctx, 1, 0, "127.0.0.1:1", trial.controls(), func(int) link.Network { return link.TCP{} }); err != nil {
+		return err
+	}
+	if err := watch.Await(ctx, "fresh", (*Hollow).Fresh); err != nil {
+		return err
+	}
+	change, err := withRouting(watch.Nodes()[0].View(), trial.step.Routes, 1)
+	if err != nil {
+		return err
+	}
+	number, err := propose(ctx, trial.caller, trial.controls(), change)
+	if err != nil {
+		return err
+	}
+	return watch.Await(ctx, "filled", func(node *Hollow) bool {
+		view := node.View()
+		return view.Number >= number && len(view.Runners) == trial.step.Runners
+	})
+}
+
+// settling is how long a fleet is left alone after its nodes have joined; by then its
+// runners are no longer new, which is a change of the roster.
+const settling = 4 * time.Second
+
+// join starts the hollow nodes and waits until all of them know each other.
+func (trial *trial) join(ctx context.Context) error {
+	listener, err := link.TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	trial.notes = link.Serve(listener, func(context.Context, *wire.Query) *wire.Reply { return &wire.Reply{} })
+	self, err := UsageOf(os.Getpid())
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	over := max(time.Second, time.Duration(trial.step.Nodes)*5*time.Millisecond)
+	if err := trial.herd.Grow(ctx, trial.step.Nodes, over, listener.Addr().String(), trial.controls(), func(int) link.Network { return link.TCP{} }); err != nil {
+		return err
+	}
+	if err := trial.herd.Await(ctx, "fresh", (*Hollow).Fresh); err != nil {
+		return err
+	}
+	trial.told.Figures["join.s"] = time.Since(began).Seconds()
+	trial.told.Figures["join.started_over_s"] = over.Seconds()
+	select {
+	case <-time.After(settling):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	after, err := UsageOf(os.Getpid())
+	trial.told.Figures["hollow.memory_mib"] = (after.Memory - self.Memory) / float64(trial.step.Nodes)
+	return err
+}
+
+// moment is what all processes have used up to now.
+type moment struct {
+	processes     map[string]Usage
+	hollow        Usage
+	written, read int64
+}
+
+func (trial *trial) now(ctx context.Context) (moment, error) {
+	taken := moment{processes: map[string]Usage{}}
+	for _, process := range trial.fleet.Processes {
+		if process.ID() == 0 || process.Role == "platform" {
+			continue
+		}
+		status, err := trial.status(ctx, process.Address)
+		if err != nil {
+			return taken, err
+		}
+		usage, err := UsageOf(process.ID())
+		if err != nil {
+			return taken, err
+		}
+		usage.Traffic = status.Traffic
+		taken.processes[process.Name] = usage
+	}
+	var err error
+	if taken.hollow, err = UsageOf(os.Getpid()); err != nil {
+		return taken, err
+	}
+	taken.hollow.Traffic = link.Traffic()
+	taken.written, taken.read = trial.herd.Volume.Written.Load(), trial.herd.Volume.Read.Load()
+	return taken, nil
+}
+
+func (trial *trial) quiet(ctx context.Context) error {
+	before, err := trial.now(ctx)
+	if err != nil {
+		return err
+	}
+	stale := 0
+	for ended := time.Now().Add(trial.settings.Quiet); time.Now().Before(ended); {
+		select {
+		case <-time.After(100 * time.Millisecond):
+			stale = max(stale, trial.herd.Stale())
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	after, err := trial.now(ctx)
+	if err != nil {
+		return err
+	}
+	return trial.tell(ctx, before, after, stale)
+}
+
+// tell turns two moments into figures.
+func (trial *trial) tell(ctx context.Context, before, after moment, stale int) error {
+	figures := trial.told.Figures
+	counts := map[string]float64{}
+	for _, process := range trial.fleet.Processes {
+		used, found := after.processes[process.Name]
+		if !found {
+			continue
+		}
+		told := Process{Name: process.Name, Role: process.Role, Rate: RateOf(before.processes[process.Name], used)}
+		role := process.Role
+		if role == "control" {
+			status, err := trial.status(ctx, process.Address)
+			if err != nil {
+				return err
+			}
+			if told.Leading = status.Leader == status.Name; told.Leading {
+				role = "control.leader"
+			} else {
+				role = "control.other"
+			}
+			figures["control.most.cores"] = max(figures["control.most.cores"], told.Cores)
+			figures["control.most.memory_mib"] = max(figures["control.most.memory_mib"], told.Memory)
+		}
+		counts[role]++
+		for name, value := range map[string]float64{"cores": told.Cores, "memory_mib": told.Memory, "messages_per_s": told.Messages, "bytes_out_per_s": told.BytesOut, "bytes_in_per_s": told.BytesIn} {
+			figures[role+"."+name] += value
+		}
+		trial.told.Processes = append(trial.told.Processes, told)
+	}
+	for name := range figures {
+		for role, count := range counts {
+			if strings.HasPrefix(name, role+".") {
+				figures[name] /= count
+			}
+		}
+	}
+	nodes, seconds := float64(trial.step.Nodes), after.hollow.At.Sub(before.hollow.At).Seconds()
+	hollow := RateOf(before.hollow, after.hollow)
+	figures["hollow.cores"] = hollow.Cores / nodes
+	figures["hollow.messages_per_s"] = hollow.Messages / nodes
+	figures["hollow.bytes_out_per_s"] = float64(after.written-before.written) / seconds / nodes
+	figures["hollow.bytes_in_per_s"] = float64(after.read-before.read) / seconds / nodes
+	figures["hollow.most_stale_share"] = float64(stale) / nodes
+	return nil
+}
+
+// burst takes changes one after another and notes how long each took until it was
+// acknowledged and until it was in force at the hollow nodes, and what it cost.
+func (trial *trial) burst(ctx context.Context, name string, count int, next func(position int) (feed.Change, error)) error {
+	before, err := trial.now(ctx)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	type proposed struct {
+		number uint64
+		at     time.Time
+	}
+	taken, slowest := []proposed{}, time.Duration(0)
+	for position := range count {
+		change, err := next(position)
+		if err != nil {
+			return err
+		}
+		asked := time.Now()
+		number, err := propose(ctx, trial.caller, trial.controls(), change)
+		if err != nil {
+			return err
+		}
+		slowest = max(slowest, time.Since(asked))
+		taken = append(taken, proposed{number, asked})
+	}
+	acknowledged := time.Since(began)
+	most, medians := time.Duration(0), time.Duration(0)
+	for _, change := range taken {
+		delays, err := trial.herd.Delays(ctx, change.number, change.at)
+		if err != nil {
+			return err
+		}
+		most = max(most, delays[len(delays)-1])
+		medians += delays[len(delays)/2]
+	}
+	after, err := trial.now(ctx)
+	if err != nil {
+		return err
+	}
+	figures := trial.told.Figures
+	figures[name+".acknowledged_most_s"] = slowest.Seconds()
+	figures[name+".acknowledged_mean_s"] = acknowledged.Seconds() / float64(count)
+	figures[name+".in_force_median_s"] = medians.Seconds() / float64(count)
+	figures[name+".in_force_most_s"] = most.Seconds()
+	figures[name+".bytes_in_per_hollow"] = float64(after.read-before.read) / float64(trial.step.Nodes*count)
+	cores := 0.0
+	for process, used := range after.processes {
+		cores += used.Seconds - before.processes[process].Seconds
+	}
+	figures[name+".real_processor_s"] = cores / float64(count)
+	return nil
+}
+
+func (trial *trial) smallChanges(ctx context.Context) error {
+	return trial.burst(ctx, "small_change", trial.step.Changes, func(position int) (feed.Change, error) { return domainChange(position%2 == 0), nil })
+}
+
+// chartersInBurst is few: each carries all routes.
+const chartersInBurst = 5
+
+func (trial *trial) charters(ctx context.Context) error {
+	return trial.burst(ctx, "charter", chartersInBurst, func(position int) (feed.Change, error) {
+		return withRouting(trial.herd.Nodes()[0].View(), trial.step.Routes, uint64(position+2))
+	})
+}
+
+// runnerLeaves has the platform list one runner as leaving, and waits until every
+// hollow node has it so. The platform's lag and the poll of its list are in it.
+func (trial *trial) runnerLeaves(ctx context.Context) error {
+	list := Roster(trial.step.Runners)
+	list[0].State = feed.Leaving
+	asked := time.Now()
+	if err := putRoster(ctx, trial.fleet.Platform, list); err != nil {
+		return err
+	}
+	err := trial.herd.Await(ctx, "told of the runner", func(node *Hollow) bool {
+		for _, runner := range node.View().Runners {
+			if runner.Address == list[0].Address {
+				return runner.State == feed.Leaving
+			}
+		}
+		return false
+	})
+	trial.told.Figures["runner_leaves.in_force_most_s"] = time.Since(asked).Seconds()
+	return err
+}
+
+// failOver kills the control leader, waits until a change is in force everywhere
+// under another one, and starts the killed process again.
+func (trial *trial) failOver(ctx context.Context) error {
+	var leader *fleet.Process
+	for _, control := range trial.fleet.Of("control") {
+		if status, err := trial.status(ctx, control.Address); err == nil && status.Leader == status.Name {
+			leader = control
+		}
+	}
+	if leader == nil {
+		return errors.New("no control node leads")
+	}
+	figures := trial.told.Figures
+	leader.Kill()
+	killed := time.Now()
+	staleNow, staleAt := 0, time.Now()
+	staleSeconds, mostStale, lastStale := 0.0, 0, time.Duration(0)
+	sample := func() {
+		now := time.Now()
+		staleSeconds += float64(staleNow) * now.Sub(staleAt).Seconds()
+		if staleNow, staleAt = trial.herd.Stale(), now; staleNow > 0 {
+			lastStale = now.Sub(killed)
+		}
+		mostStale = max(mostStale, staleNow)
+	}
+	type outcome struct {
+		number uint64
+		err    error
+	}
+	changed := make(chan outcome, 1)
+	go func() {
+		number, err := propose(ctx, trial.caller, trial.controls(), domainChange(true))
+		changed <- outcome{number, err}
+	}()
+	var got outcome
+	for waiting := true; waiting; {
+		select {
+		case got = <-changed:
+			waiting = false
+		case <-time.After(20 * time.Millisecond):
+			sample()
+		}
+	}
+	if got.err != nil {
+		return got.err
+	}
+	figures["failover.acknowledged_s"] = time.Since(killed).Seconds()
+	delays, err := trial.herd.Delays(ctx, got.number, killed)
+	if err != nil {
+		return err
+	}
+	figures["failover.in_force_most_s"] = delays[len(delays)-1].Seconds()
+	figures["failover.in_force_median_s"] = delays[len(delays)/2].Seconds()
+	for settled := time.Now().Add(time.Second); time.Now().Before(settled); {
+		select {
+		case <-time.After(20 * time.Millisecond):
+			sample()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	figures["failover.stale_seconds_per_hollow"] = staleSeconds / float64(trial.step.Nodes)
+	figures["failover.most_stale_share"] = float64(mostStale) / float64(trial.step.Nodes)
+	figures["failover.last_stale_s"] = lastStale.Seconds()
+	return trial.restart(ctx, leader, got.number)
+}
+
+// restart starts a killed control process again and waits until it holds what is in
+// force and knows the leader.
+func (trial *trial) restart(ctx context.Context, process *fleet.Process, number uint64) error {
+	began := time.Now()
+	if err := process.Start(); err != nil {
+		return err
+	}
+	for {
+		status, err := trial.status(ctx, process.Address)
+		if err == nil && status.Number >= number && status.Leader != "" {
+			trial.told.Figures["restart.control_s"] = time.Since(began).Seconds()
+			return nil
+		}
+		if err != nil {
+			trial.caller.Drop(process.Address)
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("%s did not come back: %w", process.Name, ctx.Err())
+		}
+	}
+}
+
+// withinMemory refuses to go on past half of the machine's memory.
+func (trial *trial) withinMemory(context.Context) error {
+	whole, err := machineMemory()
+	if err != nil {
+		return err
+	}
+	ids := []int{os.Getpid()}
+	for _, process := range trial.fleet.Processes {
+		if process.ID() > 0 {
+			ids = append(ids, process.ID())
+		}
+	}
+	taken := 0.0
+	for _, id := range ids {
+		usage, err := UsageOf(id)
+		if err != nil {
+			return err
+		}
+		taken += usage.Memory
+	}
+	if taken > whole*memoryShare {
+		return &Refusal{fmt.Sprintf("the step %+v takes %.0f MiB, more than half of the machine's %.0f", trial.step, taken, whole), "measure smaller steps and stretch the slope"}
+	}
+	return nil
+}
--- /dev/null
+++ b/proof/scale/scale_test.go
@@ -0,0 +1,137 @@
+package scale
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"yardrock.example/system/wire"
+)
+
+func TestStepsVaryOneSize(t *testing.T) {
+	steps, err := Steps(Usual, "routes", " 10, 200 ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second := Usual, Usual
+	first.Routes, second.Routes = 10, 200
+	if len(steps) != 2 || steps[0] != first || steps[1] != second {
+		t.Fatalf("made %+v", steps)
+	}
+	for _, against := range Dimensions() {
+		if steps, err := Steps(Usual, against, ""); err != nil || len(steps) < 3 {
+			t.Errorf("%s has no steps of its own: %+v, %v", against, steps, err)
+		}
+	}
+}
+
+func TestASlopeIsFittedAndJudged(t *testing.T) {
+	sizes := []float64{50, 100, 200, 400}
+	values := func(of func(float64) float64) []float64 {
+		made := []float64{}
+		for _, size := range sizes {
+			made = append(made, of(size))
+		}
+		return made
+	}
+	for name, judged := range map[string]struct {
+		values     []float64
+		claim      Growth
+		each, base float64
+		worse      bool
+	}{
+		"proportional":                       {values(func(size float64) float64 { return 3 * size }), Linear, 3, 0, false},
+		"a line over a base":                 {values(func(size float64) float64 { return 2*size + 700 }), Linear, 2, 700, false},
+		"a square said to be linear":         {values(func(size float64) float64 { return size * size }), Linear, 463.0434783, -33695.6522, true},
+		"a square beside a base":             {values(func(size float64) float64 { return size*size + 1000 }), Linear, 463.0434783, -32695.6522, true},
+		"a square of which nothing was said": {values(func(size float64) float64 { return size * size }), "", 463.0434783, -33695.6522, false},
+		"flat":                               {values(func(float64) float64 { return 7 }), Flat, 0, 7, false},
+		"a line said to be flat":             {values(func(size float64) float64 { return size }), Flat, 1, 0, true},
+		"nothing at all":                     {values(func(float64) float64 { return 0 }), Flat, 0, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			slope, err := Fit("cost", "nodes", sizes, judged.values, judged.claim)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if math.Abs(slope.Each-judged.each) > 1e-6*max(1, judged.each) || math.Abs(slope.Base-judged.base) > 0.01 || slope.Worse != judged.worse {
+				t.Errorf("fitted %+v", slope)
+			}
+			if slope.From != 50 || slope.To != 400 || math.IsNaN(slope.Fit) {
+				t.Errorf("range or fit are wrong: %+v", slope)
+			}
+		})
+	}
+	var refusal *Refusal
+	if _, err := Fit("cost", "nodes", []float64{1}, []float64{1}, Linear); !errors.As(err, &refusal) {
+		t.Errorf("one step made a slope: %v", err)
+	}
+	if _, err := Fit("cost", "nodes", sizes, []float64{1, 2}, Linear); !errors.As(err, &refusal) {
+		t.Errorf("missing values made a slope: %v", err)
+	}
+}
+
+func measuredAt(nodes int, figures map[string]float64) Measured {
+	step := Usual
+	step.Nodes = nodes
+	return Measured{Step: step, Figures: figures}
+}
+
+func TestSlopesAreOfFiguresThatAllStepsHave(t *testing.T) {
+	measured := []Measured{measuredAt(50, map[string]float64{"hollow.cores": 1, "only.here": 1}), measuredAt(100, map[string]float64{"hollow.cores": 2, "only.there": 1})}
+	slopes, err := Slopes("nodes", measured)
+	if err != nil || len(slopes) != 1 || slopes[0].Figure != "hollow.cores" || slopes[0].At(400) != 8 {
+		t.Fatalf("laid %+v, %v", slopes, err)
+	}
+	if slopes, err := Slopes("nodes", measured[:1]); err != nil || len(slopes) != 0 {
+		t.Fatalf("one step gave %+v, %v", slopes, err)
+	}
+}
+
+func TestMeasuredStepsAreDrawn(t *testing.T) {
+	figures := map[string]float64{}
+	for _, family := range plotted {
+		for position, figure := range family {
+			figures[figure] = float64(position)
+		}
+	}
+	var picture bytes.Buffer
+	if err := Draw(&picture, "nodes", []Measured{measuredAt(50, figures), measuredAt(100, figures)}); err != nil {
+		t.Fatal(err)
+	}
+	if text := picture.String(); !strings.Contains(text, "<svg") || !strings.Contains(text, "hollow.cores") {
+		t.Errorf("drew %.200q", text)
+	}
+	var refusal *Refusal
+	if err := Draw(&picture, "nodes", nil); !errors.As(err, &refusal) {
+		t.Errorf("nothing was drawn: %v", err)
+	}
+	if err := Draw(&picture, "nodes", []Measured{measuredAt(50, nil)}); err == nil {
+		t.Error("a step without figures was drawn")
+	}
+}
+
+func TestUsageIsReadAndTurnedIntoRates(t *testing.T) {
+	before, err := UsageOf(os.Getpid())
+	if err != nil || before.Memory <= 0 || before.Peak < before.Memory {
+		t.Fatalf("read %+v, %v", before, err)
+	}
+	if _, err := UsageOf(1 << 30); err == nil {
+		t.Error("a process that can't be was read")
+	}
+	before.Seconds = 3
+	before.Traffic = []wire.KindTraffic{{Kind: "follow", Asked: 10, BytesOut: 1000, BytesIn: 500}}
+	after := before
+	after.At, after.Seconds, after.Memory = before.At.Add(4e9), 5, 64
+	after.Traffic = []wire.KindTraffic{{Kind: "follow", Asked: 30, BytesOut: 5000, BytesIn: 900}, {Kind: "hold", Answered: 4, BytesIn: 400}}
+	rate := RateOf(before, after)
+	if rate.Cores != 0.5 || rate.Memory != 64 || rate.Messages != 6 || rate.BytesOut != 1000 || rate.BytesIn != 200 || rate.Kinds["follow"] != 1100 || rate.Kinds["hold"] != 100 {
+		t.Errorf("made %+v", rate)
+	}
+	if memory, err := machineMemory(); err != nil || memory < before.Memory {
+		t.Errorf("the machine has %f MiB, %v", memory, err)
+	}
+}
--- /dev/null
+++ b/proof/scale/step.go
@@ -0,0 +1,112 @@
+// Package scale measures what a fleet costs as it grows: a few real processes of each
+// role beside hollow nodes, many of which share a process. Hollow nodes hold sessions
+// and follow the feed with the product's own follower, and carry no traffic.
+package scale
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Step is one size that a fleet is measured at.
+type Step struct {
+	Nodes   int `json:"nodes"`   // hollow nodes
+	Runners int `json:"runners"` // entries of the platform's list
+	Routes  int `json:"routes"`  // of the charter
+	Changes int `json:"changes"` // in one burst
+	Groups  int `json:"groups"`  // of lines
+}
+
+// Usual is the step whose other sizes stand still while one of them is varied.
+var Usual = Step{Nodes: 50, Runners: 600, Routes: 100, Changes: 20, Groups: 32}
+
+// dimension is one size of a step that can be varied.
+type dimension struct {
+	most  int
+	why   string
+	steps []int
+	set   func(*Step, int)
+	get   func(Step) int
+}
+
+var dimensions = map[string]dimension{
+	"nodes": {most: 800, why: "its sessions would take more than half of the machine", steps: []int{50, 100, 200, 400},
+		set: func(step *Step, size int) { step.Nodes = size }, get: func(step Step) int { return step.Nodes }},
+	"runners": {most: 5200, why: "twice the size that the capacity page is for", steps: []int{600, 1200, 2600},
+		set: func(step *Step, size int) { step.Runners = size }, get: func(step Step) int { return step.Runners }},
+	"routes": {most: 8000, why: "a charter of more would pass the administration's bound on a body", steps: []int{100, 1000, 2000, 4000},
+		set: func(step *Step, size int) { step.Routes = size }, get: func(step Step) int { return step.Routes }},
+	"changes": {most: 400, why: "the control group keeps 512 changes, and later ones would be folded into views", steps: []int{10, 20, 40, 80},
+		set: func(step *Step, size int) { step.Changes = size }, get: func(step Step) int { return step.Changes }},
+	"groups": {most: 512, why: "three stores would spend the machine on heartbeats", steps: []int{16, 32, 64, 128},
+		set: func(step *Step, size int) { step.Groups = size }, get: func(step Step) int { return step.Groups }},
+}
+
+// Refusal is a step or an option that can't be measured, with the remedy.
+type Refusal struct{ Message, Remedy string }
+
+func (refusal *Refusal) Error() string { return refusal.Message + "; " + refusal.Remedy }
+
+// Dimensions names what can be varied.
+//
+//	strings.Join(scale.Dimensions(), ", ")
+func Dimensions() []string { return slices.Sorted(maps.Keys(dimensions)) }
+
+// Steps makes the steps of a run: the usual one with one size varied. An empty text
+// gives the dimension's own sizes; else they are whole numbers joined by commas.
+//
+//	steps, err := scale.Steps(scale.Usual, "nodes", "50,100,200,400")
+func Steps(usual Step, against, sizes string) ([]Step, error) {
+	varied, known := dimensions[against]
+	if !known {
+		return nil, &Refusal{fmt.Sprintf("nothing can be measured against %q", against), "name one of " + strings.Join(Dimensions(), ", ")}
+	}
+	wanted := varied.steps
+	if sizes != "" {
+		wanted = nil
+		for _, text := range strings.Split(sizes, ",") {
+			size, err := strconv.Atoi(strings.TrimSpace(text))
+			if err != nil {
+				return nil, &Refusal{fmt.Sprintf("%q is no step", text), "write whole numbers joined by commas, like 50,100,200"}
+			}
+			wanted = append(wanted, size)
+		}
+	}
+	steps := []Step{}
+	for _, size := range wanted {
+		step := usual
+		varied.set(&step, size)
+		if len(steps) > 0 && size <= varied.get(steps[len(steps)-1]) {
+			return nil, &Refusal{fmt.Sprintf("step %d does not follow a smaller one", size), "write the steps in rising order, each once"}
+		}
+		steps = append(steps, step)
+	}
+	for _, step := range steps {
+		if err := step.check(); err != nil {
+			return nil, err
+		}
+	}
+	return steps, nil
+}
+
+// check refuses sizes that are out of range.
+func (step Step) check() error {
+	for _, name := range Dimensions() {
+		checked := dimensions[name]
+		switch size := checked.get(step); {
+		case size < 1:
+			return &Refusal{fmt.Sprintf("%d %s are too few", size, name), "use 1 at least"}
+		case size > checked.most:
+			return &Refusal{fmt.Sprintf("%d %s are too many: %s", size, name, checked.why), fmt.Sprintf("use %d at most, and stretch the slope", checked.most)}
+		}
+	}
+	return nil
+}
+
+// Size is the step's size in one dimension.
+//
+//	size := step.Size("nodes")
+func (step Step) Size(against string) int { return dimensions[against].get(step) }
--- /dev/null
+++ b/proof/scale/usage.go
@@ -0,0 +1,87 @@
+package scale
+
+import (
+	"time"
+
+	"github.com/prometheus/procfs"
+
+	"yardrock.example/system/wire"
+)
+
+// Usage is what one process has used up to a moment.
+type Usage struct {
+	At      time.Time
+	Seconds float64 // of processor time, user and system
+	Memory  float64 // MiB resident
+	Peak    float64 // MiB resident at most
+	Traffic []wire.KindTraffic
+}
+
+// UsageOf reads a process's processor time and memory from the system.
+//
+//	usage, err := scale.UsageOf(os.Getpid())
+func UsageOf(id int) (Usage, error) {
+	process, err := procfs.NewProc(id)
+	if err != nil {
+		return Usage{}, err
+	}
+	stat, err := process.Stat()
+	if err != nil {
+		return Usage{}, err
+	}
+	status, err := process.NewStatus()
+	if err != nil {
+		return Usage{}, err
+	}
+	return Usage{At: time.Now(), Seconds: stat.CPUTime(), Memory: float64(status.VmRSS) / (1 << 20), Peak: float64(status.VmHWM) / (1 << 20)}, nil
+}
+
+// Rate is what a process used a second between two moments.
+type Rate struct {
+	Cores    float64            `json:"cores"`
+	Memory   float64            `json:"memory_mib"`
+	Peak     float64            `json:"peak_mib"`
+	Messages float64            `json:"messages_per_s"` // queries asked and answered
+	BytesOut float64            `json:"bytes_out_per_s"`
+	BytesIn  float64            `json:"bytes_in_per_s"`
+	Kinds    map[string]float64 `json:"kinds,omitempty"` // bytes a second, both ways, by kind of query
+}
+
+// RateOf is what was used a second from one moment to a later one.
+//
+//	rate := scale.RateOf(before, after)
+func RateOf(before, after Usage) Rate {
+	seconds := after.At.Sub(before.At).Seconds()
+	rate := Rate{Cores: (after.Seconds - before.Seconds) / seconds, Memory: after.Memory, Peak: after.Peak, Kinds: map[string]float64{}}
+	known := map[string]wire.KindTraffic{}
+	for _, kind := range before.Traffic {
+		known[kind.Kind] = kind
+	}
+	for _, kind := range after.Traffic {
+		old := known[kind.Kind]
+		out, in := float64(kind.BytesOut-old.BytesOut)/seconds, float64(kind.BytesIn-old.BytesIn)/seconds
+		rate.Messages += float64(kind.Asked+kind.Answered-old.Asked-old.Answered) / seconds
+		rate.BytesOut += out
+		rate.BytesIn += in
+		if out+in > 0 {
+			rate.Kinds[kind.Kind] = out + in
+		}
+	}
+	return rate
+}
+
+// memoryShare is the part of the machine's memory that a run may take.
+const memoryShare = 0.5
+
+// machineMemory is the machine's whole memory in MiB.
+func machineMemory() (float64, error) {
+	system, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0, err
+	}
+	told, err := system.Meminfo()
+	if err != nil {
+		return 0, err
+	}
+	return float64(*told.MemTotal) / 1024, nil
+}
