--- a/system/balancer/balancer.go
+++ b/system/balancer/balancer.go
@@ -363,6 +363,14 @@
 	if route == nil || route.Host != asked.Host || route.Prefix != asked.Prefix || now.groups[lease.Service.Name] == nil {
 		return false
 	}
+	return lease.Serves(route)
+}
+
+// Serves tells whether the lease's service is in the shares of a route: to be asked when
+// another route than the one that the lease was acquired for is in force for the query.
+//
+//	if !lease.Stands() || !lease.Serves(route) { ... }
+func (lease *Lease) Serves(route *charter.Route) bool {
 	return slices.ContainsFunc(route.Shares, func(share charter.Share) bool {
 		return share.Service == lease.Service.Name && share.Weight > 0
 	})
--- a/system/balancer/balancer_test.go
+++ b/system/balancer/balancer_test.go
@@ -154,6 +154,28 @@
 	}
 }
 
+func TestLeaseServesRoutesOfItsService(t *testing.T) {
+	route := routeTo(charter.Share{Service: "plain", Weight: 1})
+	choices := New("east", 1, newSteady().now)
+	choices.Update(stateOf([]charter.Service{plainService()}, route, runnersOf("plain", 1, 6), 1))
+	lease := acquired(t, choices, Need{Route: &route})
+	for _, one := range []struct {
+		shares []charter.Share
+		serves bool
+	}{
+		{[]charter.Share{{Service: "plain", Weight: 1}}, true},
+		{[]charter.Share{{Service: "other", Weight: 9}, {Service: "plain", Weight: 1}}, true},
+		{[]charter.Share{{Service: "other", Weight: 9}, {Service: "plain"}}, false},
+		{nil, false},
+	} {
+		narrower := routeTo(one.shares...)
+		narrower.Name, narrower.Prefix = "narrower", "/work/narrower/"
+		if lease.Serves(&narrower) != one.serves {
+			t.Fatalf("a route with the shares %v: %v", one.shares, !one.serves)
+		}
+	}
+}
+
 func TestConnectionsAreSharedOutOverTheFronts(t *testing.T) {
 	for _, one := range []struct{ most, fronts, want int }{
 		{96, 6, 12}, {620, 72, 6}, {10, 72, 2}, {230, 1, 184}, {0, 6, math.MaxInt32},
--- a/system/forwarding/dispatch.go
+++ b/system/forwarding/dispatch.go
@@ -139,7 +139,7 @@
 		}
 		going.rules, going.route = rules, route
 	}
-	if !lease.Stands() {
+	if !lease.Stands() || !lease.Serves(going.route) {
 		return changed
 	}
 	return nil
