feedclient: stores confirm the view that they bring

A round at the stores that brought a newer view did not count as a confirmation; while views changed faster than that (learners and voters of the control group, one after another), no round counted and fronts rejected turns though a majority of stores had told them all along what is in force.

Change: a round confirms the newest view that it brings, if the stores asked are those that this view lists; for another list the stores of that list are asked at once. The argument stands at the code: two majorities of one list have a store in common.

TestStoresConfirmAViewThatChangesAllTheTime fails without the change (never fresh); TestStoresOfAnotherListDoNotConfirm holds the other side.

--- a/system/feedclient/feedclient_test.go
+++ b/system/feedclient/feedclient_test.go
@@ -166,3 +166,88 @@
 		t.Errorf("number %d", view.Number)
 	}
 }
+
+// scriptedStores are stores that replicate views. Every time one is asked, newest gives the
+// view that it has, by how often the stores were asked before.
+type scriptedStores struct {
+	mutex  sync.Mutex
+	asked  int
+	newest func(asked int) *feed.View
+}
+
+func (stores *scriptedStores) answer(_ context.Context, query *wire.Query) *wire.Reply {
+	if query.NewestView == nil {
+		return &wire.Reply{Which: schema.Reply_Which_status, Status: &wire.StatusReply{Role: feed.RoleStore}}
+	}
+	stores.mutex.Lock()
+	defer stores.mutex.Unlock()
+	view := stores.newest(stores.asked)
+	stores.asked++
+	return &wire.Reply{Which: schema.Reply_Which_newest, NewestView: &wire.NewestViewReply{Number: view.Number, PackedView: wire.PackView(view)}}
+}
+
+// start serves so many stores on loopback and returns them as members.
+func (stores *scriptedStores) start(t *testing.T, count int) []feed.Member {
+	t.Helper()
+	members := []feed.Member{}
+	for number := range count {
+		listener, err := link.TCP{}.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := link.Serve(listener, stores.answer)
+		t.Cleanup(server.Close)
+		members = append(members, feed.Member{Name: fmt.Sprintf("store-%d", number), Role: feed.RoleStore, Address: listener.Addr().String()})
+	}
+	return members
+}
+
+// startWithStoresOnly runs a client that has a view and reaches no control node.
+func startWithStoresOnly(t *testing.T, stored *feed.View) *Client {
+	t.Helper()
+	rpc := link.NewClient(link.TCP{})
+	t.Cleanup(rpc.Close)
+	client := Start(rpc, feed.Member{Name: "front"}, nil, stored, func(*feed.View) error { return nil })
+	t.Cleanup(client.Stop)
+	return client
+}
+
+// TestStoresConfirmAViewThatChangesAllTheTime has every round at the stores bring a newer view,
+// as it is while the control plane changes leaders. Each round confirms what it brings: a
+// client that waited for one without news would not be fresh as long as that lasts.
+func TestStoresConfirmAViewThatChangesAllTheTime(t *testing.T) {
+	stores := &scriptedStores{}
+	members := stores.start(t, 3)
+	stores.newest = func(asked int) *feed.View {
+		return &feed.View{Fleet: "fleet", Number: uint64(2 + asked), ConfigNumber: 1, Stores: members}
+	}
+	client := startWithStoresOnly(t, &feed.View{Fleet: "fleet", Number: 1, ConfigNumber: 1, Stores: members})
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if view, err := client.AwaitFresh(ctx, testTimeout); err != nil || view.Number < 2 {
+		t.Errorf("view %+v, %v", view, err)
+	}
+}
+
+// TestStoresOfAnotherListDoNotConfirm has the stores tell of a view with another store list,
+// whose stores do not answer: what these acknowledged since, the old ones cannot know.
+func TestStoresOfAnotherListDoNotConfirm(t *testing.T) {
+	stores := &scriptedStores{}
+	members := stores.start(t, 3)
+	moved := []feed.Member{}
+	for number := range members {
+		moved = append(moved, feed.Member{Name: fmt.Sprintf("moved-%d", number), Role: feed.RoleStore, Address: "127.0.0.1:1"})
+	}
+	stores.newest = func(int) *feed.View {
+		return &feed.View{Fleet: "fleet", Number: 2, ConfigNumber: 1, Stores: moved}
+	}
+	client := startWithStoresOnly(t, &feed.View{Fleet: "fleet", Number: 1, ConfigNumber: 1, Stores: members})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if view, err := client.AwaitFresh(ctx, testTimeout); err == nil {
+		t.Errorf("view %d with stores that nobody asked counts as in force", view.Number)
+	}
+	if number := client.View().Number; number != 2 {
+		t.Errorf("the view has number %d, not the newer one that the stores told of", number)
+	}
+}
--- a/system/feedclient/stores.go
+++ b/system/feedclient/stores.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"yardrock.example/system/feed"
@@ -9,16 +10,41 @@
 	"yardrock.example/system/wire/schema"
 )
 
+// maxStoreRounds bounds how often pollStores asks: once more after a view whose store list is
+// another one.
+const maxStoreRounds = 2
+
 // pollStores adopts the newest view that a majority of the stores that replicate views has
-// synced. A change is acknowledged only after a majority synced it, and two majorities have a
-// store in common: if none of them has a newer view than the client's, that one is confirmed.
-// The requests are cancelled when it returns; their goroutines are not waited for.
+// synced, and counts it as confirmed if the stores asked are those that it lists.
 func (client *Client) pollStores() {
-	sentAt, view := time.Now(), client.view.Load()
-	stores := feed.ViewReplicas(view.Stores)
+	for range maxStoreRounds {
+		sentAt, stores := time.Now(), feed.ViewReplicas(client.view.Load().Stores)
+		newest := client.newestViewAtStores(stores)
+		if newest == nil || !client.Adopt(newest) {
+			return
+		}
+		// A change is acknowledged only after a majority of the list synced it, and two
+		// majorities of one list have a store in common: what was acknowledged before the
+		// round is not newer than the newest that a majority told of. Of another list they
+		// need not have one, so that is asked in its turn.
+		if slices.EqualFunc(stores, feed.ViewReplicas(newest.Stores), sameStore) {
+			client.extendFreshness(sentAt)
+			return
+		}
+	}
+}
+
+// sameStore reports whether two members are the same incarnation of a store.
+func sameStore(left, right feed.Member) bool { return left.Name == right.Name }
+
+// newestViewAtStores returns the newest view that a majority of stores told of, or that of the
+// client if none is newer; nil if no majority answered. The requests are cancelled when it
+// returns; their goroutines are not waited for.
+func (client *Client) newestViewAtStores(stores []feed.Member) *feed.View {
 	if len(stores) == 0 {
-		return
+		return nil
 	}
+	view := client.view.Load()
 	ctx, cancel := context.WithTimeout(client.ctx, requestTimeout)
 	defer cancel()
 	replies := make(chan *wire.NewestViewReply, len(stores))
@@ -42,14 +68,9 @@
 		answered++
 	}
 	if answered < quorum {
-		return
-	}
-	client.Adopt(newest)
-	// Only a round that finds nothing newer confirms the view; one that was just adopted is
-	// confirmed by the next round.
-	if newest == view {
-		client.extendFreshness(sentAt)
+		return nil
 	}
+	return newest
 }
 
 // newestViewAt asks a store for the view that it has if that is newer; nil without a reply.
