--- a/system/feedclient/feedclient_test.go
+++ b/system/feedclient/feedclient_test.go
@@ -167,12 +167,12 @@
 	}
 }
 
-// scriptedStores are stores that replicate views. Every time one is asked, newest gives the
-// view that it has, by how often the stores were asked before.
+// scriptedStores are stores that replicate views. Each request gets newest, the
+// view that they have then, by how many requests came before.
 type scriptedStores struct {
-	mutex  sync.Mutex
-	asked  int
-	newest func(asked int) *feed.View
+	mutex     sync.Mutex
+	requested int
+	newest    func(requested int) *feed.View
 }
 
 func (stores *scriptedStores) answer(_ context.Context, query *wire.Query) *wire.Reply {
@@ -181,8 +181,8 @@
 	}
 	stores.mutex.Lock()
 	defer stores.mutex.Unlock()
-	view := stores.newest(stores.asked)
-	stores.asked++
+	view := stores.newest(stores.requested)
+	stores.requested++
 	return &wire.Reply{Which: schema.Reply_Which_newest, NewestView: &wire.NewestViewReply{Number: view.Number, PackedView: wire.PackView(view)}}
 }
 
@@ -218,8 +218,8 @@
 func TestStoresConfirmAViewThatChangesAllTheTime(t *testing.T) {
 	stores := &scriptedStores{}
 	members := stores.start(t, 3)
-	stores.newest = func(asked int) *feed.View {
-		return &feed.View{Fleet: "fleet", Number: uint64(2 + asked), ConfigNumber: 1, Stores: members}
+	stores.newest = func(requested int) *feed.View {
+		return &feed.View{Fleet: "fleet", Number: uint64(2 + requested), ConfigNumber: 1, Stores: members}
 	}
 	client := startWithStoresOnly(t, &feed.View{Fleet: "fleet", Number: 1, ConfigNumber: 1, Stores: members})
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -245,7 +245,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if view, err := client.AwaitFresh(ctx, testTimeout); err == nil {
-		t.Errorf("view %d with stores that nobody asked counts as in force", view.Number)
+		t.Errorf("view %d with stores that got no request counts as in force", view.Number)
 	}
 	if number := client.View().Number; number != 2 {
 		t.Errorf("the view has number %d, not the newer one that the stores told of", number)
--- a/system/feedclient/stores.go
+++ b/system/feedclient/stores.go
@@ -25,7 +25,7 @@
 		}
 		// A change is acknowledged only after a majority of the list synced it, and two
 		// majorities of one list have a store in common: what was acknowledged before the
-		// round is not newer than the newest that a majority told of. Of another list they
+		// round is not newer than the newest that a majority reported. Of another list they
 		// need not have one, so that is asked in its turn.
 		if slices.EqualFunc(stores, feed.ViewReplicas(newest.Stores), sameStore) {
 			client.extendFreshness(sentAt)
@@ -37,7 +37,7 @@
 // sameStore reports whether two members are the same incarnation of a store.
 func sameStore(left, right feed.Member) bool { return left.Name == right.Name }
 
-// newestViewAtStores returns the newest view that a majority of stores told of, or that of the
+// newestViewAtStores returns the newest view that a majority of stores reported, or that of the
 // client if none is newer; nil if no majority answered. The requests are cancelled when it
 // returns; their goroutines are not waited for.
 func (client *Client) newestViewAtStores(stores []feed.Member) *feed.View {
