--- a/system/balancer/lease.go
+++ b/system/balancer/lease.go
@@ -26,6 +26,8 @@
 	acquiredAt  time.Duration // since the balancer was made
 	// prefillTokens is how many prompt tokens were assumed not to be in the prefix cache.
 	prefillTokens    float64
+	inFlight         int     // this front's other requests at the runner when it was chosen
+	load             float64 // estimated requests of all fronts there then, this one not counted
 	firstEventSeen   bool
 	released         bool
 	slowStartLimited bool // it took a token of the runner's slow start
@@ -41,6 +43,7 @@
 		Runner: chosen.runner, Service: pool.service, MaxConnections: chosen.maxConnections,
 		balancer: balancer, stats: pool.stats, state: state, request: *request,
 		affinityKey: affinityKeyOf(request, pool.service.Engine != nil), acquiredAt: now, prefillTokens: prefillTokens,
+		inFlight: state.inFlight,
 	}
 	lease.slowStartLimited = state.slowStart.take(balancer.listFreshUntil(), now)
 	lease.recoveryProbe = state.health.startProbe()
--- a/system/balancer/selection.go
+++ b/system/balancer/selection.go
@@ -49,5 +49,8 @@
 	if best == nil {
 		return nil, delay
 	}
-	return balancer.newLease(pool, best, request, now), 0
+	load := model.estimatedLoad(best)
+	lease := balancer.newLease(pool, best, request, now)
+	lease.load = load
+	return lease, 0
 }
--- a/system/balancer/status.go
+++ b/system/balancer/status.go
@@ -42,3 +42,33 @@
 	})
 	return status
 }
+
+// Choice says what the choice of a lease's runner rested on, for logs.
+type Choice struct {
+	Service string
+	// Runner is the incarnation of the runner, and Local says whether it is in this front's
+	// domain.
+	Runner string
+	Local  bool
+	// PromptTokens is the length of the prompt, PrefillTokens how many of these were assumed
+	// not to be in the runner's prefix cache.
+	PromptTokens  int
+	PrefillTokens int
+	// InFlight is how many requests this front had at the runner before this one, and
+	// EstimatedLoad how many all fronts were estimated to have there.
+	InFlight      int
+	EstimatedLoad float64
+	// SlowStart says whether the runner was warming up.
+	SlowStart bool
+}
+
+// Describe returns what the choice of the runner rested on.
+//
+//	choice := lease.Describe()
+func (lease *Lease) Describe() Choice {
+	return Choice{
+		Service: lease.Service.Name, Runner: lease.Runner.Life, Local: lease.Runner.Domain == lease.balancer.domain,
+		PromptTokens: int(promptTokens(&lease.request)), PrefillTokens: int(lease.prefillTokens),
+		InFlight: lease.inFlight, EstimatedLoad: lease.load, SlowStart: lease.slowStartLimited,
+	}
+}
--- a/system/forwarding/filters.go
+++ b/system/forwarding/filters.go
@@ -33,9 +33,11 @@
 			ctx = limited
 		}
 		if err := forwarder.settings.AwaitViewFresh(ctx); err != nil {
+			exchange.watch.end(StageView)
 			return false, err
 		}
 	}
+	exchange.watch.end(StageView)
 	exchange.active = forwarder.settings.ActiveConfig()
 	if exchange.active.Routing == nil {
 		return false, apierror.NewRetryable(apierror.NotRun, "no routes are in force yet", "ask again; operators: put a config with routes", time.Second)
--- a/system/forwarding/forwarder.go
+++ b/system/forwarding/forwarder.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"yardrock.example/system/apierror"
+	"yardrock.example/system/balancer"
 	"yardrock.example/system/config"
 	"yardrock.example/system/storeclient"
 	"yardrock.example/system/taskgroup"
@@ -85,8 +86,16 @@
 //
 //	err := forwarder.Serve(ctx, &forwarding.Request{Name: "9c41", Method: "GET", Host: "a.example", Path: "/x/1", Target: "/x/1", ReceivedAt: time.Now(), Deadline: deadline}, writer)
 func (forwarder *Forwarder) Serve(ctx context.Context, request *Request, writer ResponseWriter) error {
-	exchange := &exchange{Request: request, writer: writer}
+	exchange := &exchange{Request: request, writer: writer, watch: stopwatch{last: request.ReceivedAt}}
 	defer func() { forwarder.bufferedBytes.Add(-exchange.bufferedBytes) }()
+	exchange.watch.end(StageReceive)
+	err := forwarder.serve(ctx, exchange)
+	forwarder.observe(exchange, err)
+	return err
+}
+
+// serve runs the chain of filters.
+func (forwarder *Forwarder) serve(ctx context.Context, exchange *exchange) error {
 	for _, step := range filters {
 		if done, err := step(ctx, forwarder, exchange); done || err != nil {
 			return err
@@ -117,6 +126,10 @@
 	// mayHaveRun is set once some attempt may have run; from then on NotRun is no answer.
 	mayHaveRun    bool
 	bufferedBytes int64
+	// watch measures the stages, and lastLease is the lease of the last attempt that ended;
+	// both are for the record of the request only.
+	watch     stopwatch
+	lastLease *balancer.Lease
 }
 
 // reserveBuffer counts bytes that the request keeps in memory until Serve returns, and
--- a/system/forwarding/hedging.go
+++ b/system/forwarding/hedging.go
@@ -54,6 +54,7 @@
 // another runner may be tried after the error.
 func (attempts *attemptSet) tryNext() (retry bool, err error) {
 	attempt, err := attempts.leaseRunner()
+	attempts.exchange.watch.end(StageQueue)
 	if err != nil {
 		return false, attempts.exchange.callerError(err)
 	}
@@ -156,6 +157,8 @@
 func (attempts *attemptSet) handleResult(attempt *attempt) (retry bool, err error) {
 	exchange := attempts.exchange
 	defer attempt.cancel()
+	exchange.watch.end(StageHead)
+	exchange.lastLease = attempt.lease
 	exchange.active, exchange.route = attempt.active, attempt.route
 	if attempt.err != nil {
 		failure := apierror.Of(attempt.err)
@@ -165,6 +168,7 @@
 	}
 	attempts.countSend(attempt)
 	outcome, err := attempts.relay(attempt)
+	exchange.watch.end(StageStream)
 	_ = attempt.response.Close() // its error only says that the connection is not reused
 	if err != nil && attempts.context.Err() != nil {
 		outcome = balancer.Cancelled
--- a/system/forwarding/relay.go
+++ b/system/forwarding/relay.go
@@ -74,6 +74,7 @@
 		return outcome, runnerFailure("the runner answered " + strconv.Itoa(response.Status) + " without a vouch")
 	}
 	data, err := io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
+	exchange.watch.end(StageFirstEvent)
 	if err != nil {
 		exchange.mayHaveRun = true
 		return balancer.Lost, err
@@ -169,6 +170,7 @@
 			return balancer.Lost, err
 		}
 		if isFirst {
+			exchange.watch.end(StageFirstEvent)
 			first()
 		}
 		number, numbered := parseEventNumber(event.ID)
--- a/system/forwarding/turns.go
+++ b/system/forwarding/turns.go
@@ -57,6 +57,7 @@
 		HasTokenQuota: exchange.HasOutputBudget, MaxOutputTokens: exchange.MaxOutputTokens, TokenQuota: exchange.OutputBudget,
 		DispatchID: forwarder.settings.Node, Lifetime: lifetime,
 	})
+	exchange.watch.end(StageBegin)
 	if err != nil {
 		return false, err
 	}
@@ -111,6 +112,8 @@
 		return nil
 	}
 	exchange.stream.complete = true
+	exchange.watch.end(StageStream)
+	defer exchange.watch.end(StageEnd)
 	err := forwarder.endTurn(ctx, exchange, sessionlog.OutcomeComplete)
 	for !isFinal(err) && ctx.Err() == nil {
 		select {
--- a/system/forwarding/types.go
+++ b/system/forwarding/types.go
@@ -106,4 +106,10 @@
 	// once; 0 means DefaultMaxBufferedBytes. A request that would exceed it is rejected
 	// with apierror.NotRun.
 	MaxBufferedBytes int64
+	// Observe, if set, is called with the record of every request that has ended, before
+	// Serve returns. It must not keep the record.
+	Observe func(record *RequestRecord)
+	// LogRequests writes one log line for every request, with its stages and the choice of
+	// its runner. It costs the front about a tenth of its processor time.
+	LogRequests bool
 }
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -77,6 +77,8 @@
 	// MaxBufferedBytes bounds the forwarded requests and histories that are buffered at
 	// once; 0 means forwarding.DefaultMaxBufferedBytes.
 	MaxBufferedBytes int64
+	// LogRequests writes one log line for every forwarded request, with its stages.
+	LogRequests bool
 }
 
 // Node is a running front node. It is safe for concurrent use.
@@ -146,6 +148,7 @@
 	node.forwarder = forwarding.New(forwarding.Settings{
 		Node: node.name, CheckViewFresh: node.checkViewFresh, AwaitViewFresh: node.awaitViewFresh, ActiveConfig: node.activeRouting,
 		Balancer: node.balancer, Pool: node.pool, TurnStore: node.stores, MaxBufferedBytes: settings.MaxBufferedBytes,
+		LogRequests: settings.LogRequests,
 	})
 	return node
 }
