configsource: the compiler of CUE source is apart from config, so that fronts do not link CUE

Cause: package config imported the CUE library for Compile, which only the control plane calls; every front and store linked it and ran its initialisation. Change: Compile and schema.cue are package configsource. The tests of config that use both are an external test package; their checks are the same.

--- a/system/config/compile.go
+++ b/system/config/compiled.go
@@ -2,64 +2,14 @@
 
 import (
 	"bytes"
-	_ "embed"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
-
-	"cuelang.org/go/cue"
-	"cuelang.org/go/cue/cuecontext"
-	"cuelang.org/go/cue/errors"
 
 	"yardrock.example/system/apierror"
 )
 
-//go:embed schema.cue
-var schemaSource string
-
-// Compile checks CUE source and returns the config and its compiled form. The error names every
-// field that the schema rejects, with its position, or the first name that refers to nothing.
-//
-//	config, compiled, err := config.Compile(source)
-func Compile(source string) (*Config, []byte, error) {
-	cueContext := cuecontext.New()
-	definition := cueContext.CompileString(schemaSource, cue.Filename("schema.cue")).LookupPath(cue.ParsePath("#Config"))
-	value := cueContext.CompileString(source, cue.Filename("config.cue"))
-	if err := value.Err(); err != nil {
-		return nil, nil, invalidConfig(err)
-	}
-	unified := definition.Unify(value)
-	if err := unified.Validate(cue.Concrete(true), cue.Final()); err != nil {
-		return nil, nil, invalidConfig(err)
-	}
-	compiled, err := unified.MarshalJSON()
-	if err != nil {
-		return nil, nil, invalidConfig(err)
-	}
-	config, err := Decode(compiled)
-	if err != nil {
-		return nil, nil, err
-	}
-	return config, compiled, config.checkReferences()
-}
-
-// invalidConfig turns errors of the CUE library into one of this package.
-func invalidConfig(err error) error {
-	problems := []string{}
-	for _, problem := range errors.Errors(err) {
-		path := strings.Join(problem.Path(), ".")
-		format, arguments := problem.Msg()
-		location := ""
-		if position := problem.Position(); position.IsValid() {
-			location = fmt.Sprintf(" (line %d, column %d)", position.Line(), position.Column())
-		}
-		problems = append(problems, path+": "+fmt.Sprintf(format, arguments...)+location)
-	}
-	return apierror.New(apierror.Invalid, "the config is invalid: "+strings.Join(problems, "; "), "correct the named fields; nothing was changed")
-}
-
 // Decode reads the compiled form of a config, and indexes its routing. No data is an empty
 // config, the one before the first.
 //
@@ -90,9 +40,11 @@
 	return bytes.TrimRight(compiled.Bytes(), "\n"), nil
 }
 
-// checkReferences checks what the schema cannot: that names refer to something, that a table has
-// a weight above 0, and the rules of routing.
-func (config *Config) checkReferences() error {
+// CheckReferences checks what the schema of the source cannot: that names refer to something,
+// that a table has a weight above 0, and the rules of routing.
+//
+//	err := decoded.CheckReferences()
+func (config *Config) CheckReferences() error {
 	for _, name := range slices.Sorted(maps.Keys(config.Programs)) {
 		if team := config.Programs[name].Team; !hasKey(config.Teams, team) {
 			return missingName("programs."+name+".team", team, "team")
--- a/system/config/config.go
+++ b/system/config/config.go
@@ -1,8 +1,8 @@
-// Package config reads and checks the operators' configuration, and defines its Go form.
+// Package config defines the Go form of the operators' configuration, and reads and checks it.
 //
-// Operators write CUE source, which is checked against schema.cue; its compiled form is JSON.
+// Operators write CUE source, which package configsource compiles; the compiled form is JSON.
 // The feed stores both, and nodes read the compiled form only. The rules for routing stand
-// twice, in the schema and in Go: routing also changes by patches, of which each checks
+// twice, in the schema of the source and in Go: routing also changes by patches, of which each checks
 // hundreds of items, and CUE is too slow for that on a small machine. A test gives both the
 // same faults.
 //
--- a/system/config/config_test.go
+++ b/system/config/config_test.go
@@ -1,4 +1,4 @@
-package config
+package config_test
 
 import (
 	"strings"
@@ -6,6 +6,8 @@
 	"time"
 
 	"yardrock.example/system/apierror"
+	"yardrock.example/system/config"
+	"yardrock.example/system/configsource"
 )
 
 const validSource = `
@@ -18,16 +20,16 @@
 `
 
 func TestInvalidConfigNamesPathAndRemedy(t *testing.T) {
-	config, compiled, err := Compile(validSource)
+	decoded, compiled, err := configsource.Compile(validSource)
 	if err != nil {
 		t.Fatal(err)
 	}
-	again, err := Decode(compiled)
+	again, err := config.Decode(compiled)
 	if err != nil || again.Groups["large"].Concurrency != 3 || time.Duration(again.Programs["manifest"].Retention) != 24*time.Hour {
 		t.Fatalf("compiled form differs: %+v %v", again, err)
 	}
-	if !config.Kinds["chat"].Repeatable || config.Limits.Queue != 200 {
-		t.Fatalf("defaults are missing: %+v", config)
+	if !decoded.Kinds["chat"].Repeatable || decoded.Limits.Queue != 200 {
+		t.Fatalf("defaults are missing: %+v", decoded)
 	}
 	for broken, path := range map[string]string{
 		validSource + `programs: manifest: allowance: -1`:                         "programs.manifest.allowance",
@@ -39,7 +41,7 @@
 		validSource + `limits: queue_patience: "soon"`:                            "limits.queue_patience",
 		`teams: {`: "line 1",
 	} {
-		_, _, err := Compile(broken)
+		_, _, err := configsource.Compile(broken)
 		if !apierror.Is(err, apierror.Invalid) || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), "remedy") {
 			t.Errorf("%q: %v", strings.TrimPrefix(broken, validSource), err)
 		}
--- a/system/config/routing_test.go
+++ b/system/config/routing_test.go
@@ -1,4 +1,4 @@
-package config
+package config_test
 
 import (
 	"encoding/json"
@@ -9,20 +9,22 @@
 	"time"
 
 	"yardrock.example/system/apierror"
+	"yardrock.example/system/config"
+	"yardrock.example/system/configsource"
 )
 
 // exampleRouting has routes for two hosts, one of them with nested prefixes.
-func exampleRouting() Routing {
-	route := func(name, host, prefix string) Route {
-		return Route{Name: name, Host: host, Prefix: prefix, Kind: Streaming, Timeout: Duration(4 * time.Second), MaxAttempts: 2, Shares: []WeightedService{{"chat", 90}, {"chat-new", 10}}}
+func exampleRouting() config.Routing {
+	route := func(name, host, prefix string) config.Route {
+		return config.Route{Name: name, Host: host, Prefix: prefix, Kind: config.Streaming, Timeout: config.Duration(4 * time.Second), MaxAttempts: 2, Shares: []config.WeightedService{{"chat", 90}, {"chat-new", 10}}}
 	}
-	return Routing{
+	return config.Routing{
 		Revision: 7,
-		Routes: []Route{
+		Routes: []config.Route{
 			route("whole", "one.example", "/"), route("talk", "one.example", "/talk/"), route("talk-late", "one.example", "/talk/late/"),
 			route("other", "Two.example", "/talk/"),
 		},
-		Services: []Service{{Name: "chat", HealthPath: "/health", Engine: &Engine{Slots: 4}}, {Name: "chat-new", HealthPath: "/health", WarmUpRate: 2.5}},
+		Services: []config.Service{{Name: "chat", HealthPath: "/health", Engine: &config.Engine{Slots: 4}}, {Name: "chat-new", HealthPath: "/health", WarmUpRate: 2.5}},
 	}
 }
 
@@ -52,14 +54,14 @@
 		{"one.example:8080:1", "/talk/"}:   "",
 		{"[one.example]:8080", "/talk/ab"}: "talk",
 	} {
-		for _, one := range []*Routing{&routing, &plain} {
+		for _, one := range []*config.Routing{&routing, &plain} {
 			route, found := one.Match(query[0], query[1])
 			if found != (want != "") || (found && route.Name != want) {
 				t.Errorf("%v matches %+v, want %q", query, route, want)
 			}
 		}
 	}
-	var none *Routing
+	var none *config.Routing
 	if _, found := none.Match("one.example", "/"); found {
 		t.Error("a nil routing has a route")
 	}
@@ -75,7 +77,7 @@
 }
 
 // sourceOf gives a config in CUE that has only a routing; JSON is valid CUE.
-func sourceOf(t *testing.T, routing *Routing) string {
+func sourceOf(t *testing.T, routing *config.Routing) string {
 	t.Helper()
 	data, err := json.Marshal(routing)
 	if err != nil {
@@ -89,11 +91,11 @@
 	if err := good.Check(); err != nil {
 		t.Fatal(err)
 	}
-	config, compiled, err := Compile(sourceOf(t, &good))
-	if err != nil || config.Routing == nil || !config.Routing.equal(&good) {
-		t.Fatalf("%+v %v", config, err)
+	decoded, compiled, err := configsource.Compile(sourceOf(t, &good))
+	if err != nil || decoded.Routing == nil || !decoded.Routing.Equal(&good) {
+		t.Fatalf("%+v %v", decoded, err)
 	}
-	if again, err := Decode(compiled); err != nil || again.Routing.index == nil || !again.Routing.equal(&good) {
+	if again, err := config.Decode(compiled); err != nil || !again.Routing.HasIndex() || !again.Routing.Equal(&good) {
 		t.Fatalf("%+v %v", again, err)
 	}
 }
@@ -101,39 +103,45 @@
 // TestGoChecksAndSchemaRejectTheSame gives each broken routing to the checks in Go and,
 // as part of a config, to the schema.
 func TestGoChecksAndSchemaRejectTheSame(t *testing.T) {
-	for field, broken := range map[string]func(*Routing){
-		"routes[1].name":               func(routing *Routing) { routing.Routes[1].Name = "" },
-		"routes[2].name":               func(routing *Routing) { routing.Routes[2].Name = "two words" },
-		"routes[3].name":               func(routing *Routing) { routing.Routes[3].Name = "talk" },
-		"routes[0].host":               func(routing *Routing) { routing.Routes[0].Host = "one.example/talk" },
-		"routes[1].host":               func(routing *Routing) { routing.Routes[1].Host = "" },
-		"routes[1].prefix":             func(routing *Routing) { routing.Routes[1].Prefix = "/talk" },
-		"routes[2].prefix":             func(routing *Routing) { routing.Routes[2].Prefix = "talk/" },
-		"routes[2].prefix: route":      func(routing *Routing) { routing.Routes[2].Prefix = "/talk/" },
-		"routes[3].prefix: route":      func(routing *Routing) { routing.Routes[3].Host = "ONE.example" },
-		"routes[0].kind":               func(routing *Routing) { routing.Routes[0].Kind = "sometimes" },
-		"routes[1].kind":               func(routing *Routing) { routing.Routes[1].Kind = "" },
-		"routes[0].patience":           func(routing *Routing) { routing.Routes[0].Timeout = 0 },
-		"routes[1].patience":           func(routing *Routing) { routing.Routes[1].Timeout = -1 },
-		"routes[0].target":             func(routing *Routing) { routing.Routes[0].FirstByteTarget = -1 },
-		"routes[0].gap":                func(routing *Routing) { routing.Routes[0].EventGapTarget = -1 },
-		"routes[0].keep":               func(routing *Routing) { routing.Routes[0].Retention = -1 },
-		"routes[0].urgency":            func(routing *Routing) { routing.Routes[0].Urgency = -1 },
-		"routes[0].tries":              func(routing *Routing) { routing.Routes[0].MaxAttempts = 0 },
-		"routes[0].shares":             func(routing *Routing) { routing.Routes[0].Shares = nil },
-		"routes[1].shares":             func(routing *Routing) { routing.Routes[1].Shares = []WeightedService{{"chat", 0}, {"chat-new", 0}} },
-		"routes[1].shares[1].service":  func(routing *Routing) { routing.Routes[1].Shares = []WeightedService{{"chat", 1}, {"none", 1}} },
-		"routes[1].shares[0].weight":   func(routing *Routing) { routing.Routes[1].Shares = []WeightedService{{"chat", -1}, {"chat-new", 2}} },
-		"services[1].name":             func(routing *Routing) { routing.Services[1].Name = "chat" },
-		"services[0].health_path":      func(routing *Routing) { routing.Services[0].HealthPath = "health" },
-		"services[0].most_connections": func(routing *Routing) { routing.Services[0].MaxConnections = -1 },
-		"services[0].cold_for":         func(routing *Routing) { routing.Services[0].WarmUp = -1 },
-		"services[0].cold_rate":        func(routing *Routing) { routing.Services[0].WarmUpRate = -0.5 },
-		"services[0].engine.slots":     func(routing *Routing) { routing.Services[0].Engine = &Engine{Slots: -1} },
-		"bounds.header_bytes":          func(routing *Routing) { routing.Bounds.HeaderBytes = -1 },
-		"bounds.body_bytes":            func(routing *Routing) { routing.Bounds.BodyBytes = -1 },
-		"bounds.header_wait":           func(routing *Routing) { routing.Bounds.HeaderTimeout = -1 },
-		"bounds.idle":                  func(routing *Routing) { routing.Bounds.IdleTimeout = -1 },
+	for field, broken := range map[string]func(*config.Routing){
+		"routes[1].name":          func(routing *config.Routing) { routing.Routes[1].Name = "" },
+		"routes[2].name":          func(routing *config.Routing) { routing.Routes[2].Name = "two words" },
+		"routes[3].name":          func(routing *config.Routing) { routing.Routes[3].Name = "talk" },
+		"routes[0].host":          func(routing *config.Routing) { routing.Routes[0].Host = "one.example/talk" },
+		"routes[1].host":          func(routing *config.Routing) { routing.Routes[1].Host = "" },
+		"routes[1].prefix":        func(routing *config.Routing) { routing.Routes[1].Prefix = "/talk" },
+		"routes[2].prefix":        func(routing *config.Routing) { routing.Routes[2].Prefix = "talk/" },
+		"routes[2].prefix: route": func(routing *config.Routing) { routing.Routes[2].Prefix = "/talk/" },
+		"routes[3].prefix: route": func(routing *config.Routing) { routing.Routes[3].Host = "ONE.example" },
+		"routes[0].kind":          func(routing *config.Routing) { routing.Routes[0].Kind = "sometimes" },
+		"routes[1].kind":          func(routing *config.Routing) { routing.Routes[1].Kind = "" },
+		"routes[0].patience":      func(routing *config.Routing) { routing.Routes[0].Timeout = 0 },
+		"routes[1].patience":      func(routing *config.Routing) { routing.Routes[1].Timeout = -1 },
+		"routes[0].target":        func(routing *config.Routing) { routing.Routes[0].FirstByteTarget = -1 },
+		"routes[0].gap":           func(routing *config.Routing) { routing.Routes[0].EventGapTarget = -1 },
+		"routes[0].keep":          func(routing *config.Routing) { routing.Routes[0].Retention = -1 },
+		"routes[0].urgency":       func(routing *config.Routing) { routing.Routes[0].Urgency = -1 },
+		"routes[0].tries":         func(routing *config.Routing) { routing.Routes[0].MaxAttempts = 0 },
+		"routes[0].shares":        func(routing *config.Routing) { routing.Routes[0].Shares = nil },
+		"routes[1].shares": func(routing *config.Routing) {
+			routing.Routes[1].Shares = []config.WeightedService{{"chat", 0}, {"chat-new", 0}}
+		},
+		"routes[1].shares[1].service": func(routing *config.Routing) {
+			routing.Routes[1].Shares = []config.WeightedService{{"chat", 1}, {"none", 1}}
+		},
+		"routes[1].shares[0].weight": func(routing *config.Routing) {
+			routing.Routes[1].Shares = []config.WeightedService{{"chat", -1}, {"chat-new", 2}}
+		},
+		"services[1].name":             func(routing *config.Routing) { routing.Services[1].Name = "chat" },
+		"services[0].health_path":      func(routing *config.Routing) { routing.Services[0].HealthPath = "health" },
+		"services[0].most_connections": func(routing *config.Routing) { routing.Services[0].MaxConnections = -1 },
+		"services[0].cold_for":         func(routing *config.Routing) { routing.Services[0].WarmUp = -1 },
+		"services[0].cold_rate":        func(routing *config.Routing) { routing.Services[0].WarmUpRate = -0.5 },
+		"services[0].engine.slots":     func(routing *config.Routing) { routing.Services[0].Engine = &config.Engine{Slots: -1} },
+		"bounds.header_bytes":          func(routing *config.Routing) { routing.Bounds.HeaderBytes = -1 },
+		"bounds.body_bytes":            func(routing *config.Routing) { routing.Bounds.BodyBytes = -1 },
+		"bounds.header_wait":           func(routing *config.Routing) { routing.Bounds.HeaderTimeout = -1 },
+		"bounds.idle":                  func(routing *config.Routing) { routing.Bounds.IdleTimeout = -1 },
 	} {
 		routing := exampleRouting()
 		broken(&routing)
@@ -141,10 +149,10 @@
 		if !apierror.Is(err, apierror.Invalid) || !strings.Contains(err.Error(), field) || !strings.Contains(err.Error(), "remedy") {
 			t.Errorf("%s: %v", field, err)
 		}
-		if _, _, err := Compile(sourceOf(t, &routing)); !apierror.Is(err, apierror.Invalid) {
+		if _, _, err := configsource.Compile(sourceOf(t, &routing)); !apierror.Is(err, apierror.Invalid) {
 			t.Errorf("%s is accepted by the schema: %v", field, err)
 		}
-		if _, _, err := (&Config{}).WithRouting(routing, "digest"); !apierror.Is(err, apierror.Invalid) {
+		if _, _, err := (&config.Config{}).WithRouting(routing, "digest"); !apierror.Is(err, apierror.Invalid) {
 			t.Errorf("%s is accepted as the next routing: %v", field, err)
 		}
 	}
@@ -153,16 +161,16 @@
 // TestWeightThatIsNotANumberIsRejected has a weight that JSON cannot express.
 func TestWeightThatIsNotANumberIsRejected(t *testing.T) {
 	notANumber := exampleRouting()
-	notANumber.Routes[0].Shares = []WeightedService{{"chat", math.NaN()}}
+	notANumber.Routes[0].Shares = []config.WeightedService{{"chat", math.NaN()}}
 	if err := notANumber.Check(); !apierror.Is(err, apierror.Invalid) {
 		t.Errorf("a weight that is not a number: %v", err)
 	}
 }
 
 // firstRouting is a valid config, without routing, and the next one with the example routing.
-func firstRouting(t *testing.T, routing *Routing) (base, next *Config, compiled []byte) {
+func firstRouting(t *testing.T, routing *config.Routing) (base, next *config.Config, compiled []byte) {
 	t.Helper()
-	base, _, err := Compile(validSource)
+	base, _, err := configsource.Compile(validSource)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,8 +187,8 @@
 	if base.Routing != nil {
 		t.Fatalf("the earlier config was changed: %+v", base.Routing)
 	}
-	again, err := Decode(compiled)
-	if err != nil || !again.Routing.equal(&routing) || again.Groups["large"].Concurrency != 3 || string(again.Routing.Routes[0].Original) != `{"name":"<&>","wait":4000.0}` {
+	again, err := config.Decode(compiled)
+	if err != nil || !again.Routing.Equal(&routing) || again.Groups["large"].Concurrency != 3 || string(again.Routing.Routes[0].Original) != `{"name":"<&>","wait":4000.0}` {
 		t.Fatalf("%+v %v", again.Routing, err)
 	}
 	if revision, accepted := again.Routing.RevisionOf("first"); !accepted || revision != 7 {
@@ -217,71 +225,71 @@
 func TestRoutingPatchRemovesAndReplacesByName(t *testing.T) {
 	before := exampleRouting()
 	changed := before.Routes[1]
-	changed.Timeout = Duration(time.Second)
+	changed.Timeout = config.Duration(time.Second)
 	added := before.Routes[1]
 	added.Name, added.Prefix = "new", "/new/"
-	names := func(routing Routing) string {
+	names := func(routing config.Routing) string {
 		list := []string{}
 		for _, route := range routing.Routes {
 			list = append(list, route.Name)
 		}
 		return strings.Join(list, " ")
 	}
-	next, err := before.Patched(RoutingPatch{Revision: 9, Routes: []Route{added, changed}, RemoveRoutes: []string{"talk-late", "never"}, Bounds: &Bounds{BodyBytes: 5}})
-	if err != nil || next.Revision != 9 || names(next) != "whole talk other new" || next.Routes[1].Timeout != Duration(time.Second) || next.Bounds.BodyBytes != 5 {
+	next, err := before.Patched(config.RoutingPatch{Revision: 9, Routes: []config.Route{added, changed}, RemoveRoutes: []string{"talk-late", "never"}, Bounds: &config.Bounds{BodyBytes: 5}})
+	if err != nil || next.Revision != 9 || names(next) != "whole talk other new" || next.Routes[1].Timeout != config.Duration(time.Second) || next.Bounds.BodyBytes != 5 {
 		t.Fatalf("%+v %v", next, err)
 	}
 	if names(before) != "whole talk talk-late other" || before.Routes[1].Timeout == changed.Timeout {
 		t.Fatalf("the patched routing was changed: %+v", before)
 	}
-	if _, err := before.Patched(RoutingPatch{Revision: 9, RemoveServices: []string{"chat-new"}}); !apierror.Is(err, apierror.Invalid) || !strings.Contains(err.Error(), `"chat-new"`) {
+	if _, err := before.Patched(config.RoutingPatch{Revision: 9, RemoveServices: []string{"chat-new"}}); !apierror.Is(err, apierror.Invalid) || !strings.Contains(err.Error(), `"chat-new"`) {
 		t.Fatalf("a service that a route names was removed: %v", err)
 	}
-	if _, err := before.Patched(RoutingPatch{Revision: 9, Routes: []Route{added, added}}); !apierror.Is(err, apierror.Invalid) {
+	if _, err := before.Patched(config.RoutingPatch{Revision: 9, Routes: []config.Route{added, added}}); !apierror.Is(err, apierror.Invalid) {
 		t.Fatalf("one name was given twice: %v", err)
 	}
-	var none *Routing
-	if next, err := none.Patched(RoutingPatch{Revision: 1, Services: before.Services, Routes: before.Routes}); err != nil || !next.equal(&Routing{Revision: 1, Routes: before.Routes, Services: before.Services}) {
+	var none *config.Routing
+	if next, err := none.Patched(config.RoutingPatch{Revision: 1, Services: before.Services, Routes: before.Routes}); err != nil || !next.Equal(&config.Routing{Revision: 1, Routes: before.Routes, Services: before.Services}) {
 		t.Fatalf("%+v %v", next, err)
 	}
 }
 
 func TestConfigWithoutRoutingInheritsTheCurrentOne(t *testing.T) {
-	base, _, _ := Compile(validSource)
+	base, _, _ := configsource.Compile(validSource)
 	inForce, _, err := base.WithRouting(exampleRouting(), "first")
 	if err != nil {
 		t.Fatal(err)
 	}
-	put := func(change func(*Routing)) (*Config, error) {
-		config, _, err := Compile(validSource)
+	put := func(change func(*config.Routing)) (*config.Config, error) {
+		decoded, _, err := configsource.Compile(validSource)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if change != nil {
 			routing := exampleRouting()
 			change(&routing)
-			config.Routing = &routing
+			decoded.Routing = &routing
 		}
-		compiled, err := config.InheritRouting(inForce)
+		compiled, err := decoded.InheritRouting(inForce)
 		if err != nil {
 			return nil, err
 		}
-		return Decode(compiled)
+		return config.Decode(compiled)
 	}
-	for name, change := range map[string]func(*Routing){
-		"none": nil, "the same": func(*Routing) {}, "higher": func(routing *Routing) { routing.Revision, routing.Routes = 8, nil },
+	for name, change := range map[string]func(*config.Routing){
+		"none": nil, "the same": func(*config.Routing) {}, "higher": func(routing *config.Routing) { routing.Revision, routing.Routes = 8, nil },
 	} {
-		config, err := put(change)
+		decoded, err := put(change)
 		if err != nil {
 			t.Errorf("%s: %v", name, err)
 			continue
 		}
-		if _, accepted := config.Routing.RevisionOf("first"); !accepted {
-			t.Errorf("%s: accepted requests are forgotten: %+v", name, config.Routing)
+		if _, accepted := decoded.Routing.RevisionOf("first"); !accepted {
+			t.Errorf("%s: accepted requests are forgotten: %+v", name, decoded.Routing)
 		}
 	}
-	for name, change := range map[string]func(*Routing){
-		"lower": func(routing *Routing) { routing.Revision = 6 }, "other": func(routing *Routing) { routing.Routes = nil },
+	for name, change := range map[string]func(*config.Routing){
+		"lower": func(routing *config.Routing) { routing.Revision = 6 }, "other": func(routing *config.Routing) { routing.Routes = nil },
 	} {
 		if _, err := put(change); !apierror.Is(err, apierror.Invalid) || !strings.Contains(err.Error(), "routing.revision") {
 			t.Errorf("%s: %v", name, err)
@@ -300,11 +308,11 @@
 		routing.Routes = append(routing.Routes, route)
 	}
 	for b.Loop() {
-		_, compiled, err := (&Config{}).WithRouting(routing, "digest")
+		_, compiled, err := (&config.Config{}).WithRouting(routing, "digest")
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, err := Decode(compiled); err != nil {
+		if _, err := config.Decode(compiled); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/system/controlplane/admin_config.go
+++ b/system/controlplane/admin_config.go
@@ -12,6 +12,7 @@
 	"yardrock.example/system/api/gen/administration"
 	"yardrock.example/system/apierror"
 	"yardrock.example/system/config"
+	"yardrock.example/system/configsource"
 	"yardrock.example/system/feed"
 )
 
@@ -22,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	decoded, _, err := config.Compile(payload.Source)
+	decoded, _, err := configsource.Compile(payload.Source)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	decoded, _, err := config.Compile(source)
+	decoded, _, err := configsource.Compile(source)
 	if err != nil {
 		return nil, err
 	}
--- a/system/controlplane/config_history_bench_test.go
+++ b/system/controlplane/config_history_bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"yardrock.example/system/config"
+	"yardrock.example/system/configsource"
 	"yardrock.example/system/feed"
 	"yardrock.example/system/raft"
 	"yardrock.example/system/wire"
@@ -35,7 +36,7 @@
 // leader proposes them. It returns the bytes of the log entries.
 func applyRouteChanges(tb testing.TB, machine *feedStateMachine, routes, changes int) (logged int) {
 	tb.Helper()
-	decoded, _, err := config.Compile("")
+	decoded, _, err := configsource.Compile("")
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/system/controlplane/routing_requests.go
+++ b/system/controlplane/routing_requests.go
@@ -8,6 +8,7 @@
 
 	"yardrock.example/system/apierror"
 	"yardrock.example/system/config"
+	"yardrock.example/system/configsource"
 	"yardrock.example/system/feed"
 )
 
@@ -91,7 +92,7 @@
 		return decision{}, apierror.New(apierror.Conflict, fmt.Sprintf("the routing builds on revision %d, but %d is in force", request.base, inForce), "read what is in force and decide anew")
 	}
 	if len(view.Compiled) == 0 {
-		if decoded, _, err = config.Compile(""); err != nil {
+		if decoded, _, err = configsource.Compile(""); err != nil {
 			return decision{}, err
 		}
 	}
