--- a/system/replica/host_raft.go
+++ b/system/replica/host_raft.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/apex/log"
+
 	"yardrock.example/system/raft"
 	"yardrock.example/system/wire"
 )
@@ -31,9 +33,25 @@
 		group.finishRead(result)
 	}
 	host.maybeSnapshot(groupID, group)
+	host.logLeadership(groupID, group)
 	return output
 }
 
+// logLeadership logs when this replica begins or ceases to lead a group.
+func (host *Host) logLeadership(groupID uint32, group *raftGroup) {
+	term, leading := group.core.Leading()
+	if leading == group.leading {
+		return
+	}
+	group.leading = leading
+	entry := log.WithFields(log.Fields{"node": host.name, "group": groupID, "term": term})
+	if leading {
+		entry.Info("this replica leads the group")
+	} else {
+		entry.Info("this replica no longer leads the group")
+	}
+}
+
 // queueWrite has the next disk job store a write, and then reports it to the core as synced.
 func (host *Host) queueWrite(groupID uint32, group *raftGroup, write *raft.Write) {
 	stored := wire.StoredWrite{HardState: write.HardState, Entries: write.Entries}
--- a/system/replica/raft_group.go
+++ b/system/replica/raft_group.go
@@ -17,6 +17,8 @@
 	// snapshotBytes that of the snapshot.
 	bytesSinceSnapshot int
 	snapshotBytes      int
+	// leading says that this replica led the group when that was logged last.
+	leading bool
 	// snapshotting says that a snapshot is being encoded.
 	snapshotting bool
 }
