--- a/system/forwarding/request_log.go
+++ b/system/forwarding/request_log.go
@@ -101,7 +101,7 @@
 		"left_ms": time.Until(exchange.deadline).Milliseconds(),
 	}
 	if !exchange.FinishBy.IsZero() {
-		fields["finish_ms"] = time.Until(exchange.FinishBy).Milliseconds()
+		fields["program_left_ms"] = time.Until(exchange.FinishBy).Milliseconds()
 	}
 	for stage, spent := range record.Stages {
 		if spent >= time.Millisecond {
