sessionlog, balancer: a session tells where its conversation is cached

Change: the end of a turn records its runner and how much of the prompt that has read, in the session of the program (by conversation, eight at most); the begin of the next turn, through whichever front, is answered with it, and the balancer counts these tokens as cached there and prefers that runner. No message more; about 25 bytes in a command. It is replicated with the turn, so it outlives the loss of fronts and a power loss of all. Fields are added at the end of the schema; what earlier versions stored is read as before.

Tried with it and not kept: expecting the shared parts of prompts at all runners, by how often programs use them.

--- /dev/null
+++ b/proof/simulator/cachelocation_test.go
@@ -0,0 +1,87 @@
+package simulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"yardrock.example/system/balancer"
+	"yardrock.example/system/forwarding"
+)
+
+// engineOf returns the runner at which a query ran; "" if none did.
+func engineOf(cluster *Cluster, name string) string {
+	for _, machine := range cluster.Engines {
+		for _, one := range machine.Engine.Executions() {
+			if one.RequestID == name {
+				return machine.Engine.Life
+			}
+		}
+	}
+	return ""
+}
+
+// TestConversationsStayAtTheirRunnerThroughAllFronts sends the turns of several programs through
+// fronts in turn, on routes that store the history and on ones that do not, and lets everything
+// but the runners lose power in between. No front knows by itself where a conversation was; all
+// learn it from the session with the begin of a turn.
+func TestConversationsStayAtTheirRunnerThroughAllFronts(t *testing.T) {
+	simulateRouted(t, func(t *testing.T, cluster *Cluster) {
+		const programs, turns = 6, 6
+		places := map[string]string{}
+		elsewhere := 0
+		for round := range turns {
+			if round == turns/2 {
+				cluster.interruptPower(t)
+			}
+			for number := range programs {
+				program, path := fmt.Sprintf("program-%d", number), []string{"/talk/kept/1", "/talk/chat/1"}[number%2]
+				name := fmt.Sprintf("%s-turn-%d", program, round)
+				request := forwarding.Request{
+					Name: name, Path: path, Body: []byte("more "), Program: program, Session: "main", HasOutputBudget: true, OutputBudget: 10000, MaxOutputTokens: 40,
+					PromptParts: []balancer.PromptPart{{Name: "shared", Tokens: 2560}, {Name: program, Tokens: 900 * (round + 1)}},
+				}
+				if path == "/talk/kept/1" && round > 0 {
+					request.Follows = fmt.Sprintf("%s-turn-%d", program, round-1)
+				}
+				err := cluster.Await(12*time.Second, "turn "+name, func() error {
+					answer := cluster.Forward(cluster.Fronts[(number+round)%len(cluster.Fronts)], request)
+					if !answer.Complete() {
+						return fmt.Errorf("%d %w", answer.Status, answer.Err)
+					}
+					return nil
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if place := engineOf(cluster, name); place != places[program] && round > 0 {
+					elsewhere++
+					t.Logf("%s went to %s, the turn before to %s", name, place, places[program])
+				}
+				places[program] = engineOf(cluster, name)
+			}
+			cluster.Sleep(300 * time.Millisecond)
+		}
+		if elsewhere > 0 {
+			t.Errorf("%d of %d turns left their conversation's runner", elsewhere, programs*(turns-1))
+		}
+	})
+}
+
+// interruptPower takes the power from all machines of the fleet for a second, and waits until they
+// serve again.
+func (cluster *Cluster) interruptPower(t *testing.T) {
+	t.Helper()
+	for _, machine := range cluster.Machines() {
+		machine.LosePower()
+	}
+	cluster.Sleep(time.Second)
+	for _, machine := range cluster.Machines() {
+		if err := machine.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := cluster.AwaitForwarding(12 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/system/balancer/cost_model.go
+++ b/system/balancer/cost_model.go
@@ -118,7 +118,11 @@
 		return nil, 0
 	}
 	if model.isModel {
-		return pool.rendezvousRunner(key), minAffinityMilliseconds + affinityFraction*model.promptTokens/model.prefillRate
+		bonus := minAffinityMilliseconds + affinityFraction*model.promptTokens/model.prefillRate
+		if served, found := balancer.runners[request.CachedAt.Runner]; found && served.listed {
+			return served, bonus
+		}
+		return pool.rendezvousRunner(key), bonus
 	}
 	if last, found := balancer.lastRunner.get(key); found && last.listed {
 		return last, stickyFraction * model.duration
@@ -185,7 +189,7 @@
 // beside the other requests, distance and connection.
 func (model *costModel) addModelCost(cost float64, candidate *candidate, load float64) float64 {
 	state := candidate.state
-	uncached := model.promptTokens - float64(model.balancer.cachedTokens(state))
+	uncached := model.promptTokens - model.balancer.cachedTokens(state)
 	cost += model.prefillContention*uncached/model.prefillRate + pendingPrefillFraction*state.pendingPrefill/model.prefillRate
 	cost += model.duration*concurrencySlowdown*load + math.Max(0, state.excessLatency.now(model.now))
 	if !candidate.local {
--- a/system/balancer/lease.go
+++ b/system/balancer/lease.go
@@ -38,7 +38,7 @@
 // newLease counts a request as in flight at a candidate.
 func (balancer *Balancer) newLease(pool *servicePool, chosen *candidate, request *Request, now time.Duration) *Lease {
 	state := chosen.state
-	prefillTokens := math.Max(0, promptTokens(request)-float64(balancer.cachedTokens(state)))
+	prefillTokens := math.Max(0, promptTokens(request)-balancer.cachedTokens(state))
 	lease := &Lease{
 		Runner: chosen.runner, Service: pool.service, MaxConnections: chosen.maxConnections,
 		balancer: balancer, stats: pool.stats, state: state, request: *request,
@@ -62,6 +62,17 @@
 	return lease
 }
 
+// Incarnation identifies the process at the runner's address, or the address if that is all
+// that is known. It is what Request.CachedAt refers to.
+//
+//	end.Runner = lease.Incarnation()
+func (lease *Lease) Incarnation() string { return runnerKey(lease.Runner) }
+
+// PromptTokens returns the length of the prompt, in tokens.
+//
+//	end.Tokens = lease.PromptTokens()
+func (lease *Lease) PromptTokens() int { return int(promptTokens(&lease.request)) }
+
 // Valid reports whether, by the newest state, the request may still be sent: the runner
 // is listed and not draining, its domain is not drained, the route still has its host
 // and prefix, and the service still has a share of the route. Call it right before the
--- a/system/balancer/model_simulation_test.go
+++ b/system/balancer/model_simulation_test.go
@@ -24,6 +24,7 @@
 	stays                         float64 // fraction of the turns that come through the program's first front
 	slowRunner                    float64
 	random                        bool // choose at random
+	locations                     bool // sessions tell where their conversation is cached
 	seconds                       float64
 }
 
@@ -42,7 +43,7 @@
 
 func (result *simulationResult) String() string {
 	return fmt.Sprintf("turns %d rejected %d cross-domain %.2f cached %.3f first mean %.1f p90 %.1f p99 %.1f program mean %.3f p90 %.3f most %d slow %d connections %d",
-		result.turns, result.rejected, float64(result.crossDomain)/float64(result.turns), 1-float64(result.prefillTokens-result.newTokens)/float64(max(1, result.tokens-result.newTokens)),
+		result.turns, result.rejected, float64(result.crossDomain)/float64(result.turns), result.cachedFraction(),
 		result.meanFirstEvent(), quantile(result.firstEventLatencies, 0.9), quantile(result.firstEventLatencies, 0.99), mean(result.ratios), quantile(result.ratios, 0.9), result.peak, result.slowTurns, result.connectionsOpened)
 }
 
@@ -67,6 +68,7 @@
 	front            int   // through which most turns come
 	home             []int // the other fronts of its domain
 	parts            []PromptPart
+	cachedAt         CacheLocation
 	left             int // turns
 	done             func()
 }
@@ -149,7 +151,11 @@
 	if sim.random.Float64() >= sim.setup.stays {
 		front = talk.home[sim.random.IntN(len(talk.home))]
 	}
-	lease, err := sim.balancers[front].Acquire(context.Background(), Request{Route: &sim.route, Program: talk.program, Session: talk.session, PromptParts: talk.parts, Deadline: sim.clock()})
+	request := Request{Route: &sim.route, Program: talk.program, Session: talk.session, PromptParts: talk.parts, Deadline: sim.clock()}
+	if sim.setup.locations {
+		request.CachedAt = talk.cachedAt
+	}
+	lease, err := sim.balancers[front].Acquire(context.Background(), request)
 	if err != nil {
 		sim.result.rejected++
 		sim.schedule(200, func() { sim.takeTurn(before) })
@@ -176,6 +182,10 @@
 	requested, runner := sim.now, sim.runners[chosen.Life]
 	sent := &turn{parts: talk.parts, outputTokens: 2 + int(sim.spread(32, 0.8)), requested: requested}
 	sim.countTurn(talk.parts, chosen.Life, fresh)
+	talk.cachedAt = CacheLocation{Runner: chosen.Life}
+	for _, part := range talk.parts {
+		talk.cachedAt.Tokens += part.Tokens
+	}
 	sent.first = func() {
 		sim.schedule(way, func() {
 			result.firstEventLatencies = append(result.firstEventLatencies, sim.now-requested)
@@ -249,6 +259,35 @@
 	{name: "many fronts", runners: 72, slots: 12, cache: 171_035, fronts: 48, stepTime: 4.63, perSlot: 0.153, first: 10, programs: 87, turns: 5.6, think: 200, newTokens: 900, helpers: 0.04, stays: 0.9, seconds: 10},
 }
 
+// cachedFraction returns which part of the tokens that some runner could have cached were.
+func (result *simulationResult) cachedFraction() float64 {
+	return 1 - float64(result.prefillTokens-result.newTokens)/float64(max(1, result.tokens-result.newTokens))
+}
+
+// TestConversationsFindTheirRunnerThroughOtherFronts simulates a fleet of many fronts, each
+// with few requests, whose callers come through another front at more than every other turn.
+// What a front itself knows is of little use then.
+func TestConversationsFindTheirRunnerThroughOtherFronts(t *testing.T) {
+	setup := deployment{
+		runners: 56, slots: 32, cache: 182_577, fronts: 60, stepTime: 5.55, perSlot: 0.029, first: 10, programs: 85, turns: 6, think: 150,
+		newTokens: 760, helpers: 0.03, stays: 0.45, seconds: 12,
+	}
+	for seed := range uint64(3) {
+		setup.locations = false
+		unlocated := simulateModel(seed, setup)
+		setup.locations = true
+		located := simulateModel(seed, setup)
+		t.Logf("located:   %v", located)
+		t.Logf("unlocated: %v", unlocated)
+		if located.cachedFraction() < 0.9 {
+			t.Errorf("seed %d: %.3f of what was cached somewhere was used", seed, located.cachedFraction())
+		}
+		if unlocated.cachedFraction() > located.cachedFraction() || mean(located.ratios) > 0.9*mean(unlocated.ratios) {
+			t.Errorf("seed %d: programs took %.3f times their unloaded time with the location, %.3f without", seed, mean(located.ratios), mean(unlocated.ratios))
+		}
+	}
+}
+
 func TestSelectionUsesPrefixCacheAndSpreadsLoad(t *testing.T) {
 	for _, setup := range deployments {
 		t.Run(setup.name, func(t *testing.T) {
--- a/system/balancer/prefix_affinity.go
+++ b/system/balancer/prefix_affinity.go
@@ -63,6 +63,7 @@
 	if pool.service.Engine == nil {
 		return
 	}
+	balancer.markCachedAt(request)
 	horizon := balancer.cacheHorizon(pool, now)
 	for depth, part := range request.PromptParts {
 		cached, found := balancer.cachedParts.get(hashOf(part.Name))
@@ -79,15 +80,31 @@
 		return
 	}
 	if last, found := balancer.lastRunner.get(affinityKeyOf(request, true)); found {
-		last.affinityEpoch, last.cachedDepth, last.cachedTokens = balancer.affinityEpoch, 0, int(unknownPartsCachedFraction*promptTokens(request))
+		last.resetMarks(balancer.affinityEpoch)
+		last.cachedTokens = int(unknownPartsCachedFraction * promptTokens(request))
 	}
 }
 
-// markPart adds the cached tokens of the part at a depth of the prompt.
-func (state *runnerState) markPart(depth, tokens int, complete bool, epoch uint64) {
+// markCachedAt marks the runner that served the conversation last.
+func (balancer *Balancer) markCachedAt(request *Request) {
+	state, found := balancer.runners[request.CachedAt.Runner]
+	if !found {
+		return
+	}
+	state.resetMarks(balancer.affinityEpoch)
+	state.servedTokens = min(request.CachedAt.Tokens, int(promptTokens(request)))
+}
+
+// resetMarks removes the marks of an earlier request.
+func (state *runnerState) resetMarks(epoch uint64) {
 	if state.affinityEpoch != epoch {
-		state.affinityEpoch, state.cachedDepth, state.cachedTokens = epoch, 0, 0
+		state.affinityEpoch, state.cachedDepth, state.cachedTokens, state.servedTokens = epoch, 0, 0, 0
 	}
+}
+
+// markPart adds the cached tokens of the part at a depth of the prompt.
+func (state *runnerState) markPart(depth, tokens int, complete bool, epoch uint64) {
+	state.resetMarks(epoch)
 	if state.cachedDepth != depth {
 		return
 	}
@@ -98,12 +115,13 @@
 }
 
 // cachedTokens returns how many leading tokens of the prompt last passed to markCached a
-// runner has probably cached.
-func (balancer *Balancer) cachedTokens(state *runnerState) int {
+// runner has probably cached: those that this front sent to it, or those that its conversation
+// left there.
+func (balancer *Balancer) cachedTokens(state *runnerState) float64 {
 	if state.affinityEpoch != balancer.affinityEpoch {
 		return 0
 	}
-	return state.cachedTokens
+	return float64(max(state.cachedTokens, state.servedTokens))
 }
 
 // cacheHorizon returns the cache horizon of a service's runners, assuming that the other
--- a/system/balancer/prefix_affinity_test.go
+++ b/system/balancer/prefix_affinity_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"yardrock.example/system/config"
+	"yardrock.example/system/feed"
 )
 
 func TestTurnsFollowPrefixCache(t *testing.T) {
@@ -61,6 +63,35 @@
 	}
 }
 
+// TestTurnsFollowTheRunnerThatTheSessionNames asks fronts that know nothing of a conversation
+// but what its session tells.
+func TestTurnsFollowTheRunnerThatTheSessionNames(t *testing.T) {
+	route := routeTo(config.WeightedService{Service: "model", Weight: 1})
+	runners := runnersOf("model", 12, 32)
+	parts := []PromptPart{{"prefix", 2560}, {"p/1", 900}, {"p/2", 500}}
+	newFront := func(listed []feed.Runner) *Balancer {
+		balancer := New("east", 1, newFakeClock().now)
+		balancer.Update(stateOf([]config.Service{modelService(0)}, route, listed, 6))
+		return balancer
+	}
+	for _, runner := range runners {
+		request := Request{Route: &route, Program: "p", Session: "s", PromptParts: parts, CachedAt: CacheLocation{Runner: runner.Life, Tokens: 3460}}
+		lease := mustAcquire(t, newFront(runners), request)
+		if lease.Runner.Life != runner.Life || lease.prefillTokens != 500 {
+			t.Errorf("cached at %s, sent to %s, %v tokens to prefill", runner.Life, lease.Runner.Life, lease.prefillTokens)
+		}
+		others := slices.DeleteFunc(slices.Clone(runners), func(other feed.Runner) bool { return other.Life == runner.Life })
+		if lease := mustAcquire(t, newFront(others), request); lease.prefillTokens != 3960 {
+			t.Errorf("the runner has left, and %s is taken to have %v tokens", lease.Runner.Life, 3960-lease.prefillTokens)
+		}
+	}
+	front := newFront(runners)
+	front.runners["model-3"].inFlight += 40
+	if lease := mustAcquire(t, front, Request{Route: &route, Program: "p", PromptParts: parts, CachedAt: CacheLocation{Runner: "model-3", Tokens: 3460}}); lease.Runner.Life == "model-3" {
+		t.Error("a full runner was chosen for its cached conversation")
+	}
+}
+
 func TestGenerationalCacheEvictsLeastRecentlyUsed(t *testing.T) {
 	cached := generationalCache[int]{}
 	for key := range uint64(3 * cacheGenerationSize) {
--- a/system/balancer/topology.go
+++ b/system/balancer/topology.go
@@ -89,7 +89,8 @@
 	// The following are valid if affinityEpoch is that of the balancer.
 	affinityEpoch uint64
 	cachedDepth   int // leading parts of the prompt that are cached completely
-	cachedTokens  int // leading tokens of the prompt that are cached
+	cachedTokens  int // leading tokens of the prompt that this front knows to be cached
+	servedTokens  int // leading tokens that the runner had when it served the conversation last
 }
 
 // Update replaces the state that choices rest on. Call it on every newer view or
--- a/system/balancer/types.go
+++ b/system/balancer/types.go
@@ -42,6 +42,16 @@
 	// Excluded lists incarnations or addresses of runners that must not be chosen, such as those
 	// of earlier attempts.
 	Excluded []string
+	// CachedAt is the runner that served the conversation of a model request last, if the
+	// caller knows it. It comes from all fronts, while the balancer itself knows of its own
+	// requests only.
+	CachedAt CacheLocation
+}
+
+// CacheLocation is a runner that has read the beginning of a prompt.
+type CacheLocation struct {
+	Runner string // its incarnation; empty: not known
+	Tokens int    // how much of the prompt it has read
 }
 
 // State is the complete input of the selection apart from what the balancer measures
--- a/system/forwarding/hedging.go
+++ b/system/forwarding/hedging.go
@@ -82,6 +82,7 @@
 	lease, err := attempts.forwarder.settings.Balancer.Acquire(attempts.context, balancer.Request{
 		Route: exchange.route, PromptParts: exchange.PromptParts, Program: exchange.Program, Session: exchange.Session, AffinityKey: exchange.Subject,
 		InputTokens: exchange.InputTokens, MaxOutputTokens: exchange.MaxOutputTokens, Deadline: exchange.deadline, FinishBy: exchange.FinishBy, Excluded: exchange.triedRunners,
+		CachedAt: exchange.cachedAt(),
 	})
 	if err != nil {
 		return nil, err
@@ -92,6 +93,14 @@
 	}, nil
 }
 
+// cachedAt returns where the conversation of a recorded turn is cached, as its session knows.
+func (exchange *exchange) cachedAt() balancer.CacheLocation {
+	if exchange.turn == nil {
+		return balancer.CacheLocation{}
+	}
+	return balancer.CacheLocation{Runner: exchange.turn.Runner, Tokens: int(exchange.turn.CachedTokens)}
+}
+
 // launch sends an attempt in a goroutine of its own, under the forwarder's context, so
 // that it can outlive the caller. It counts as sent from here on, so that the attempts in
 // flight stay within the route's maximum.
--- a/system/forwarding/relay.go
+++ b/system/forwarding/relay.go
@@ -32,6 +32,18 @@
 	tokens uint64
 	// complete is set once the runner's response ended completely.
 	complete bool
+	// runner is the incarnation of the runner whose first event came last, and promptTokens
+	// the length of the prompt that it has read then.
+	runner       string
+	promptTokens int
+}
+
+// cachedTokens returns how many tokens of the conversation the runner has read or put out.
+func (stream *streamState) cachedTokens() uint64 {
+	if stream.runner == "" {
+		return 0
+	}
+	return uint64(stream.promptTokens) + stream.tokens
 }
 
 // notRunStatuses are the statuses by which a front promises that a request did not run and
@@ -41,7 +53,11 @@
 // relay sends an attempt's response to the caller and says what it shows of the runner.
 func (attempts *attemptSet) relay(attempt *attempt) (balancer.Outcome, error) {
 	if attempts.exchange.isEventStream(attempt.response) {
-		first := func() { attempt.lease.FirstEvent(time.Since(attempt.startedAt)) }
+		stream := &attempts.exchange.stream
+		first := func() {
+			attempt.lease.FirstEvent(time.Since(attempt.startedAt))
+			stream.runner, stream.promptTokens = attempt.lease.Incarnation(), attempt.lease.PromptTokens()
+		}
 		return attempts.forwarder.relayStream(attempts.context, attempts.exchange, attempt.response, tokensPerEvent(attempt.lease.Service), first)
 	}
 	return attempts.forwarder.relayBuffered(attempts.context, attempts, attempt)
--- a/system/forwarding/turns.go
+++ b/system/forwarding/turns.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchange.beginTurnTimeout())
 	defer cancel()
 	begun, err := forwarder.settings.TurnStore.BeginTurn(ctx, storeclient.Turn{
-		SessionName: exchange.sessionName, Name: exchange.Name, Follows: exchange.Follows, Input: exchange.Body,
+		SessionName: exchange.sessionName, Name: exchange.Name, Follows: exchange.Follows, Conversation: exchange.Session, Input: exchange.Body,
 		KeepHistory: exchange.route.StoresHistory, Retention: time.Duration(exchange.route.Retention), PrefixScope: exchange.prefixScope(),
 		HasTokenQuota: exchange.HasOutputBudget, MaxOutputTokens: exchange.MaxOutputTokens, TokenQuota: exchange.OutputBudget,
 		DispatchID: forwarder.settings.Node, Lifetime: lifetime,
@@ -148,6 +148,7 @@
 	return forwarder.settings.TurnStore.EndTurn(ctx, storeclient.TurnEnd{
 		SessionName: exchange.sessionName, Name: exchange.Name, Seq: exchange.turn.Seq, KeepHistory: exchange.route.StoresHistory,
 		Output: exchange.stream.output, Tokens: exchange.stream.tokens, Outcome: outcome,
+		Conversation: exchange.Session, Runner: exchange.stream.runner, CachedTokens: exchange.stream.cachedTokens(),
 	})
 }
 
--- a/system/sessionlog/commands.go
+++ b/system/sessionlog/commands.go
@@ -99,6 +99,12 @@
 	Scope string
 	// Prefix names the shared prefix that Data follows on (BeginTurnWithPrefix).
 	Prefix string
+	// Conversation names the line of turns within the program to which a turn belongs.
+	Conversation string
+	// Runner and PromptTokens become the CacheLocation of the conversation (EndTurn); "" if no
+	// runner began to answer.
+	Runner       string
+	PromptTokens uint64
 }
 
 // AdoptedTurn is a completed turn of another session: its input with its output.
@@ -143,7 +149,8 @@
 // Outcome is the result of applying a command. Seq is the sequence number of the first event
 // that was appended (now or, with Deduped, by an earlier copy of the command), Head the
 // session's last one. Spent and Reserved are the quota usage after the command, in words of
-// the quota or tokens of the session.
+// the quota or tokens of the session. Runner and CachedTokens are the CacheLocation of the
+// conversation whose turn a BeginTurn began.
 type Outcome struct {
 	Status   Status
 	Seq      uint64
@@ -151,4 +158,7 @@
 	Deduped  bool
 	Spent    uint64
 	Reserved uint64
+
+	Runner       string
+	CachedTokens uint64
 }
--- a/system/sessionlog/sessions.go
+++ b/system/sessionlog/sessions.go
@@ -38,6 +38,8 @@
 	Turns []string
 	// Prefixes names the shared prefixes to which events refer, archived events included.
 	Prefixes []string
+	// CacheLocations has the runners of the program's conversations, the newest last.
+	CacheLocations []CacheLocation
 }
 
 // Producer is the last append of one producer: its number, and the Seq of its first event.
--- a/system/sessionlog/turns.go
+++ b/system/sessionlog/turns.go
@@ -91,7 +91,7 @@
 		return session.outcome(BadCommand, 0, false)
 	}
 	if existing, found := view.Turn(command.Session, command.Producer); found {
-		return session.outcome(repeatStatus(existing, command), existing.Seq, true)
+		return session.outcome(repeatStatus(existing, command), existing.Seq, true).withCacheLocation(&session, command)
 	}
 	if session.exceedsQuota(command) {
 		return session.outcome(QuotaExceeded, 0, false)
@@ -108,7 +108,14 @@
 	}
 	turn := view.recordBegin(&session, command, followed)
 	view.setSession(&session)
-	return session.outcome(Done, turn.Seq, false)
+	return session.outcome(Done, turn.Seq, false).withCacheLocation(&session, command)
+}
+
+// withCacheLocation adds to the outcome of a begin where the turn's conversation is cached.
+func (outcome Outcome) withCacheLocation(session *Session, command *Command) Outcome {
+	location := session.cacheLocation(command.Conversation)
+	outcome.Runner, outcome.CachedTokens = location.Runner, location.Tokens
+	return outcome
 }
 
 // repeatStatus returns the status of a BeginTurn whose turn exists already.
@@ -237,6 +244,7 @@
 	if command.KeepData && ended.Outcome == OutcomeComplete {
 		event.Data = command.Data
 	}
+	session.recordCacheLocation(command)
 	ended.EndSeq = session.appendEvent(event)
 	view.indexTurn(&ended)
 	view.setSession(&session)
--- a/system/storeclient/turns.go
+++ b/system/storeclient/turns.go
@@ -16,6 +16,8 @@
 	Name        string
 	// Follows names the turn that this one continues; "" starts a conversation.
 	Follows string
+	// Conversation names the line of turns within the program; it may be "".
+	Conversation string
 	// Input is what the turn brings. With KeepHistory it is stored for the turns that
 	// follow.
 	Input       []byte
@@ -43,6 +45,10 @@
 	// History is, for a turn with KeepHistory, that of each turn in the chain that it
 	// follows, oldest first: its input, then its output.
 	History []byte
+	// Runner is the incarnation of the runner that served the conversation last, CachedTokens
+	// how much of it that had read then; "" and 0 if that is not known.
+	Runner       string
+	CachedTokens uint64
 }
 
 // TurnEnd is how a turn ended.
@@ -58,6 +64,11 @@
 	// Outcome is one of sessionlog's outcomes.
 	Outcome     string
 	KeepHistory bool
+	// Conversation is as in Turn. Runner is the incarnation of the runner that answered, ""
+	// if none began to, and CachedTokens how much of the conversation that has read now.
+	Conversation string
+	Runner       string
+	CachedTokens uint64
 }
 
 const (
@@ -87,7 +98,7 @@
 func (client *Client) BeginTurn(ctx context.Context, turn Turn) (*BegunTurn, error) {
 	command := sessionlog.Command{
 		Kind: sessionlog.BeginTurn, Producer: turn.Name, ProducerSeq: beginProducerSeq,
-		Follows: turn.Follows, Dispatch: turn.DispatchID, KeepData: turn.KeepHistory, Retention: max(turn.Retention, minSessionRetention),
+		Follows: turn.Follows, Conversation: turn.Conversation, Dispatch: turn.DispatchID, KeepData: turn.KeepHistory, Retention: max(turn.Retention, minSessionRetention),
 		HasQuota: turn.HasTokenQuota, Tokens: turn.MaxOutputTokens, Quota: turn.TokenQuota, Lifetime: turn.Lifetime,
 	}
 	if turn.KeepHistory {
@@ -104,7 +115,7 @@
 		}
 		switch outcome.Status {
 		case sessionlog.Done:
-			return &BegunTurn{Seq: outcome.Seq, History: history}, nil
+			return &BegunTurn{Seq: outcome.Seq, History: history, Runner: outcome.Runner, CachedTokens: outcome.CachedTokens}, nil
 		case sessionlog.UnknownTurn:
 			if len(command.Adopted) > 0 {
 				return nil, apierror.NewRetryable(apierror.NotRun, "the turn to go on from could not be adopted", "ask again", retryAfter)
@@ -159,6 +170,7 @@
 	command := sessionlog.Command{
 		Kind: sessionlog.EndTurn, Producer: end.Name, ProducerSeq: endProducerSeq,
 		Outcome: end.Outcome, Tokens: end.Tokens, KeepData: end.KeepHistory, Retention: minSessionRetention,
+		Conversation: end.Conversation, Runner: end.Runner, PromptTokens: end.CachedTokens,
 	}
 	if end.KeepHistory && end.Outcome == sessionlog.OutcomeComplete {
 		command.Data = end.Output
--- a/system/wire/command_codec.go
+++ b/system/wire/command_codec.go
@@ -52,10 +52,11 @@
 	target.SetTokens(value.Tokens)
 	target.SetBudgeted(value.HasQuota)
 	target.SetKeeps(value.KeepData)
+	target.SetPromptTokens(value.PromptTokens)
 	if err := encodeNonEmpty([]textField{
 		{value.Session, target.SetLine}, {value.Team, target.SetTeam}, {value.Program, target.SetProgram}, {value.WorkKind, target.SetWorkKind}, {value.Producer, target.SetProducer},
 		{value.Reservation, target.SetReservation}, {value.Follows, target.SetFollows}, {value.Dispatch, target.SetDispatch}, {value.Outcome, target.SetOutcome},
-		{value.Scope, target.SetScope}, {value.Prefix, target.SetOpening},
+		{value.Scope, target.SetScope}, {value.Prefix, target.SetOpening}, {value.Conversation, target.SetConversation}, {value.Runner, target.SetRunner},
 	}); err != nil {
 		return err
 	}
@@ -87,6 +88,7 @@
 		Session: readField(reader, source.Line), Team: readField(reader, source.Team), Program: readField(reader, source.Program), WorkKind: readField(reader, source.WorkKind),
 		Producer: readField(reader, source.Producer), Reservation: readField(reader, source.Reservation), Follows: readField(reader, source.Follows), Dispatch: readField(reader, source.Dispatch),
 		Outcome: readField(reader, source.Outcome), Scope: readField(reader, source.Scope), Prefix: readField(reader, source.Opening),
+		Conversation: readField(reader, source.Conversation), Runner: readField(reader, source.Runner), PromptTokens: source.PromptTokens(),
 		Data: readBytes(reader, source.Data),
 	}
 	if reader.err != nil {
@@ -130,10 +132,15 @@
 	target.SetDeduped(value.Deduped)
 	target.SetSpent(value.Spent)
 	target.SetReserved(value.Reserved)
-	return nil
+	target.SetCachedTokens(value.CachedTokens)
+	return encodeNonEmpty([]textField{{value.Runner, target.SetRunner}})
 }
 
 func decodeOutcome(source schema.Outcome, value *sessionlog.Outcome) error {
-	*value = sessionlog.Outcome{Status: sessionlog.Status(source.Status()), Seq: source.Seq(), Head: source.Head(), Deduped: source.Deduped(), Spent: source.Spent(), Reserved: source.Reserved()}
-	return nil
+	reader := &fieldReader{}
+	*value = sessionlog.Outcome{
+		Status: sessionlog.Status(source.Status()), Seq: source.Seq(), Head: source.Head(), Deduped: source.Deduped(), Spent: source.Spent(), Reserved: source.Reserved(),
+		Runner: readField(reader, source.Runner), CachedTokens: source.CachedTokens(),
+	}
+	return reader.err
 }
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -248,6 +248,16 @@
   adopted @25 :List(AdoptedTurn);
   scope @26 :Text;
   opening @27 :Text;
+  conversation @28 :Text;
+  runner @29 :Text;
+  promptTokens @30 :UInt64;
+}
+
+# Which runner probably has a conversation in its prefix cache; a hint.
+struct CacheLocation {
+  conversation @0 :Text;
+  runner @1 :Text;
+  tokens @2 :UInt64;
 }
 
 struct Opening {
@@ -291,6 +301,8 @@
   deduped @3 :Bool;
   spent @4 :UInt64;
   reserved @5 :UInt64;
+  runner @6 :Text;
+  cachedTokens @7 :UInt64;
 }
 
 struct OutcomeList {
@@ -333,6 +345,7 @@
   spent @13 :UInt64;
   reserved @14 :UInt64;
   openings @15 :List(Text);
+  cacheLocations @16 :List(CacheLocation);
 }
 
 struct Reservation {
--- a/system/wire/session_codec.go
+++ b/system/wire/session_codec.go
@@ -61,6 +61,11 @@
 	for position, turn := range value.OpenTurns {
 		openTurns.Set(position, turn)
 	}
+	if len(value.CacheLocations) > 0 {
+		if err := encodeList(target.NewCacheLocations, value.CacheLocations, encodeCacheLocation); err != nil {
+			return err
+		}
+	}
 	if len(value.Prefixes) == 0 {
 		return nil
 	}
@@ -86,10 +91,24 @@
 	for position := range openTurns.Len() {
 		value.OpenTurns = append(value.OpenTurns, openTurns.At(position))
 	}
+	if value.CacheLocations, err = decodeList(source.CacheLocations, decodeCacheLocation); err != nil {
+		return err
+	}
 	value.Prefixes, err = decodeTexts(source.Openings)
 	return err
 }
 
+func encodeCacheLocation(target schema.CacheLocation, value *sessionlog.CacheLocation) error {
+	target.SetTokens(value.Tokens)
+	return errors.Join(target.SetConversation(value.Conversation), target.SetRunner(value.Runner))
+}
+
+func decodeCacheLocation(source schema.CacheLocation, value *sessionlog.CacheLocation) error {
+	reader := &fieldReader{}
+	*value = sessionlog.CacheLocation{Conversation: readField(reader, source.Conversation), Runner: readField(reader, source.Runner), Tokens: source.Tokens()}
+	return reader.err
+}
+
 func encodeReservation(target schema.Reservation, value *sessionlog.Reservation) error {
 	target.SetWords(value.Words)
 	target.SetUntil(value.ExpiresAt)
