controlplane: those who follow the feed wait for a leader together

Cause: after a power loss of all stores and control nodes the control group had a leader 0.25 s after the power was back, but most fronts had a view they may act on 0.35 to 0.9 s later: their polls were rejected at once while there was no leader, and the next came after a pause. Change: a shared confirmation that finds no leader tries again every 20 ms within its 500 ms.

--- a/system/controlplane/feed_confirmation.go
+++ b/system/controlplane/feed_confirmation.go
@@ -21,8 +21,10 @@
 	// leaderConfirmInterval is that of the leader, which asks its peers for each of them. It
 	// is as long as the heartbeat interval, so that a confirmation stands in for a heartbeat.
 	leaderConfirmInterval = 200 * time.Millisecond
-	// confirmTimeout bounds one shared confirmation.
-	confirmTimeout = 500 * time.Millisecond
+	// confirmTimeout bounds one shared confirmation, and leaderRetryInterval is the pause
+	// within it before the next attempt while there is no leader.
+	confirmTimeout      = 500 * time.Millisecond
+	leaderRetryInterval = 20 * time.Millisecond
 )
 
 // quorumState is a state that a quorum confirmed as the newest.
@@ -204,7 +206,7 @@
 	if forwarded {
 		shared.state, shared.err = node.confirmAsLeader(ctx)
 	} else {
-		shared.state, shared.err = node.confirm(ctx, leaderConfirmInterval)
+		node.confirmOnceLed(ctx, shared)
 	}
 	// What a call returns when this context ends names the context, not what the caller can do.
 	if shared.err != nil && ctx.Err() != nil && !apierror.Is(shared.err, apierror.NoQuorum) {
@@ -213,6 +215,27 @@
 	close(shared.done)
 }
 
+// confirmOnceLed runs a shared confirmation as soon as the control group has a leader. All who
+// follow the feed wait for it together: after the restart of a fleet they would otherwise ask
+// again and again, and learn of the leader only at their next question. The confirmation counts
+// from the attempt that succeeds.
+func (node *Node) confirmOnceLed(ctx context.Context, shared *confirmation) {
+	retry := time.NewTicker(leaderRetryInterval)
+	defer retry.Stop()
+	for {
+		shared.startedAt = time.Now()
+		shared.state, shared.err = node.confirm(ctx, leaderConfirmInterval)
+		if shared.err == nil || !apierror.Is(leaderlessAsNoQuorum(shared.err), apierror.NoQuorum) {
+			return
+		}
+		select {
+		case <-retry.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // confirmedView returns a view that a quorum confirmed as the newest, wherever the leader is.
 // The error is NoQuorum if nobody could confirm one, or if there is no store list yet.
 func (node *Node) confirmedView(ctx context.Context) (*feed.View, error) {
