feedclient: silent control nodes do not hold up a poll, and a late runner list is asked for

Cause: of three control nodes that a front polls at once, one that is silent held up the next poll for 600 ms, though the others had failed at once. And a front that was back in contact learned of the next reading of the runner list only at the end of a long poll of 300 ms. Change: in the place of a control node that fails the next candidate is asked at once; when none is left the poll ends 250 ms after the last failure. For 3 s after contact is back a front whose reading is too old polls without delay, as after its start.

--- a/system/feedclient/controls.go
+++ b/system/feedclient/controls.go
@@ -45,6 +45,16 @@
 	return picked
 }
 
+// nextCandidate takes the next candidate, or "" if none is left.
+func (client *Client) nextCandidate() string {
+	if len(client.candidates) == 0 {
+		return ""
+	}
+	next := client.candidates[0]
+	client.candidates = client.candidates[1:]
+	return next
+}
+
 // refillCandidates lists the control nodes of the view and, every other time, those that the
 // seeds know: those of the view may all have moved or be gone.
 func (client *Client) refillCandidates() {
--- a/system/feedclient/feedclient.go
+++ b/system/feedclient/feedclient.go
@@ -55,6 +55,7 @@
 	candidates       []string  // addresses of control nodes to try next
 	candidateRounds  int       // how often candidates was refilled
 	failures         int       // polls in a row without a confirmation by a control node
+	connectedAt      time.Time // of the start, or of the first confirmation after the last such poll
 
 	ctx  context.Context // ends with Stop
 	stop context.CancelFunc
@@ -74,7 +75,7 @@
 //
 //	client := feedclient.Start(rpc, member, seeds, stored, func(view *feed.View) error { ... })
 func Start(rpc *link.Client, self feed.Member, seeds []string, stored *feed.View, onView func(*feed.View) error) *Client {
-	client := &Client{rpc: rpc, self: self, onView: onView, startedAt: time.Now(), foreignFleet: make(chan error, 1), adoptToken: make(chan struct{}, 1), done: make(chan struct{})}
+	client := &Client{rpc: rpc, self: self, onView: onView, startedAt: time.Now(), connectedAt: time.Now(), foreignFleet: make(chan error, 1), adoptToken: make(chan struct{}, 1), done: make(chan struct{})}
 	if stored == nil {
 		stored = &feed.View{}
 	}
--- a/system/feedclient/feedclient_test.go
+++ b/system/feedclient/feedclient_test.go
@@ -251,3 +251,65 @@
 		t.Errorf("the view has number %d, not the newer one that the stores told of", number)
 	}
 }
+
+// TestLongPollDependsOnTheRunnerList checks how long a control node may delay its reply, by the
+// age of the reading of the runner list that a front knows and by how long it has had contact.
+func TestLongPollDependsOnTheRunnerList(t *testing.T) {
+	for name, test := range map[string]struct {
+		role       string
+		readingAge time.Duration // 0: none is known
+		contact    time.Duration
+		want       time.Duration
+	}{
+		"a store":                              {feed.RoleStore, 0, time.Second, 300 * time.Millisecond},
+		"no reading after the start":           {feed.RoleFront, 0, time.Second, 0},
+		"no reading for long":                  {feed.RoleFront, 0, reconnectPeriod + time.Second, defaultLongPoll},
+		"a new reading":                        {feed.RoleFront, 100 * time.Millisecond, time.Second, defaultLongPoll},
+		"a reading that grows old":             {feed.RoleFront, 700 * time.Millisecond, time.Minute, runnerListLongPoll - 700*time.Millisecond},
+		"a reading that is too old soon":       {feed.RoleFront, 1050 * time.Millisecond, time.Minute, minLongPoll},
+		"an old reading after contact is back": {feed.RoleFront, 3 * time.Second, time.Second, 0},
+		"an old reading for long":              {feed.RoleFront, 8 * time.Second, reconnectPeriod + time.Second, minLongPoll},
+	} {
+		now := time.Now()
+		client := &Client{self: feed.Member{Role: test.role}, startedAt: now.Add(-time.Hour), connectedAt: now.Add(-test.contact)}
+		if test.readingAge > 0 {
+			client.runnerListReadAt.Store(new(now.Add(-test.readingAge)))
+		}
+		if got := client.longPoll(); got < test.want-20*time.Millisecond || got > test.want {
+			t.Errorf("%s: %s instead of %s", name, got, test.want)
+		}
+	}
+}
+
+// TestSilentControlNodesDoNotHoldUpAPoll has a client whose candidates are silent, but for the
+// last: it gets a poll as soon as one has failed, not when the silent ones have timed out.
+func TestSilentControlNodesDoNotHoldUpAPoll(t *testing.T) {
+	silent, err := link.TCP{}.Listen("127.0.0.1:0") // nobody accepts
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	control := &scriptedControl{replies: []func(*wire.FollowQuery) *wire.FollowReply{fullViewReply(&feed.View{Fleet: "fleet", Number: 1})}}
+	listener, err := link.TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := link.Serve(listener, control.answer)
+	defer server.Close()
+	rpc := link.NewClient(link.TCP{})
+	defer rpc.Close()
+	client := &Client{rpc: rpc, startedAt: time.Now(), onView: func(*feed.View) error { return nil }, foreignFleet: make(chan error, 1), adoptToken: make(chan struct{}, 1), ctx: t.Context()}
+	client.view.Store(&feed.View{})
+	client.members.Store(&memberList{})
+	client.freshnessExtended.Store(new(make(chan struct{})))
+	client.adoptToken <- struct{}{}
+	began := time.Now()
+	address := listener.Addr().String()
+	client.candidates = []string{silent.Addr().String(), "127.0.0.1:1", silent.Addr().String(), address}
+	if !client.poll() || client.control != address {
+		t.Fatalf("the poll ended with control node %q", client.control)
+	}
+	if took := time.Since(began); took >= requestTimeout {
+		t.Errorf("it took %s, as long as the silent control nodes", took)
+	}
+}
--- a/system/feedclient/polling.go
+++ b/system/feedclient/polling.go
@@ -16,6 +16,9 @@
 const (
 	// requestTimeout is how long a reply may take beyond its long poll.
 	requestTimeout = 600 * time.Millisecond
+	// failureGrace is how long a poll goes on after a control node failed and no other one is
+	// left to ask: those that answer nothing must not hold up the next poll.
+	failureGrace = 250 * time.Millisecond
 	// hedgeDelay is how late a reply of a control node is, beyond its long poll, when the
 	// stores are asked as well.
 	hedgeDelay = 400 * time.Millisecond
@@ -33,9 +36,10 @@
 	// runnerListLongPoll less the reading's age, but not below minLongPoll.
 	runnerListLongPoll = 1100 * time.Millisecond
 	minLongPoll        = 300 * time.Millisecond
-	// startupPeriod is how long after its start a client that knows no reading yet polls
-	// without delay.
-	startupPeriod = 3 * time.Second
+	// reconnectPeriod is how long after its start, or after it lost contact with the control
+	// nodes, a client whose reading is too old polls without delay. The next reading comes soon
+	// then, and changes nothing that would end a long poll.
+	reconnectPeriod = 3 * time.Second
 )
 
 // longPollByRole has the roles whose long poll is fixed. Stores are few, and their heartbeats
@@ -54,6 +58,9 @@
 		case <-timer.C:
 		}
 		if client.poll() {
+			if client.failures > 0 {
+				client.connectedAt = time.Now()
+			}
 			client.failures = 0
 		} else {
 			client.failures++
@@ -73,8 +80,25 @@
 	}
 	ctx, cancel := context.WithTimeout(client.ctx, wait+requestTimeout)
 	defer cancel()
-	confirmations := make(chan string, len(addresses)) // the address that confirmed, or ""
-	for _, address := range addresses {
+	confirmed, hedged := client.awaitConfirmation(ctx, addresses, wait)
+	if confirmed != "" {
+		client.keepControl(confirmed)
+		return true
+	}
+	client.control = ""
+	if !hedged {
+		client.pollStores()
+	}
+	return false
+}
+
+// awaitConfirmation polls control nodes until one of them confirms, and returns its address,
+// or "" if none does. In the place of one that fails the next candidate is asked at once. It
+// also reports whether the stores were asked meanwhile.
+func (client *Client) awaitConfirmation(ctx context.Context, addresses []string, wait time.Duration) (confirmed string, hedged bool) {
+	// The address that confirmed, or "". There is room for all, as nobody may wait any more.
+	confirmations := make(chan string, len(addresses)+len(client.candidates))
+	start := func(address string, wait time.Duration) {
 		go func() {
 			if client.pollControl(ctx, address, wait) {
 				confirmations <- address
@@ -83,26 +107,31 @@
 			}
 		}()
 	}
-	hedge := time.NewTimer(wait + hedgeDelay)
+	for _, address := range addresses {
+		start(address, wait)
+	}
+	hedge, abandon := time.NewTimer(wait+hedgeDelay), make(<-chan time.Time)
 	defer hedge.Stop()
-	hedged := false
 	for pending := len(addresses); pending > 0; {
 		select {
 		case address := <-confirmations:
-			if pending--; address != "" {
-				client.keepControl(address)
-				return true
+			if address != "" {
+				return address, hedged
 			}
+			if next := client.nextCandidate(); next != "" && ctx.Err() == nil {
+				start(next, 0)
+				continue
+			}
+			pending--
+			abandon = time.After(failureGrace)
+		case <-abandon:
+			return "", hedged
 		case <-hedge.C:
 			hedged = true
 			client.pollStores()
 		}
 	}
-	client.control = ""
-	if !hedged {
-		client.pollStores()
-	}
-	return false
+	return "", hedged
 }
 
 // longPoll is how long the control node may delay its reply.
@@ -111,7 +140,7 @@
 		return wait
 	}
 	readAt := client.RunnerListReadAt()
-	if readAt.IsZero() && time.Since(client.startedAt) < startupPeriod {
+	if time.Since(readAt) > runnerListLongPoll && time.Since(client.connectedAt) < reconnectPeriod {
 		return 0
 	}
 	if readAt.IsZero() {
