balancer: requests wait for the next runner list instead of being rejected

Change: for 4 s after the list went out of date, or after a front's first view, requests for services with a warm-up rate wait for the next reading, 1.5 s and half of their time at most. It was so only for a front's first reading.

--- a/system/balancer/balancer.go
+++ b/system/balancer/balancer.go
@@ -129,7 +129,7 @@
 			return lease, nil
 		}
 	}
-	timeout := max(queueTimeout(request, balancer.now()), balancer.firstListWait(request, now))
+	timeout := max(queueTimeout(request, balancer.now()), balancer.listWait(pool, request, now))
 	if delay > timeout || len(balancer.queue) >= maxWaiters {
 		balancer.returnPick(request.Route, pool.service.Name)
 		balancer.mutex.Unlock()
--- a/system/balancer/runner_list_age.go
+++ b/system/balancer/runner_list_age.go
@@ -11,9 +11,13 @@
 	// service has a warm-up rate is limited to it, until the list is known to have been
 	// read again.
 	listFreshness = 1400 * time.Millisecond
-	// firstListTimeout is for how long after its first view a front that has just started
-	// lets requests wait for its first reading of the list instead of rejecting them.
-	firstListTimeout = 1500 * time.Millisecond
+	// listOutageWait is for how long after the list went out of date, or after the first view
+	// of a front that has just started, requests wait for the next reading instead of being
+	// rejected. A new leader of the control plane reads the list at once, so that most outages
+	// are shorter.
+	listOutageWait = 4 * time.Second
+	// maxListWait bounds the wait of one request.
+	maxListWait = 1500 * time.Millisecond
 )
 
 // SetListReadTime sets a function that returns when the runner list in the newest view
@@ -26,15 +30,17 @@
 	balancer.listReadTime = read
 }
 
-// firstListWait returns for how long a request may wait for this front's first reading
-// of the list: at most half of the time until its deadline. The first reading comes soon
-// after the first view; after a total outage the list is read as soon as a leader is
-// elected.
-func (balancer *Balancer) firstListWait(request Request, now time.Duration) time.Duration {
-	if balancer.listReadTime == nil || !balancer.listReadTime().IsZero() {
+// listWait returns for how long a request may wait for the next reading of the list: not at
+// all while the list is current, and at most half of the time until its deadline. Without a
+// current list all runners with a warm-up rate are limited to it, and what they cannot take
+// then they can as soon as the list is read again.
+func (balancer *Balancer) listWait(pool *servicePool, request Request, now time.Duration) time.Duration {
+	freshUntil := balancer.listFreshUntil()
+	if now < freshUntil || pool.service.WarmUpRate <= 0 {
 		return 0
 	}
-	wait := max(0, balancer.fronts.firstUpdate+firstListTimeout-now)
+	outageBegan := max(freshUntil, balancer.fronts.firstUpdate)
+	wait := min(maxListWait, max(0, outageBegan+listOutageWait-now))
 	if !request.Deadline.IsZero() {
 		wait = min(wait, request.Deadline.Sub(balancer.now())/2)
 	}
--- a/system/balancer/slow_start_test.go
+++ b/system/balancer/slow_start_test.go
@@ -344,25 +344,46 @@
 	}
 }
 
-// TestRequestsWaitForFirstRunnerList: a front that has just started does not know which
-// runners warm up; requests wait for its first reading of the list, but not for long.
-func TestRequestsWaitForFirstRunnerList(t *testing.T) {
-	for name, comes := range map[string]bool{"it comes": true, "it does not come": false} {
+// TestRequestsWaitForTheRunnerList: a front that has just started, or whose list went out of
+// date, does not know which runners warm up and may send nothing to some of them. Requests wait
+// for the next reading of the list, but not for long, nor if there has been none for long.
+func TestRequestsWaitForTheRunnerList(t *testing.T) {
+	for name, test := range map[string]struct {
+		outage  time.Duration // since when the list is out of date; 0: it was never read
+		comes   bool          // the list is read 400 ms later
+		longest time.Duration
+	}{
+		"the first reading comes":         {0, true, 400*time.Millisecond + staleListRetry},
+		"the first reading does not come": {0, false, maxListWait},
+		"the list is read again":          {time.Second, true, 400*time.Millisecond + staleListRetry},
+		"the list is not read again":      {time.Second, false, maxListWait},
+		"the list was old for long":       {listOutageWait, true, time.Duration(routeTo().FirstByteTarget) / queueTimeoutDivisor},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				read, route := atomic.Pointer[time.Time]{}, routeTo(config.WeightedService{Service: "model", Weight: 1})
-				read.Store(&time.Time{})
+				route, read := routeTo(config.WeightedService{Service: "model", Weight: 1}), atomic.Pointer[time.Time]{}
 				balancer := New("east", 1, nil)
 				balancer.SetListReadTime(func() time.Time { return *read.Load() })
-				balancer.Update(stateOf([]config.Service{modelService(19)}, route, runnersOf("model", 3, 32), 4))
+				state := stateOf([]config.Service{modelService(19)}, route, runnersOf("model", 3, 32), 60)
+				state.FrontName = "front-00"
+				for number := range 60 {
+					state.FrontNames = append(state.FrontNames, fmt.Sprintf("front-%02d", number))
+				}
+				balancer.Update(state)
+				read.Store(&time.Time{})
+				if test.outage > 0 {
+					read.Store(new(time.Now()))
+					time.Sleep(listFreshness + test.outage)
+				}
 				began := time.Now()
 				time.AfterFunc(400*time.Millisecond, func() {
-					if comes {
+					if test.comes {
 						read.Store(new(time.Now()))
 					}
 				})
 				_, err := balancer.Acquire(context.Background(), Request{Route: &route, Deadline: began.Add(4 * time.Second)})
-				if latency := time.Since(began); comes && (err != nil || latency > 400*time.Millisecond+staleListRetry) || !comes && (err == nil || latency > firstListTimeout) {
+				served := test.comes && test.longest > 400*time.Millisecond
+				if latency := time.Since(began); (err == nil) != served || latency > test.longest {
 					t.Fatalf("after %s: %v", latency, err)
 				}
 			})
