--- a/proof/cmd/scenarios/bench.go
+++ b/proof/cmd/scenarios/bench.go
@@ -19,6 +19,7 @@
 	jobs       int    // scenarios played at once
 	output     string // path without ending of the bench's output and report; "": beside the scenario
 	seed       uint64 // of the play; 0: that of the day
+	small      bool   // plays the small twin of a large day
 }
 
 // kinds reads from the bench which kinds of faults and planned work a site may have.
@@ -91,11 +92,7 @@
 	if err != nil {
 		return result{task: played, failure: err.Error()}
 	}
-	arguments := []string{"run", played.site, played.file, "--jobs", strconv.Itoa(1), "--report", reportPath, "--why", runner.why}
-	if runner.seed != 0 {
-		arguments = append(arguments, "--seed", strconv.FormatUint(runner.seed, 10))
-	}
-	command := exec.CommandContext(ctx, runner.bench, arguments...)
+	command := exec.CommandContext(ctx, runner.bench, runner.arguments(played, reportPath)...)
 	command.Dir = runner.repository
 	output, runErr := command.CombinedOutput()
 	if err := os.WriteFile(stem+".txt", output, 0o644); err != nil {
@@ -107,3 +104,15 @@
 	}
 	return result{task: played, report: read}
 }
+
+// arguments is the command line that plays one scenario and writes its report to a path.
+func (runner benchRunner) arguments(played task, reportPath string) []string {
+	arguments := []string{"run", played.site, played.file, "--jobs", strconv.Itoa(1), "--report", reportPath, "--why", runner.why}
+	if runner.seed != 0 {
+		arguments = append(arguments, "--seed", strconv.FormatUint(runner.seed, 10))
+	}
+	if runner.small {
+		arguments = append(arguments, "--small")
+	}
+	return arguments
+}
--- a/proof/cmd/scenarios/bench_test.go
+++ b/proof/cmd/scenarios/bench_test.go
@@ -82,3 +82,15 @@
 		t.Fatalf("got %v, %v", found, err)
 	}
 }
+
+func TestSeedAndSmallTwinsReachTheBench(t *testing.T) {
+	played := task{site: "trial.toml", file: "day.toml"}
+	plain := strings.Join(benchRunner{why: "test"}.arguments(played, "report.json"), " ")
+	if strings.Contains(plain, "--seed") || strings.Contains(plain, "--small") {
+		t.Errorf("a play of the day as it is: %s", plain)
+	}
+	changed := strings.Join(benchRunner{why: "test", seed: 7, small: true}.arguments(played, "report.json"), " ")
+	if !strings.Contains(changed, "--seed 7") || !strings.Contains(changed, "--small") {
+		t.Errorf("a small twin with seed 7: %s", changed)
+	}
+}
--- a/proof/cmd/scenarios/main.go
+++ b/proof/cmd/scenarios/main.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	runner := benchRunner{bench: chosen.bench, repository: chosen.repository, why: chosen.why, jobs: chosen.jobs}
+	runner := benchRunner{bench: chosen.bench, repository: chosen.repository, why: chosen.why, jobs: chosen.jobs, small: chosen.small}
 	switch arguments[0] {
 	case commandRequests:
 		return reportRequests(chosen)
--- a/proof/cmd/scenarios/options.go
+++ b/proof/cmd/scenarios/options.go
@@ -22,6 +22,7 @@
 	jobs       int
 	why        string
 	days       string
+	small      bool
 	variants   string
 	logFile    string
 	window     float64
@@ -45,6 +46,7 @@
 	flags.IntVar(&chosen.jobs, "jobs", 1, "scenarios played at once")
 	flags.StringVar(&chosen.why, "why", "days of our own", "the reason that the bench writes into its journal")
 	flags.StringVar(&chosen.days, "days", "", "compare: days of the site by name, or files of days, separated by commas, instead of presets")
+	flags.BoolVar(&chosen.small, "small", false, "play the bench's small twins of large days")
 	flags.StringVar(&chosen.variants, "variants", "", "compare: NAME=PATCH, separated by commas; each is compared with the commit that is checked out")
 	flags.StringVar(&chosen.logFile, "log", "", "requests: what the bench printed of a play with the fronts' logs")
 	flags.Float64Var(&chosen.window, "window", 1, "requests: seconds in a line of the table")
