--- a/proof/simulator/disk.go
+++ b/proof/simulator/disk.go
@@ -63,6 +63,17 @@
 	return slices.Clone(data[offset : offset+int64(length)]), nil
 }
 
+// Size returns the length of a file.
+func (disk *Disk) Size(name string) (int64, error) {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	data, found := disk.written[name]
+	if !found {
+		return 0, fs.ErrNotExist
+	}
+	return int64(len(data)), nil
+}
+
 // WriteAt writes without syncing.
 func (disk *Disk) WriteAt(name string, offset int64, data []byte) error {
 	disk.mutex.Lock()
--- a/system/durablelog/durablelog_test.go
+++ b/system/durablelog/durablelog_test.go
@@ -1,6 +1,7 @@
 package durablelog
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -251,3 +252,59 @@
 		t.Fatalf("an empty snapshot: %d records, %v", len(read), err)
 	}
 }
+
+// spyDirectory notes the longest part of a file that was read at a time.
+type spyDirectory struct {
+	vfs.Directory
+	longest int
+}
+
+func (spy *spyDirectory) ReadFile(name string) ([]byte, error) {
+	data, err := spy.Directory.ReadFile(name)
+	spy.longest = max(spy.longest, len(data))
+	return data, err
+}
+
+func (spy *spyDirectory) ReadRange(name string, offset int64, length int) ([]byte, error) {
+	spy.longest = max(spy.longest, length)
+	return spy.Directory.ReadRange(name, offset, length)
+}
+
+// TestReplayNeedsMemoryForAWindowOnly opens a folder with a large snapshot and a large log. No
+// file is read as a whole, and a record does not keep the memory of what it was read with: most
+// records are superseded, and a start must not need more memory than what is in force.
+func TestReplayNeedsMemoryForAWindowOnly(t *testing.T) {
+	directory, err := vfs.Open(t.TempDir())
+	must(t, err)
+	log, _, err := Open(directory, testRole)
+	must(t, err)
+	sized := func(number, size int) Record {
+		return Record{Group: uint32(number), Kind: 1, Data: bytes.Repeat([]byte{byte(number)}, size)}
+	}
+	const count, size = 40, 50 << 10
+	large := sized(count, 2*readWindowBytes) // larger than a window
+	must(t, log.WriteSnapshot(func(yield func(Record) bool) {
+		for number := range count {
+			if !yield(sized(number, size)) {
+				return
+			}
+		}
+		yield(large)
+	}))
+	for number := range count {
+		must(t, log.Append([]Record{sized(number, size), sized(number, 10)}))
+	}
+	spy := &spyDirectory{Directory: directory}
+	_, records, err := Open(spy, testRole)
+	if err != nil || len(records) != count+1+2*count {
+		t.Fatalf("%d records, %v", len(records), err)
+	}
+	if longest := frameHeaderBytes + recordHeaderBytes + len(large.Data); spy.longest > longest {
+		t.Errorf("%d bytes were read at a time, more than a window and the largest record", spy.longest)
+	}
+	for position, found := range records {
+		if len(found.Data) == 0 || found.Data[0] != byte(found.Group) || cap(found.Data) > 2*len(found.Data) {
+			t.Fatalf("record %d of group %d has %d bytes and keeps %d in memory", position, found.Group, len(found.Data), cap(found.Data))
+		}
+	}
+}
--- a/system/durablelog/log.go
+++ b/system/durablelog/log.go
@@ -39,7 +39,7 @@
 func logName(generation uint64) string { return fmt.Sprintf("%s%020d", logPrefix, generation) }
 
 // Open opens a data folder, or makes the identity of an empty one, and returns the records in
-// the order in which they are to be replayed. They share the memory of the files' contents.
+// the order in which they are to be replayed. Each has its data to itself.
 // role is that of the process, such as "store".
 //
 // Beside errors of the directory, the error is an [apierror.Error]: Damaged if something that
--- a/system/durablelog/record.go
+++ b/system/durablelog/record.go
@@ -1,6 +1,9 @@
 package durablelog
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"slices"
+)
 
 // recordHeaderBytes is the size of a record's header: group (uint32), kind (uint16) and length
 // of the data (uint32), little-endian.
@@ -20,6 +23,15 @@
 	return binary.LittleEndian.AppendUint32(target, uint32(len(record.Data)))
 }
 
+// cloneRecords returns records that do not share memory with the frame that they were read
+// from, nor with each other: most of them are soon superseded, and must not keep the rest.
+func cloneRecords(records []Record) []Record {
+	for position := range records {
+		records[position].Data = slices.Clone(records[position].Data)
+	}
+	return records
+}
+
 // decodeRecords decodes the records in a frame's body, whose memory they share. It returns
 // false if the last one is incomplete.
 func decodeRecords(body []byte) (records []Record, complete bool) {
--- a/system/durablelog/replay.go
+++ b/system/durablelog/replay.go
@@ -82,7 +82,7 @@
 // one may end in a torn frame, of an append that was interrupted: it is cut off.
 func (log *Log) replayLog(generation uint64, newest bool) ([]Record, error) {
 	name := logName(generation)
-	data, err := log.directory.ReadFile(name)
+	reader, err := openFrames(log.directory, name)
 	if errors.Is(err, fs.ErrNotExist) && newest {
 		log.offset, log.sequence = 0, 0
 		return nil, nil
@@ -93,35 +93,53 @@
 	if err != nil {
 		return nil, fmt.Errorf("read a log of the data folder: %w", err)
 	}
-	records, offset, frames := decodeLog(data)
-	if offset < len(data) {
-		if hasFrameAfter(data[offset:], frames+1) {
-			return nil, damagedError("%s is damaged at byte %d, before later records that are complete", name, offset)
-		}
-		if !newest {
-			return nil, damagedError("%s is cut at byte %d although a later log exists", name, offset)
-		}
-		if err := log.truncateSynced(name, int64(offset)); err != nil {
-			return nil, fmt.Errorf("cut off the torn end of a log of the data folder: %w", err)
-		}
+	records, frames, err := readLog(reader)
+	if err == nil && reader.left() > 0 {
+		err = log.cutTornEnd(reader, frames, newest)
+	}
+	if err != nil {
+		return nil, err
 	}
-	log.offset, log.sequence = int64(offset), frames
+	log.offset, log.sequence = reader.offset, frames
 	return records, nil
 }
 
-// decodeLog decodes the frames of a log up to the first that is torn or out of order, and
-// returns where it begins and how many there are before it.
-func decodeLog(data []byte) (records []Record, offset int, frames uint64) {
-	for offset < len(data) {
-		sequence, content, size := decodeFrame(data[offset:])
-		if size == 0 || sequence != frames+1 {
+// readLog reads the frames of a log up to the first that is torn or out of order, where it
+// leaves the reader, and returns how many there are before it.
+func readLog(reader *frameReader) (records []Record, frames uint64, err error) {
+	for reader.left() > 0 {
+		found, complete, err := reader.peek(frameMagic)
+		if err != nil {
+			return nil, 0, fmt.Errorf("read a log of the data folder: %w", err)
+		}
+		content, whole := decodeRecords(found.body)
+		if !complete || !whole || found.number != frames+1 {
 			break
 		}
-		records = append(records, content...)
-		offset += size
+		records = append(records, cloneRecords(content)...)
+		reader.skip(found)
 		frames++
 	}
-	return records, offset, frames
+	return records, frames, nil
+}
+
+// cutTornEnd cuts off what follows the last complete frame of the newest log. It is an error
+// if that is more than an append that was interrupted.
+func (log *Log) cutTornEnd(reader *frameReader, frames uint64, newest bool) error {
+	rest, err := reader.rest()
+	if err != nil {
+		return fmt.Errorf("read a log of the data folder: %w", err)
+	}
+	if hasFrameAfter(rest, frames+1) {
+		return damagedError("%s is damaged at byte %d, before later records that are complete", reader.name, reader.offset)
+	}
+	if !newest {
+		return damagedError("%s is cut at byte %d although a later log exists", reader.name, reader.offset)
+	}
+	if err := log.truncateSynced(reader.name, reader.offset); err != nil {
+		return fmt.Errorf("cut off the torn end of a log of the data folder: %w", err)
+	}
+	return nil
 }
 
 // hasFrameAfter reports whether a complete frame with a higher number than one that is torn
--- a/system/durablelog/snapshot_reader.go
+++ b/system/durablelog/snapshot_reader.go
@@ -53,11 +53,11 @@
 	}
 	slices.SortFunc(candidates, func(left, right candidate) int { return cmp.Compare(right.generation, left.generation) })
 	for _, one := range candidates {
-		data, err := log.directory.ReadFile(one.file)
-		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		read, err := log.readSnapshot(one.file)
+		if err != nil {
 			return snapshot{}, fmt.Errorf("read a snapshot file of the data folder: %w", err)
 		}
-		if read := decodeSnapshot(data); read.found {
+		if read.found {
 			read.fileName, read.otherTorn = one.file, torn
 			return read, nil
 		}
@@ -71,36 +71,55 @@
 	return magic == frameMagic || magic == snapshotRecordMagic || magic == snapshotEndMagic
 }
 
-// decodeSnapshot decodes a snapshot file of any format.
-func decodeSnapshot(data []byte) snapshot {
-	if generation, records, size := decodeFrame(data); size > 0 {
-		return snapshot{found: true, generation: generation, records: records, size: int64(size)}
+// readSnapshot reads a snapshot file of any format; found is false if it is not complete.
+func (log *Log) readSnapshot(name string) (snapshot, error) {
+	reader, err := openFrames(log.directory, name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return snapshot{}, nil
 	}
-	return decodeStreamedSnapshot(data)
+	if err != nil {
+		return snapshot{}, err
+	}
+	single, complete, err := reader.peek(frameMagic)
+	if err != nil {
+		return snapshot{}, err
+	}
+	if records, whole := decodeRecords(single.body); complete && whole {
+		reader.skip(single)
+		return snapshot{found: true, generation: single.number, records: cloneRecords(records), size: reader.offset}, nil
+	}
+	return readStreamedSnapshot(reader)
 }
 
-// decodeStreamedSnapshot decodes a snapshot with a frame for each record. It is complete only
+// readStreamedSnapshot reads a snapshot with a frame for each record. It is complete only
 // if its last frame has the number of records and the checksum of all their checksums, and
 // nothing follows: part of an older snapshot may be left in the file.
-func decodeStreamedSnapshot(data []byte) snapshot {
-	read := snapshot{size: int64(len(data)), streamed: true}
+func readStreamedSnapshot(reader *frameReader) (snapshot, error) {
+	read := snapshot{size: reader.size, streamed: true}
 	chain := uint32(0)
-	for rest := data; ; {
-		if generation, end, isEnd := frameBody(rest, snapshotEndMagic); isEnd {
-			same := len(read.records) == 0 || generation == read.generation
-			complete := same && len(end) == snapshotEndBytes && len(rest) == frameHeaderBytes+snapshotEndBytes
-			complete = complete && binary.LittleEndian.Uint64(end) == uint64(len(read.records)) && binary.LittleEndian.Uint32(end[8:]) == chain
-			read.generation, read.found = generation, complete
-			return read
+	for {
+		end, isEnd, err := reader.peek(snapshotEndMagic)
+		if err != nil {
+			return snapshot{}, err
+		}
+		if isEnd {
+			same := len(read.records) == 0 || end.number == read.generation
+			complete := same && len(end.body) == snapshotEndBytes && reader.left() == frameHeaderBytes+snapshotEndBytes
+			complete = complete && binary.LittleEndian.Uint64(end.body) == uint64(len(read.records)) && binary.LittleEndian.Uint32(end.body[8:]) == chain
+			read.generation, read.found = end.number, complete
+			return read, nil
+		}
+		next, isRecord, err := reader.peek(snapshotRecordMagic)
+		if err != nil {
+			return snapshot{}, err
 		}
-		generation, body, isRecord := frameBody(rest, snapshotRecordMagic)
-		records, complete := decodeRecords(body)
-		if !isRecord || !complete || len(records) != 1 || len(read.records) > 0 && generation != read.generation {
-			return snapshot{}
+		records, complete := decodeRecords(next.body)
+		if !isRecord || !complete || len(records) != 1 || len(read.records) > 0 && next.number != read.generation {
+			return snapshot{}, nil
 		}
-		read.generation = generation
-		read.records = append(read.records, records[0])
-		chain = crc32.Update(chain, castagnoli, rest[16:frameHeaderBytes])
-		rest = rest[frameHeaderBytes+len(body):]
+		read.generation = next.number
+		read.records = append(read.records, cloneRecords(records)...)
+		chain = crc32.Update(chain, castagnoli, binary.LittleEndian.AppendUint32(nil, next.checksum))
+		reader.skip(next)
 	}
 }
--- a/system/vfs/directory.go
+++ b/system/vfs/directory.go
@@ -16,6 +16,8 @@
 	ReadFile(name string) ([]byte, error)
 	// ReadRange returns length bytes from an offset on. It is an error if the file is shorter.
 	ReadRange(name string, offset int64, length int) ([]byte, error)
+	// Size returns the length of a file in bytes. The error of a missing one is fs.ErrNotExist.
+	Size(name string) (int64, error)
 	// WriteAt writes at an offset. It creates the file if it is missing, also without data.
 	WriteAt(name string, offset int64, data []byte) error
 	// Truncate shortens a file to a size in bytes.
--- a/system/vfs/fault_directory.go
+++ b/system/vfs/fault_directory.go
@@ -90,6 +90,17 @@
 	return data[offset : offset+int64(length)], nil
 }
 
+// Size returns the length of a file, with what is not synced.
+func (directory *FaultDirectory) Size(name string) (int64, error) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if len(directory.pending[name]) == 0 {
+		return directory.Directory.Size(name)
+	}
+	data, err := directory.read(name)
+	return int64(len(data)), err
+}
+
 // WriteAt adds a write to those that are not synced.
 func (directory *FaultDirectory) WriteAt(name string, offset int64, data []byte) error {
 	if directory.currentFaults().Full && len(data) > 0 {
--- a/system/vfs/os_directory.go
+++ b/system/vfs/os_directory.go
@@ -127,6 +127,15 @@
 	return data, err
 }
 
+// Size returns the length of a file.
+func (directory *OSDirectory) Size(name string) (int64, error) {
+	found, err := os.Stat(directory.filePath(name))
+	if err != nil {
+		return 0, err
+	}
+	return found.Size(), nil
+}
+
 // WriteAt writes to a file without syncing it.
 func (directory *OSDirectory) WriteAt(name string, offset int64, data []byte) error {
 	directory.mutex.Lock()
