store: archives are repaired in batches of bounded bytes

Cause: a repair read all that an archive lacks of a group into memory, then encoded it: after a lost disk that is the whole archive of the group. Peers answered for archived ranges and digests at the address of another. Change: ranges of 64 events are read and stored, or sent, in batches of 256 kB; each batch has its own time. Calls for archived ranges and digests name the peer that is meant. What a scrub drops is logged.

--- a/system/store/archive_repair.go
+++ b/system/store/archive_repair.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"iter"
 	"slices"
 	"time"
 
@@ -16,8 +17,12 @@
 const (
 	// repairInterval is how often the archives of the groups led here are compared.
 	repairInterval = 10 * time.Second
-	// repairBatchChunks bounds the chunks that are sent to a peer in one query.
+	// repairBatchChunks and repairBatchBytes bound what repair reads before it stores it here or
+	// sends it to a peer: so many chunks, or data of so many bytes and one chunk more.
 	repairBatchChunks = 64
+	repairBatchBytes  = 256 << 10
+	// repairRangeEvents bounds the events of one chunk.
+	repairRangeEvents = 64
 	// scrubBatchChunks is how many chunks of its own archive a node verifies in each round.
 	scrubBatchChunks = 512
 )
@@ -25,7 +30,9 @@
 // repairAll verifies a part of this node's archive, then compares the archives of the groups
 // led here with the replicated state and repairs them.
 func (node *Node) repairAll() {
-	node.archiveStore.Scrub(scrubBatchChunks)
+	if dropped := node.archiveStore.Scrub(scrubBatchChunks); dropped > 0 {
+		log.WithFields(log.Fields{"node": node.Name(), "chunks": dropped}).Warn("damaged chunks of the archive were dropped; they are repaired from peers")
+	}
 	for group, status := range node.host.Statuses() {
 		if !status.CommittedInTerm {
 			continue
@@ -92,28 +99,78 @@
 	return missing
 }
 
-// readMissing reads missing ranges from this node's archive, or from peers. It reports false
-// if some could not be read completely; those are left out.
-func (node *Node) readMissing(group uint32, view *sessionlog.View, missing []wire.ReadArchiveQuery) (chunks []wire.ArchiveChunk, complete bool) {
-	ctx, cancel := context.WithTimeout(node.context, commandTimeout)
-	defer cancel()
-	complete = true
-	for _, wanted := range missing {
+// copyMissing reads missing ranges from this node's archive, or from peers, and passes them to
+// store in batches, so that repair needs memory for one batch, however much is missing. It
+// returns how many chunks were stored. complete is false if some ranges could not be read
+// completely; those are left out. It ends at the first error of store.
+func (node *Node) copyMissing(group uint32, view *sessionlog.View, missing []wire.ReadArchiveQuery, store func(context.Context, []wire.ArchiveChunk) error) (stored int, complete bool, err error) {
+	batch, bytes, complete := []wire.ArchiveChunk{}, 0, true
+	flush := func() error {
+		ctx, cancel := context.WithTimeout(node.context, commandTimeout)
+		defer cancel()
+		if err := store(ctx, batch); err != nil {
+			return err
+		}
+		stored += len(batch)
+		batch, bytes = batch[:0], 0
+		return nil
+	}
+	for wanted := range splitRanges(missing) {
 		session, found := view.Session(wanted.Session)
 		if !found {
 			continue
 		}
-		events := node.readArchive(ctx, group, wanted.Session, wanted.After, wanted.Through)
-		if uint64(len(events)) != wanted.Through-wanted.After {
+		chunk, read := node.readRange(group, session, wanted)
+		if !read {
 			complete = false
 			continue
 		}
-		chunks = append(chunks, wire.ArchiveChunk{
-			Group: group, Session: wanted.Session, First: wanted.After + 1, Last: wanted.Through,
-			ExpiresAt: session.ExpiresAt().UnixNano(), Events: events,
-		})
+		batch, bytes = append(batch, chunk), bytes+dataBytes(chunk.Events)
+		if bytes < repairBatchBytes && len(batch) < repairBatchChunks {
+			continue
+		}
+		if err := flush(); err != nil {
+			return stored, false, err
+		}
+	}
+	if len(batch) > 0 {
+		err = flush()
+	}
+	return stored, complete && err == nil, err
+}
+
+// splitRanges yields ranges in parts of repairRangeEvents events at most.
+func splitRanges(ranges []wire.ReadArchiveQuery) iter.Seq[wire.ReadArchiveQuery] {
+	return func(yield func(wire.ReadArchiveQuery) bool) {
+		for _, part := range ranges {
+			for end := part.Through; part.After < end; part.After = part.Through {
+				part.Through = min(end, part.After+repairRangeEvents)
+				if !yield(part) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// readRange reads a range of a session from this node's archive, or from peers, and reports
+// whether all of it was found.
+func (node *Node) readRange(group uint32, session *sessionlog.Session, wanted wire.ReadArchiveQuery) (chunk wire.ArchiveChunk, complete bool) {
+	ctx, cancel := context.WithTimeout(node.context, commandTimeout)
+	defer cancel()
+	events := node.readArchive(ctx, group, wanted.Session, wanted.After, wanted.Through)
+	return wire.ArchiveChunk{
+		Group: group, Session: wanted.Session, First: wanted.After + 1, Last: wanted.Through,
+		ExpiresAt: session.ExpiresAt().UnixNano(), Events: events,
+	}, uint64(len(events)) == wanted.Through-wanted.After
+}
+
+// dataBytes sums the data of events.
+func dataBytes(events []sessionlog.Event) (size int) {
+	for _, event := range events {
+		size += len(event.Data)
 	}
-	return chunks, complete
+	return size
 }
 
 // repairSelf reads the ranges that this node's archive lacks from its peers and stores them.
@@ -127,12 +184,14 @@
 	if len(missing) == 0 {
 		return true
 	}
-	chunks, complete := node.readMissing(group, view, missing)
-	if err := node.archiveStore.Put(chunks); err != nil {
+	stored, complete, err := node.copyMissing(group, view, missing, func(_ context.Context, chunks []wire.ArchiveChunk) error {
+		return node.archiveStore.Put(chunks)
+	})
+	if err != nil {
 		log.WithFields(log.Fields{"node": node.Name(), "group": group, "error": err.Error()}).Warn("cannot repair the archive")
 		return false
 	}
-	log.WithFields(log.Fields{"node": node.Name(), "group": group, "chunks": len(chunks)}).Info("archive repaired")
+	log.WithFields(log.Fields{"node": node.Name(), "group": group, "chunks": stored}).Info("archive repaired")
 	return complete
 }
 
@@ -155,21 +214,21 @@
 	if len(missing) == 0 {
 		return true
 	}
-	chunks, complete := node.readMissing(group, view, missing)
-	for batch := range slices.Chunk(chunks, repairBatchChunks) {
-		query := &wire.Query{Which: schema.Query_Which_putCold, PutArchive: &wire.ArchiveChunkBatch{Chunks: batch}}
-		if _, err := node.callPeer(ctx, peer, query); err != nil {
-			return false
-		}
+	stored, complete, err := node.copyMissing(group, view, missing, func(ctx context.Context, chunks []wire.ArchiveChunk) error {
+		_, err := node.putArchive(ctx, peer, chunks)
+		return err
+	})
+	if err != nil {
+		return false
 	}
-	log.WithFields(log.Fields{"node": node.Name(), "group": group, "peer": peer, "ranges": len(missing)}).Info("archive of a peer repaired")
+	log.WithFields(log.Fields{"node": node.Name(), "group": group, "peer": peer, "chunks": stored}).Info("archive of a peer repaired")
 	return complete
 }
 
 // digestsOf asks a peer for the digests of its archive of a group: of all buckets, and of the
 // ranges in some of them.
 func (node *Node) digestsOf(ctx context.Context, peer string, group uint32, buckets []uint32) (*wire.DigestReply, error) {
-	reply, err := node.callPeer(ctx, peer, &wire.Query{Which: schema.Query_Which_digests, Digests: &wire.DigestQuery{Group: group, Buckets: buckets}})
+	reply, err := node.callPeer(ctx, peer, &wire.Query{To: peer, Which: schema.Query_Which_digests, Digests: &wire.DigestQuery{Group: group, Buckets: buckets}})
 	if err != nil {
 		return nil, err
 	}
--- a/system/store/archiver.go
+++ b/system/store/archiver.go
@@ -103,9 +103,7 @@
 func unarchivedBytes(view *sessionlog.View) int {
 	size := 0
 	for session := range view.Unarchived() {
-		for _, event := range session.Unarchived {
-			size += len(event.Data)
-		}
+		size += dataBytes(session.Unarchived)
 	}
 	return size
 }
--- a/system/store/reads.go
+++ b/system/store/reads.go
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := node.callPeer(ctx, peer, &wire.Query{
-		Which: schema.Query_Which_getCold, ReadArchive: &wire.ReadArchiveQuery{Session: sessionName, After: after, Through: through},
+		To: peer, Which: schema.Query_Which_getCold, ReadArchive: &wire.ReadArchiveQuery{Session: sessionName, After: after, Through: through},
 	})
 	if err != nil || reply.Read == nil {
 		return nil
