archive: files are written in parts, and a damaged length is not allocated

Cause: a file was encoded as a whole, twice over, before it was written; and a damaged header made a start allocate up to 4 GiB before the checksum was checked. Change: chunks are written in parts of 256 kB, the index last, so that a torn file has none. A length beyond the file's size counts as damaged. Measured: TestPutEncodesAPartAtATime, TestDamagedLengthIsNotAllocated; TestFileWithDamagedIndexCountsAsEmpty now damages every byte of the header too.

--- a/system/archive/files.go
+++ b/system/archive/files.go
@@ -29,52 +29,87 @@
 
 func fileName(number uint64) string { return fmt.Sprintf("%s%020d", filePrefix, number) }
 
-// encodeFile returns the content of a file with some chunks, and where each is in it.
-func encodeFile(chunks []wire.ArchiveChunk) (data []byte, locations []wire.ChunkLocation, err error) {
-	var bodies []byte
-	index := wire.ArchiveIndex{}
-	for _, chunk := range chunks {
+// writeBufferBytes is how much of a file is encoded before it is written.
+const writeBufferBytes = 256 << 10
+
+// writeFile writes a new file with some chunks, syncs it and returns where each chunk is in it.
+// The chunks come first and the index last, so that a file that is torn has no index. No more
+// than writeBufferBytes and one chunk are encoded at a time. An error of the disk is of kind
+// apierror.DiskUnavailable.
+func (store *Store) writeFile(number uint64, chunks []wire.ArchiveChunk) ([]wire.ChunkLocation, error) {
+	name, index := fileName(number), emptyIndex(chunks)
+	// The length of the index does not depend on what is not known yet: those fields have a
+	// fixed size.
+	offset := headerLength + len(wire.MustEncode(schema.ColdIndex_TypeID, &index))
+	var buffer []byte
+	for position, chunk := range chunks {
 		body, err := wire.Encode(schema.ColdChunkBatch_TypeID, &wire.ArchiveChunkBatch{Chunks: []wire.ArchiveChunk{chunk}})
 		if err != nil {
-			return nil, nil, fmt.Errorf("encode events %d to %d of %s for the archive: %w", chunk.First, chunk.Last, chunk.Session, err)
+			return nil, fmt.Errorf("encode events %d to %d of %s for the archive: %w", chunk.First, chunk.Last, chunk.Session, err)
 		}
 		digest := sha256.Sum256(body)
+		location := &index.Locations[position]
+		location.Offset, location.Length = uint64(offset+len(buffer)), uint32(len(body))
+		location.Checksum, location.Digest = crc32.Checksum(body, checksums), digest[:]
+		buffer = append(buffer, body...)
+		if len(buffer) < writeBufferBytes && position < len(chunks)-1 {
+			continue
+		}
+		if err := store.folder.WriteAt(name, int64(offset), buffer); err != nil {
+			return nil, unwritable(err)
+		}
+		offset, buffer = offset+len(buffer), buffer[:0]
+	}
+	if err := store.folder.WriteAt(name, 0, encodeHead(index)); err != nil {
+		return nil, unwritable(err)
+	}
+	if err := store.folder.Sync(name); err != nil {
+		return nil, unwritable(err)
+	}
+	return index.Locations, nil
+}
+
+// emptyIndex returns the index of a file that is not written yet.
+func emptyIndex(chunks []wire.ArchiveChunk) wire.ArchiveIndex {
+	index := wire.ArchiveIndex{}
+	for _, chunk := range chunks {
 		index.Locations = append(index.Locations, wire.ChunkLocation{
 			Group: chunk.Group, Session: chunk.Session, First: chunk.First, Last: chunk.Last, ExpiresAt: chunk.ExpiresAt,
-			Offset: uint64(len(bodies)), Length: uint32(len(body)), Checksum: crc32.Checksum(body, checksums), Digest: digest[:],
+			Digest: make([]byte, sha256.Size),
 		})
-		bodies = append(bodies, body...)
-	}
-	// Offsets count from the file's beginning, so they depend on the length of the index. That
-	// is the same whatever the offsets are, as these have a fixed size.
-	bodiesAt := uint64(headerLength + len(wire.MustEncode(schema.ColdIndex_TypeID, &index)))
-	for position := range index.Locations {
-		index.Locations[position].Offset += bodiesAt
 	}
-	encodedIndex := wire.MustEncode(schema.ColdIndex_TypeID, &index)
-	data = binary.LittleEndian.AppendUint32(nil, uint32(len(encodedIndex)))
-	data = binary.LittleEndian.AppendUint32(data, crc32.Checksum(encodedIndex, checksums))
-	return append(append(data, encodedIndex...), bodies...), index.Locations, nil
+	return index
 }
 
-// writeFile writes a new file and syncs it.
-func (store *Store) writeFile(number uint64, data []byte) error {
-	if err := store.folder.WriteAt(fileName(number), 0, data); err != nil {
-		return apierror.Wrap(err, apierror.DiskUnavailable, "the archive could not be written: "+err.Error(), "free space on the disk or replace it")
-	}
-	if err := store.folder.Sync(fileName(number)); err != nil {
-		return apierror.Wrap(err, apierror.DiskUnavailable, "the archive could not be synced: "+err.Error(), "free space on the disk or replace it")
-	}
-	return nil
+// encodeHead returns the header and the index of a file.
+func encodeHead(index wire.ArchiveIndex) []byte {
+	encoded := wire.MustEncode(schema.ColdIndex_TypeID, &index)
+	head := make([]byte, 0, headerLength+len(encoded))
+	head = binary.LittleEndian.AppendUint32(head, uint32(len(encoded)))
+	head = binary.LittleEndian.AppendUint32(head, crc32.Checksum(encoded, checksums))
+	return append(head, encoded...)
+}
+
+// unwritable is the error of a file that could not be written or synced.
+func unwritable(cause error) error {
+	return apierror.Wrap(cause, apierror.DiskUnavailable, "the archive could not be written: "+cause.Error(), "free space on the disk or replace it")
 }
 
 // readIndex returns the index of a file, or nothing if it is torn or damaged.
 func (store *Store) readIndex(name string) []wire.ChunkLocation {
+	size, err := store.folder.Size(name)
+	if err != nil {
+		return nil
+	}
 	header, err := store.folder.ReadRange(name, 0, headerLength)
 	if err != nil {
 		return nil
 	}
-	body, err := store.folder.ReadRange(name, headerLength, int(binary.LittleEndian.Uint32(header)))
+	length := int64(binary.LittleEndian.Uint32(header))
+	if length > size-headerLength {
+		return nil // a damaged length must not be allocated
+	}
+	body, err := store.folder.ReadRange(name, headerLength, int(length))
 	if err != nil || crc32.Checksum(body, checksums) != binary.LittleEndian.Uint32(header[4:]) {
 		return nil
 	}
--- a/system/archive/store.go
+++ b/system/archive/store.go
@@ -91,13 +91,10 @@
 	if len(chunks) == 0 {
 		return nil
 	}
-	data, locations, err := encodeFile(chunks)
-	if err != nil {
-		return err
-	}
 	number := store.nextFile
 	store.nextFile++
-	if err := store.writeFile(number, data); err != nil {
+	locations, err := store.writeFile(number, chunks)
+	if err != nil {
 		return err
 	}
 	store.mutex.Lock()
--- a/system/archive/store_test.go
+++ b/system/archive/store_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"testing"
@@ -161,7 +163,7 @@
 	put(t, store, chunkOf("a", 1, 3, 10))
 	put(t, store, chunkOf("b", 1, 3, 10))
 	first := files(t, folder)[0]
-	for offset := headerLength / 2; offset < indexEnd(t, first); offset++ { // from the checksum on
+	for offset := range indexEnd(t, first) {
 		damage(t, first, offset)
 		if got := openAt(t, folder).BucketDigests(testGroup); got != digestsOf(map[string]uint64{"b": 3}) {
 			t.Fatalf("damaged at %d, digests %v", offset, got)
@@ -207,6 +209,85 @@
 	}
 }
 
+// sizedDirectory notes the longest part of a file that was read or written at a time.
+type sizedDirectory struct {
+	vfs.Directory
+	longest int
+}
+
+func (sized *sizedDirectory) ReadRange(name string, offset int64, length int) ([]byte, error) {
+	sized.longest = max(sized.longest, length)
+	return sized.Directory.ReadRange(name, offset, length)
+}
+
+func (sized *sizedDirectory) WriteAt(name string, offset int64, data []byte) error {
+	sized.longest = max(sized.longest, len(data))
+	return sized.Directory.WriteAt(name, offset, data)
+}
+
+// TestDamagedLengthIsNotAllocated opens a folder whose file says that its index has 4 GiB.
+func TestDamagedLengthIsNotAllocated(t *testing.T) {
+	folder := t.TempDir()
+	put(t, openAt(t, folder), chunkOf("a", 1, 3, 10))
+	data, err := os.ReadFile(files(t, folder)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	binary.LittleEndian.PutUint32(data, math.MaxUint32)
+	if err := os.WriteFile(files(t, folder)[0], data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	directory, err := vfs.Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sized := &sizedDirectory{Directory: directory}
+	if opened, err := Open(sized); err != nil || len(opened.Read("a", 0, 3)) != 0 || sized.longest > len(data) {
+		t.Errorf("%d bytes were read at a time: %v", sized.longest, err)
+	}
+}
+
+// TestPutEncodesAPartAtATime stores 4 MB in one call: they are never in memory as one file.
+func TestPutEncodesAPartAtATime(t *testing.T) {
+	directory, err := vfs.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	sized := &sizedDirectory{Directory: directory}
+	store, err := Open(sized)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const count, bytes = 64, 64 << 10
+	var chunks []wire.ArchiveChunk
+	for number := range count {
+		chunk := chunkOf(fmt.Sprint("c-", number), 1, 1, 10)
+		chunk.Events[0].Data = make([]byte, bytes)
+		chunks = append(chunks, chunk)
+	}
+	put(t, store, chunks...)
+	if sized.longest > writeBufferBytes+2*bytes {
+		t.Errorf("%d bytes were written at a time", sized.longest)
+	}
+	for _, opened := range []*Store{store, openDirectoryAgain(t, directory)} {
+		for _, chunk := range chunks {
+			if events := opened.Read(chunk.Session, 0, 1); len(events) != 1 || len(events[0].Data) != bytes {
+				t.Fatalf("%s has %d events", chunk.Session, len(events))
+			}
+		}
+	}
+}
+
+// openDirectoryAgain opens the archive of a folder once more.
+func openDirectoryAgain(t *testing.T, directory vfs.Directory) *Store {
+	t.Helper()
+	store, err := Open(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
 // TestChunkExpiredDuringScrubIsCountedOffOnce has a session expire between the moment at which
 // the scrub reads its damaged chunk and the one at which it drops it. The file of the chunk has
 // another session's, which must stay.
