--- a/system/replica/host.go
+++ b/system/replica/host.go
@@ -50,6 +50,8 @@
 	// lastReadID is the context of the last read.
 	lastReadID uint64
 	ticks      uint64
+	// encoding says that a snapshot of a group is being encoded.
+	encoding bool
 
 	// statuses is a copy of all groups' statuses, replaced at each tick.
 	statuses atomic.Pointer[map[uint32]raft.Status]
--- a/system/replica/host_recovery.go
+++ b/system/replica/host_recovery.go
@@ -13,10 +13,10 @@
 )
 
 // Open starts a host with the groups that its durable log has. records are those that
-// [durablelog.Open] returned. newStateMachine returns an empty state machine for a group; it
-// is called from several goroutines at once. The host uses the log and the transport until
-// Close, and closes the transport; after an error both stay with the caller. The log needs no
-// Close: its files belong to the [vfs.Directory] that it was opened in.
+// [durablelog.Open] returned; they are used up. newStateMachine returns an empty state machine
+// for a group; it is called from several goroutines at once. The host uses the log and the
+// transport until Close, and closes the transport; after an error both stay with the caller. The
+// log needs no Close: its files belong to the [vfs.Directory] that it was opened in.
 //
 // The error is an [apierror.Error]: Damaged if the state of a group cannot be read,
 // FormatTooNew if a newer version has written it.
@@ -41,10 +41,12 @@
 }
 
 // replay returns the state of each group that the records amount to, and restores the values
-// and the list of removed groups.
+// and the list of removed groups. It takes the data out of the records, so that what is decoded
+// is not in memory twice.
 func (host *Host) replay(records []durablelog.Record) (map[uint32]raft.PersistentState, error) {
 	stored, contents := map[uint32]raft.PersistentState{}, map[uint32][]byte{}
-	for _, record := range records {
+	for position, record := range records {
+		records[position].Data = nil
 		switch record.Kind {
 		case recordSnapshotContent:
 			contents[record.Group] = record.Data
--- a/system/replica/host_snapshots.go
+++ b/system/replica/host_snapshots.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"slices"
+
 	"github.com/apex/log"
 
 	"yardrock.example/system/raft"
@@ -33,19 +35,22 @@
 	return bytes >= budget || entries >= limit && bytes >= share
 }
 
-// maybeSnapshot takes a snapshot of a group if one is due. It is encoded on a goroutine of its
+// maybeSnapshot takes a snapshot of a group if one is due. One group at a time does so: encoding
+// takes several times the memory of the snapshot, and groups with the same load come due
+// together. The others try again at their next step, a tick later at most. It is encoded on a goroutine of its
 // own, which ends with the encoding or with the host.
 func (host *Host) maybeSnapshot(groupID uint32, group *raftGroup) {
-	if group.snapshotting || !host.snapshotDue(group) {
+	if host.encoding || !host.snapshotDue(group) {
 		return
 	}
-	group.snapshotting = true
+	host.encoding = true
 	index, encode := group.core.Applied(), group.stateMachine.Snapshot()
 	included := group.bytesSinceSnapshot
 	go func() {
-		data := encode()
+		// The clone has no spare capacity, as the snapshot stays in memory until the next one.
+		data := slices.Clone(encode())
 		host.runOnLoop(func() {
-			group.snapshotting = false
+			host.encoding = false
 			// Meanwhile the group may have been removed, or have received a later snapshot.
 			if host.groups[groupID] != group || !group.core.CanCompact(index) {
 				return
--- a/system/replica/host_snapshots_test.go
+++ b/system/replica/host_snapshots_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,6 +91,78 @@
 	runtime.KeepAlive(reopened)
 }
 
+// slowSnapshotStateMachine has no content, and its snapshots take a while to encode. It counts
+// those that are encoded at the same time, and all.
+type slowSnapshotStateMachine struct {
+	current, most, total atomic.Int32
+}
+
+func (machine *slowSnapshotStateMachine) Apply(raft.Entry) any { return nil }
+
+func (machine *slowSnapshotStateMachine) Snapshot() func() []byte {
+	return func() []byte {
+		if current := machine.current.Add(1); current > machine.most.Load() {
+			machine.most.Store(current)
+		}
+		time.Sleep(5 * time.Millisecond)
+		machine.current.Add(-1)
+		machine.total.Add(1)
+		return []byte(textPrefix)
+	}
+}
+
+func (machine *slowSnapshotStateMachine) Restore([]byte) error { return nil }
+
+// TestOneSnapshotIsEncodedAtATime has many groups come due at the same time, and demands that
+// each of them gets its snapshot all the same.
+func TestOneSnapshotIsEncodedAtATime(t *testing.T) {
+	const groups = 12
+	settings := fastSettings()
+	settings.SnapshotEntries = 5
+	machine := &slowSnapshotStateMachine{}
+	host, err := openHost(t, t.TempDir(), settings, machine)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for group := range uint32(groups) {
+		host.Bootstrap(group+1, []string{host.Name()}, nil)
+	}
+	await(t, "the host leads all groups", func() bool {
+		leading := 0
+		for _, status := range host.Statuses() {
+			if status.CommittedInTerm {
+				leading++
+			}
+		}
+		return leading == groups
+	})
+	var proposing sync.WaitGroup
+	for group := range uint32(groups) {
+		proposing.Go(func() {
+			for range 2 * settings.SnapshotEntries {
+				if _, err := host.Propose(t.Context(), group+1, [][]byte{[]byte("command")}); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	proposing.Wait()
+	await(t, "a snapshot of each group", func() bool {
+		taken := 0
+		host.runOnLoop(func() {
+			for _, group := range host.groups {
+				if group.core.EntriesSinceSnapshot() <= settings.SnapshotEntries {
+					taken++
+				}
+			}
+		})
+		return taken == groups
+	})
+	if most, total := machine.most.Load(), machine.total.Load(); most != 1 || total < groups {
+		t.Errorf("%d of %d snapshots were encoded at the same time", most, total)
+	}
+}
+
 func TestLargeSnapshotContentIsStoredSeparatelyAndRequired(t *testing.T) {
 	snapshot := raft.Snapshot{Index: 5, Term: 2, Membership: raft.Membership{Voters: []string{"a", "b"}}, Data: append([]byte(textPrefix), make([]byte, separateContentBytes)...)}
 	records := encodeWrite(1, wire.StoredWrite{HardState: raft.HardState{Term: 3}, HasSnapshot: true, Snapshot: snapshot})
--- a/system/replica/raft_group.go
+++ b/system/replica/raft_group.go
@@ -19,8 +19,6 @@
 	snapshotBytes      int
 	// leading says that this replica led the group when that was logged last.
 	leading bool
-	// snapshotting says that a snapshot is being encoded.
-	snapshotting bool
 }
 
 // applyEntry applies a committed entry and answers the proposal that waits for it, if any.
--- a/system/wire/codec_test.go
+++ b/system/wire/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"reflect"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -128,6 +129,44 @@
 	}
 }
 
+// TestEntryDoesNotKeepItsMessage decodes batches of which only one small entry stays in use, as
+// in a log whose other groups have been compacted: the large ones must not stay with it.
+func TestEntryDoesNotKeepItsMessage(t *testing.T) {
+	const batches, large = 50, 1 << 20
+	messages := []raft.Message{
+		{Group: 1, Kind: raft.MessageAppend, Term: 3, Entries: []raft.Entry{{Index: 1, Term: 3, Data: []byte("small")}}},
+		{Group: 2, Kind: raft.MessageAppend, Term: 3, Entries: []raft.Entry{{Index: 1, Term: 3, Data: make([]byte, large)}}},
+	}
+	data, err := AppendQuery(nil, &Query{Which: schema.Query_Which_agreement, Raft: &RaftBatch{Messages: messages}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, inUse := heapInUse(), []raft.Entry{}
+	for range batches {
+		got, err := DecodeQuery(bytes.Clone(data))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, message := range got.Raft.Messages {
+			if message.Group == 1 {
+				inUse = append(inUse, message.Entries...)
+			}
+		}
+	}
+	if retained := heapInUse() - before; retained > batches*large/10 {
+		t.Errorf("%d small entries keep %d bytes", len(inUse), retained)
+	}
+	runtime.KeepAlive(inUse)
+}
+
+// heapInUse returns the bytes that are in use on the heap.
+func heapInUse() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapInuse)
+}
+
 func TestMessagesOfAnyLengthArePackedAndUnpacked(t *testing.T) {
 	for size := 0; size < 3*maxPackedMessage; size = 2*size + 1 {
 		for name, data := range map[string][]byte{"zeros": make([]byte, size), "text": bytes.Repeat([]byte("x"), size)} {
--- a/system/wire/raft_codec.go
+++ b/system/wire/raft_codec.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"slices"
+
 	"yardrock.example/system/raft"
 	"yardrock.example/system/wire/schema"
 )
@@ -31,10 +33,13 @@
 	return encodeNested(target.NewReplicas, &value.Membership, encodeMembership)
 }
 
-func decodeEntry(source schema.Entry, value *raft.Entry) (err error) {
+func decodeEntry(source schema.Entry, value *raft.Entry) error {
 	value.Index, value.Term, value.Kind = source.Index(), source.Term(), raft.EntryKind(source.Kind())
 	if value.Kind != raft.EntryMembership {
-		value.Data, err = source.Data()
+		// An entry stays long after the message that it came in, which has entries of other
+		// groups too: with memory of its own it does not keep theirs.
+		data, err := source.Data()
+		value.Data = slices.Clone(data)
 		return err
 	}
 	return decodeNested(source.Replicas, &value.Membership, decodeMembership)
