--- a/system/cmd/yardrock-control-plane/main.go
+++ b/system/cmd/yardrock-control-plane/main.go
@@ -34,7 +34,7 @@
 	}
 	node, err := controlplane.Start(controlplane.Settings{
 		Address: loaded.Address, Administration: loaded.AdminAddress, Domain: loaded.Domain, Seeds: loaded.Seeds,
-		FoundingStores: loaded.FoundingStores, Groups: loaded.Groups, ReplicationFactor: loaded.ReplicationFactor, MaxControls: loaded.MaxControls, Replica: replica.DefaultSettings(rand.Uint64()),
+		FoundingStores: loaded.FoundingStores, Groups: loaded.Groups, ReplicationFactor: loaded.ReplicationFactor, MaxControls: loaded.MaxControls, Replica: replica.DefaultSettings(rand.Uint64()).WithMemorySize(loaded.Memory),
 	}, folder, loaded.Network())
 	if err != nil {
 		return err
--- a/system/cmd/yardrock-data-plane/main.go
+++ b/system/cmd/yardrock-data-plane/main.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return daemon.Service{}, err
 	}
-	node, err := store.Start(store.Settings{Address: loaded.Address, Domain: loaded.Domain, Seeds: loaded.Seeds, Replica: replica.DefaultSettings(rand.Uint64())}, folder, archiveFolder, loaded.Network())
+	node, err := store.Start(store.Settings{Address: loaded.Address, Domain: loaded.Domain, Seeds: loaded.Seeds, Replica: replica.DefaultSettings(rand.Uint64()).WithMemorySize(loaded.Memory)}, folder, archiveFolder, loaded.Network())
 	if err != nil {
 		return daemon.Service{}, err
 	}
--- a/system/replica/host_snapshots.go
+++ b/system/replica/host_snapshots.go
@@ -10,7 +10,7 @@
 
 const (
 	// minSnapshotLogBytes is how many bytes of entries a group always may apply before it
-	// takes a snapshot, however small that is.
+	// takes a snapshot, however small that is, if there is memory for it.
 	minSnapshotLogBytes = 1 << 20
 	// minLogDivisor limits what snapshots cost: the count of entries leads to one only if
 	// their bytes are this part of the last snapshot's, so that the bytes written for
@@ -28,7 +28,8 @@
 // whichever comes first.
 func (host *Host) snapshotDue(group *raftGroup) bool {
 	entries, bytes := group.core.EntriesSinceSnapshot(), uint64(group.bytesSinceSnapshot)
-	limit, budget, share := host.settings.SnapshotEntries, uint64(max(minSnapshotLogBytes, group.snapshotBytes)), uint64(group.snapshotBytes/minLogDivisor)
+	limit, share := host.settings.SnapshotEntries, uint64(group.snapshotBytes/minLogDivisor)
+	budget := uint64(max(host.settings.groupLogBytes(len(host.groups)), group.snapshotBytes))
 	if group.core.SendingSnapshot() {
 		limit, budget, share = transferGrowthFactor*limit, transferGrowthFactor*budget, transferGrowthFactor*share
 	}
--- a/system/replica/settings.go
+++ b/system/replica/settings.go
@@ -8,6 +8,11 @@
 	// minLogBytes is the least size at which the log is compacted, whatever the size of the
 	// disk.
 	minLogBytes = 1 << 20
+	// logMemoryFraction is the part of a process's memory that the entries of all its groups may
+	// take together before they take snapshots, beside what is as large as those.
+	logMemoryFraction = 1.0 / 16
+	// minGroupLogBytes is the least that each group may apply before, however many there are.
+	minGroupLogBytes = 64 << 10
 )
 
 // Settings configure a host. [DefaultSettings] has the defaults.
@@ -29,6 +34,9 @@
 	// DiskBytes is the size of the disk with the data folder, in bytes; 0, the default, means
 	// that it is unknown and sets no limit.
 	DiskBytes int64
+	// MemoryBytes is the memory that the process may use, in bytes; 0, the default, means that
+	// it is unknown and sets no limit.
+	MemoryBytes int64
 	// Seed seeds the election timeouts.
 	Seed uint64
 	// StallTimeout is how long a sync may take before the node transfers the leadership of
@@ -47,6 +55,22 @@
 	return settings
 }
 
+// WithMemorySize returns the settings for a process that may use so many bytes; 0 means unknown.
+func (settings Settings) WithMemorySize(size int64) Settings {
+	settings.MemoryBytes = size
+	return settings
+}
+
+// groupLogBytes returns how many bytes of entries each of some groups always may apply before it
+// takes a snapshot, however small that is.
+func (settings Settings) groupLogBytes(groups int) int {
+	if settings.MemoryBytes <= 0 {
+		return minSnapshotLogBytes
+	}
+	share := int(logMemoryFraction*float64(settings.MemoryBytes)) / max(1, groups)
+	return min(minSnapshotLogBytes, max(minGroupLogBytes, share))
+}
+
 // compactionThreshold returns the size of the durable log, in bytes, at which it is compacted,
 // given the size of the newest snapshot file. While a snapshot file is written, the data
 // folder has two of them and two logs, and the new snapshot may be larger than the last by
--- a/system/replica/settings_test.go
+++ b/system/replica/settings_test.go
@@ -19,6 +19,42 @@
 	}
 }
 
+// TestLogsOfAllGroupsFitTheMemory: what all groups may have applied since their snapshots is
+// bounded by the process's memory, and each has a little.
+func TestLogsOfAllGroupsFitTheMemory(t *testing.T) {
+	for _, one := range []struct {
+		memory int64
+		groups int
+		want   int
+	}{
+		{0, 1000, minSnapshotLogBytes},
+		{1 << 30, 1, minSnapshotLogBytes},
+		{128 << 20, 32, 256 << 10},
+		{16 << 20, 256, minGroupLogBytes},
+	} {
+		if got := DefaultSettings(1).WithMemorySize(one.memory).groupLogBytes(one.groups); got != one.want {
+			t.Errorf("memory %d, %d groups: each takes a snapshot after %d bytes, want %d", one.memory, one.groups, got, one.want)
+		}
+	}
+}
+
+// TestSmallMemoryBoundsTheLog applies 10 MB in a process that may use 4 MB: it keeps no more of
+// them than its share of the memory and what is applied during an encoding.
+func TestSmallMemoryBoundsTheLog(t *testing.T) {
+	host, err := openHost(t, t.TempDir(), fastSettings().WithMemorySize(4<<20), &lastCommandStateMachine{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	bootstrapAlone(t, host)
+	const each = 10 << 10
+	for proposal := range 1000 {
+		propose(t, host, bytes.Repeat([]byte{byte(proposal)}, each))
+		if _, logged := host.logSinceSnapshot(); logged > minSnapshotLogBytes/2 {
+			t.Fatalf("the log has %d bytes after %d proposals", logged, proposal+1)
+		}
+	}
+}
+
 // On a disk that is smaller than the log may otherwise grow to, the log is compacted early
 // enough.
 func TestDataDirectoryFitsASmallDisk(t *testing.T) {
