metrics: figures of requests, runners and replicas as text for Prometheus

Cause: a process told its figures to nobody; where requests spend their time could be read from request logs only. Fronts report requests by route and outcome, their eight stages and their runners by state; stores and control nodes their groups, elections, disk jobs and log memory. The store and control programs do not link package front.

--- a/system/cmd/yardrock-control-plane/main.go
+++ b/system/cmd/yardrock-control-plane/main.go
@@ -9,6 +9,7 @@
 
 	"yardrock.example/system/controlplane"
 	"yardrock.example/system/daemon"
+	"yardrock.example/system/metrics"
 	"yardrock.example/system/replica"
 	"yardrock.example/system/settings"
 )
@@ -32,9 +33,15 @@
 	if err != nil {
 		return err
 	}
+	figures, stopFigures, err := metrics.Open(loaded.Metrics, metrics.DefaultPath)
+	if err != nil {
+		return err
+	}
+	defer stopFigures()
 	node, err := controlplane.Start(controlplane.Settings{
 		Address: loaded.Address, Administration: loaded.AdminAddress, Domain: loaded.Domain, Seeds: loaded.Seeds,
-		FoundingStores: loaded.FoundingStores, Groups: loaded.Groups, ReplicationFactor: loaded.ReplicationFactor, MaxControls: loaded.MaxControls, Replica: replica.DefaultSettings(rand.Uint64()).WithMemorySize(loaded.Memory),
+		FoundingStores: loaded.FoundingStores, Groups: loaded.Groups, ReplicationFactor: loaded.ReplicationFactor, MaxControls: loaded.MaxControls,
+		Replica: replica.DefaultSettings(rand.Uint64()).WithMemorySize(loaded.Memory).WithFigures(figures),
 	}, folder, loaded.Network())
 	if err != nil {
 		return err
--- a/system/cmd/yardrock-data-plane/main.go
+++ b/system/cmd/yardrock-data-plane/main.go
@@ -12,6 +12,7 @@
 	"yardrock.example/system/front"
 	"yardrock.example/system/httpapi"
 	"yardrock.example/system/link"
+	"yardrock.example/system/metrics"
 	"yardrock.example/system/replica"
 	"yardrock.example/system/settings"
 	"yardrock.example/system/store"
@@ -30,7 +31,7 @@
 const maxHealthBodyBytes = 1024
 
 // roles starts the node of each role that the settings allow, so that a loaded role is one.
-var roles = map[string]func(*settings.DataPlane) (daemon.Service, error){feed.RoleFront: startFront, feed.RoleStore: startStore}
+var roles = map[string]func(*settings.DataPlane, *metrics.Registry) (daemon.Service, error){feed.RoleFront: startFront, feed.RoleStore: startStore}
 
 // run runs the node until it is stopped or fails.
 func run() error {
@@ -41,7 +42,12 @@
 	}
 	daemon.ConfigureLogging(loaded.Log)
 	daemon.LimitMemory(loaded.Memory)
-	service, err := roles[loaded.Role](loaded)
+	figures, stopFigures, err := metrics.Open(loaded.Metrics, metrics.DefaultPath)
+	if err != nil {
+		return err
+	}
+	defer stopFigures()
+	service, err := roles[loaded.Role](loaded, figures)
 	if err != nil {
 		return err
 	}
@@ -51,9 +57,9 @@
 	})
 }
 
-// startFront starts a front node.
-func startFront(loaded *settings.DataPlane) (daemon.Service, error) {
-	node, err := front.Start(front.Settings{Address: loaded.Address, PublicAddress: loaded.PublicAddress, Domain: loaded.Domain, Seeds: loaded.Seeds}, loaded.Network())
+// startFront starts a front node. Without figures it reports none.
+func startFront(loaded *settings.DataPlane, figures *metrics.Registry) (daemon.Service, error) {
+	node, err := front.Start(front.Settings{Address: loaded.Address, PublicAddress: loaded.PublicAddress, Domain: loaded.Domain, Seeds: loaded.Seeds, Figures: figures}, loaded.Network())
 	if err != nil {
 		return daemon.Service{}, err
 	}
@@ -61,8 +67,8 @@
 }
 
 // startStore starts a store node, with a server for health checks if the settings ask for
-// one.
-func startStore(loaded *settings.DataPlane) (daemon.Service, error) {
+// one. Without figures it reports none.
+func startStore(loaded *settings.DataPlane, figures *metrics.Registry) (daemon.Service, error) {
 	folder, err := loaded.OpenFolder("")
 	if err != nil {
 		return daemon.Service{}, err
@@ -71,7 +77,10 @@
 	if err != nil {
 		return daemon.Service{}, err
 	}
-	node, err := store.Start(store.Settings{Address: loaded.Address, Domain: loaded.Domain, Seeds: loaded.Seeds, Replica: replica.DefaultSettings(rand.Uint64()).WithMemorySize(loaded.Memory)}, folder, archiveFolder, loaded.Network())
+	node, err := store.Start(store.Settings{
+		Address: loaded.Address, Domain: loaded.Domain, Seeds: loaded.Seeds,
+		Replica: replica.DefaultSettings(rand.Uint64()).WithMemorySize(loaded.Memory).WithFigures(figures),
+	}, folder, archiveFolder, loaded.Network())
 	if err != nil {
 		return daemon.Service{}, err
 	}
--- a/system/durablelog/replay.go
+++ b/system/durablelog/replay.go
@@ -112,8 +112,8 @@
 		if err != nil {
 			return nil, 0, fmt.Errorf("read a log of the data folder: %w", err)
 		}
-		content, whole := decodeRecords(found.body)
-		if !complete || !whole || found.number != frames+1 {
+		content, contentComplete := decodeRecords(found.body)
+		if !complete || !contentComplete || found.number != frames+1 {
 			break
 		}
 		records = append(records, cloneRecords(content)...)
--- a/system/durablelog/snapshot_reader.go
+++ b/system/durablelog/snapshot_reader.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return snapshot{}, err
 	}
-	if records, whole := decodeRecords(single.body); complete && whole {
+	if records, recordsComplete := decodeRecords(single.body); complete && recordsComplete {
 		reader.skip(single)
 		return snapshot{found: true, generation: single.number, records: cloneRecords(records), size: reader.offset}, nil
 	}
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -38,6 +38,7 @@
 	"yardrock.example/system/forwarding"
 	"yardrock.example/system/httpapi"
 	"yardrock.example/system/link"
+	"yardrock.example/system/metrics"
 	"yardrock.example/system/runnerclient"
 	"yardrock.example/system/runnerpool"
 	"yardrock.example/system/scheduler"
@@ -79,6 +80,9 @@
 	MaxBufferedBytes int64
 	// LogRequests writes one log line for every forwarded request, with its stages.
 	LogRequests bool
+	// Figures is where forwarded requests and the state of the balancer are reported; nil
+	// reports nothing.
+	Figures *metrics.Registry
 }
 
 // Node is a running front node. It is safe for concurrent use.
@@ -148,8 +152,11 @@
 	node.forwarder = forwarding.New(forwarding.Settings{
 		Node: node.name, CheckViewFresh: node.checkViewFresh, AwaitViewFresh: node.awaitViewFresh, ActiveConfig: node.activeRouting,
 		Balancer: node.balancer, Pool: node.pool, TurnStore: node.stores, MaxBufferedBytes: settings.MaxBufferedBytes,
-		LogRequests: settings.LogRequests,
+		LogRequests: settings.LogRequests, Observe: requestObserver(settings.Figures),
 	})
+	if settings.Figures != nil {
+		publishBalancer(settings.Figures, node.balancer.Status)
+	}
 	return node
 }
 
--- a/system/replica/host.go
+++ b/system/replica/host.go
@@ -53,6 +53,7 @@
 	// encoding says that a snapshot of a group is being encoded.
 	encoding bool
 
+	figures hostFigures
 	// statuses is a copy of all groups' statuses, replaced at each tick.
 	statuses atomic.Pointer[map[uint32]raft.Status]
 	// connections maps the contexts of the connections on which messages came to the peer.
--- a/system/replica/host_disk.go
+++ b/system/replica/host_disk.go
@@ -32,6 +32,7 @@
 		for {
 			err := host.runJob(job)
 			if err == nil {
+				host.figures.syncs.Add(1)
 				break
 			}
 			log.WithFields(log.Fields{"node": host.name, "error": err.Error()}).Error("writing to the data folder failed; it is tried again")
--- a/system/replica/host_loop.go
+++ b/system/replica/host_loop.go
@@ -85,10 +85,12 @@
 }
 
 func (host *Host) publishStatuses() {
-	statuses := make(map[uint32]raft.Status, len(host.groups))
+	statuses, logBytes := make(map[uint32]raft.Status, len(host.groups)), 0
 	for groupID, group := range host.groups {
 		statuses[groupID] = group.core.Status()
+		logBytes += group.bytesSinceSnapshot
 	}
+	host.figures.logMemoryBytes.Store(int64(logBytes))
 	host.statuses.Store(&statuses)
 }
 
--- a/system/replica/host_raft.go
+++ b/system/replica/host_raft.go
@@ -46,6 +46,7 @@
 	group.leading = leading
 	entry := log.WithFields(log.Fields{"node": host.name, "group": groupID, "term": term})
 	if leading {
+		host.figures.electionsWon.Add(1)
 		entry.Info("this replica leads the group")
 	} else {
 		entry.Info("this replica no longer leads the group")
--- a/system/replica/host_recovery.go
+++ b/system/replica/host_recovery.go
@@ -35,6 +35,9 @@
 		return nil, err
 	}
 	host.publishStatuses()
+	if settings.Figures != nil {
+		host.publishFigures(settings.Figures)
+	}
 	go host.diskLoop()
 	go host.loop()
 	return host, nil
--- a/system/replica/host_snapshots_test.go
+++ b/system/replica/host_snapshots_test.go
@@ -94,15 +94,15 @@
 // slowSnapshotStateMachine has no content, and its snapshots take a while to encode. It counts
 // those that are encoded at the same time, and all.
 type slowSnapshotStateMachine struct {
-	current, most, total atomic.Int32
+	current, highest, total atomic.Int32
 }
 
-func (machine *slowSnapshotStateMachine) Apply(raft.Entry) any { return nil }
+func (*slowSnapshotStateMachine) Apply(raft.Entry) any { return nil }
 
 func (machine *slowSnapshotStateMachine) Snapshot() func() []byte {
 	return func() []byte {
-		if current := machine.current.Add(1); current > machine.most.Load() {
-			machine.most.Store(current)
+		if current := machine.current.Add(1); current > machine.highest.Load() {
+			machine.highest.Store(current)
 		}
 		time.Sleep(5 * time.Millisecond)
 		machine.current.Add(-1)
@@ -111,7 +111,7 @@
 	}
 }
 
-func (machine *slowSnapshotStateMachine) Restore([]byte) error { return nil }
+func (*slowSnapshotStateMachine) Restore([]byte) error { return nil }
 
 // TestOneSnapshotIsEncodedAtATime has many groups come due at the same time, and demands that
 // each of them gets its snapshot all the same.
@@ -158,8 +158,8 @@
 		})
 		return taken == groups
 	})
-	if most, total := machine.most.Load(), machine.total.Load(); most != 1 || total < groups {
-		t.Errorf("%d of %d snapshots were encoded at the same time", most, total)
+	if highest, total := machine.highest.Load(), machine.total.Load(); highest != 1 || total < groups {
+		t.Errorf("%d of %d snapshots were encoded at the same time", highest, total)
 	}
 }
 
--- a/system/replica/settings.go
+++ b/system/replica/settings.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"yardrock.example/system/metrics"
+)
 
 const (
 	// maxDiskFraction is the part of a disk that snapshot files and logs may take together.
@@ -39,6 +43,8 @@
 	MemoryBytes int64
 	// Seed seeds the election timeouts.
 	Seed uint64
+	// Figures is where the state of the replicas is reported; nil, the default, reports nothing.
+	Figures *metrics.Registry
 	// StallTimeout is how long a sync may take before the node transfers the leadership of
 	// its groups to others; 1 s by default.
 	StallTimeout time.Duration
@@ -61,6 +67,12 @@
 	return settings
 }
 
+// WithFigures returns the settings for a host that reports to a registry; nil reports nothing.
+func (settings Settings) WithFigures(registry *metrics.Registry) Settings {
+	settings.Figures = registry
+	return settings
+}
+
 // groupLogBytes returns how many bytes of entries each of some groups always may apply before it
 // takes a snapshot, however small that is.
 func (settings Settings) groupLogBytes(groups int) int {
--- a/system/settings/settings.go
+++ b/system/settings/settings.go
@@ -25,6 +25,7 @@
 	Seeds      []string `arg:"--seeds" json:"seeds" help:"three addresses of other processes"`
 	DataFolder string   `arg:"--folder" json:"folder" help:"data folder"`
 	Log        string   `arg:"--log" json:"log" help:"log level: debug, info, warn or error"`
+	Metrics    string   `arg:"--metrics" json:"metrics" help:"IP and port at which the process serves its figures under /metrics, for Prometheus; none if not set"`
 	Memory     int64    `arg:"--memory" json:"memory" help:"bytes of memory that this process may use; 0 sets no limit [default: 0]"`
 	// FaultyDisk, a file that names disk faults, is for fault injection in tests only.
 	FaultyDisk string `arg:"--trial-disk" json:"trial_disk" help:"for trials only: keep unsynced writes in memory, and obey the disk faults that this file names"`
--- a/system/settings/validate.go
+++ b/system/settings/validate.go
@@ -66,6 +66,11 @@
 	if sorted := slices.Sorted(slices.Values(common.Seeds)); len(slices.Compact(sorted)) != 3 {
 		return invalid("seeds", "names an address twice", "name three different addresses")
 	}
+	if common.Metrics != "" {
+		if err := validateAddress("metrics", common.Metrics); err != nil {
+			return err
+		}
+	}
 	if common.Memory < 0 {
 		return invalid("memory", strconv.FormatInt(common.Memory, 10)+" is below 0", "use the bytes that this process may use, or 0 for no limit")
 	}
