--- a/system/balancer/cost_model.go
+++ b/system/balancer/cost_model.go
@@ -7,6 +7,8 @@
 
 // The weights of the cost model. Costs of model work are in milliseconds; those of plain
 // work, whose duration varies more between routes, are fractions of the expected duration.
+// They are chosen by judgement and not fitted to measurements; docs/decisions.md (Ablation) has
+// what a day is worth without each mechanism.
 const (
 	// crossDomainMilliseconds and crossDomainFraction are the cost of a runner in another
 	// domain: besides the latency, it counts that traffic between domains is paid for and
