store: tail readers that leave leave nothing behind

Cause: a read that waits made an entry for its session, which stayed if the node did not lead, the session was unknown or the reader left, until a command for that name was applied here: for names that are only asked for, for ever. Change: entries count their readers; the last one removes it, unless it was woken.

--- a/system/store/node.go
+++ b/system/store/node.go
@@ -99,7 +99,7 @@
 	prefixDetector  sharedprefix.Detector
 
 	tailMutex   sync.Mutex
-	tailWaiters map[string]chan struct{}
+	tailWaiters map[string]*tailWaiter
 
 	// context ends with the node, tasks are its goroutines.
 	context context.Context
@@ -142,7 +142,7 @@
 	}
 	node := &Node{
 		settings: settings, caller: link.NewClient(network), archiveStore: archiveStore,
-		viewChanged: make(chan struct{}, 1), tailWaiters: map[string]chan struct{}{},
+		viewChanged: make(chan struct{}, 1), tailWaiters: map[string]*tailWaiter{},
 	}
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.view.Store(&feed.View{})
--- a/system/store/tail.go
+++ b/system/store/tail.go
@@ -19,7 +19,8 @@
 		return node.linearizableView(ctx, group)
 	}
 	// The waiter comes before the view: an event that is applied between the two wakes it.
-	woken := node.tailWaiter(read.Session)
+	woken, leave := node.joinTail(read.Session)
+	defer leave()
 	view, err := node.linearizableView(ctx, group)
 	if err != nil {
 		return nil, err
@@ -40,23 +41,44 @@
 	return node.linearizableView(ctx, group)
 }
 
+// tailWaiter is what the tail readers of a session wait for. The node's tailMutex guards readers.
+type tailWaiter struct {
+	woken   chan struct{}
+	readers int
+}
+
 // wakeTailReaders lets the tail readers of a session read again (the cursor update of the
 // Starcite paper).
 func (node *Node) wakeTailReaders(sessionName string) {
 	node.tailMutex.Lock()
 	defer node.tailMutex.Unlock()
 	if waiter, found := node.tailWaiters[sessionName]; found {
-		close(waiter)
+		close(waiter.woken)
 		delete(node.tailWaiters, sessionName)
 	}
 }
 
-// tailWaiter returns a channel that is closed when a command of a session is applied here.
-func (node *Node) tailWaiter(sessionName string) chan struct{} {
+// joinTail returns a channel that is closed when a command of a session is applied here. The
+// reader calls leave once it waits no more; the last one leaves nothing behind.
+func (node *Node) joinTail(sessionName string) (woken <-chan struct{}, leave func()) {
+	node.tailMutex.Lock()
+	defer node.tailMutex.Unlock()
+	waiter, found := node.tailWaiters[sessionName]
+	if !found {
+		waiter = &tailWaiter{woken: make(chan struct{})}
+		node.tailWaiters[sessionName] = waiter
+	}
+	waiter.readers++
+	return waiter.woken, func() { node.leaveTail(sessionName, waiter) }
+}
+
+// leaveTail removes a waiter once its last reader has left, unless they were woken: then another
+// one may stand in its place.
+func (node *Node) leaveTail(sessionName string, waiter *tailWaiter) {
 	node.tailMutex.Lock()
 	defer node.tailMutex.Unlock()
-	if _, found := node.tailWaiters[sessionName]; !found {
-		node.tailWaiters[sessionName] = make(chan struct{})
+	waiter.readers--
+	if waiter.readers == 0 && node.tailWaiters[sessionName] == waiter {
+		delete(node.tailWaiters, sessionName)
 	}
-	return node.tailWaiters[sessionName]
 }
