--- a/system/controlplane/control_membership.go
+++ b/system/controlplane/control_membership.go
@@ -52,7 +52,7 @@
 	}
 	suspected := slices.ContainsFunc(voters, func(name string) bool { return node.isSilent(name, suspectTimeout) })
 	for _, learner := range learners {
-		if !suspected && node.isCaughtUp(status, learner) {
+		if !suspected && node.isReady(status, learner) {
 			return &membershipStep{"making a learner of the control group a voter", learner, raft.Membership{Voters: append(slices.Clone(voters), learner), Learners: raft.Without(learners, learner)}}
 		}
 	}
@@ -89,7 +89,7 @@
 // tolerates no more losses than one less; or one that has long been lost, while more than
 // minVoters are listed.
 func (node *Node) removableVoter(voters, learners []string, status raft.Status) string {
-	ready := slices.ContainsFunc(learners, func(name string) bool { return node.isCaughtUp(status, name) })
+	ready := slices.ContainsFunc(learners, func(name string) bool { return node.isReady(status, name) })
 	for _, name := range voters {
 		if node.isSilent(name, replaceableTimeout) && (ready || (len(voters) > minVoters && (len(voters)%2 == 0 || node.isSilent(name, lostTimeout)))) {
 			return name
@@ -98,12 +98,9 @@
 	return ""
 }
 
-// isCaughtUp reports whether a learner is live and has the log but for the entries on their
-// way.
-func (node *Node) isCaughtUp(status raft.Status, learner string) bool {
-	matched := status.MatchIndex[learner]
-	holdsLog := matched > 0 && matched+raft.MaxLearnerLag >= status.CommitIndex
-	return holdsLog && !node.isSilent(learner, replaceableTimeout)
+// isReady reports whether a learner is live and has the log.
+func (node *Node) isReady(status raft.Status, learner string) bool {
+	return status.CaughtUp(learner) && !node.isSilent(learner, replaceableTimeout)
 }
 
 // Voters returns the names of the control group's voters as this node knows them, for
--- a/system/raft/status.go
+++ b/system/raft/status.go
@@ -24,6 +24,13 @@
 	CommittedInTerm bool
 }
 
+// CaughtUp reports, on a leader, whether a member has the log but for at most MaxLearnerLag
+// entries that are on their way; elsewhere it is false.
+func (status Status) CaughtUp(member string) bool {
+	matched := status.MatchIndex[member]
+	return matched > 0 && matched+MaxLearnerLag >= status.CommitIndex
+}
+
 // Status returns what this replica believes now.
 func (core *Core) Status() Status {
 	status := Status{
--- a/system/store/group_move.go
+++ b/system/store/group_move.go
@@ -72,7 +72,7 @@
 		move.change("removing a learner", learner, raft.Membership{Voters: members.Voters, Learners: without})
 		return
 	}
-	if !move.isCaughtUp(learner) || !move.node.repairReplica(move.group, move.content, learner) {
+	if !move.status.CaughtUp(learner) || !move.node.repairReplica(move.group, move.content, learner) {
 		return
 	}
 	if departed := slices.IndexFunc(move.surplus, move.node.hasDeparted); departed >= 0 && len(members.Voters) >= len(move.target) {
@@ -82,12 +82,6 @@
 	move.change("making a learner a voter", learner, raft.Membership{Voters: append(slices.Clone(members.Voters), learner), Learners: without})
 }
 
-// isCaughtUp tells whether a replica has the group's log but for what is in flight.
-func (move *groupMove) isCaughtUp(name string) bool {
-	matched := move.status.MatchIndex[name]
-	return matched > 0 && matched+raft.MaxLearnerLag >= move.status.CommitIndex
-}
-
 // removeDepartedVoter removes a voter whose store has left the list and is not live, once a
 // majority of the others have all that is archived.
 func (move *groupMove) removeDepartedVoter(name string) {
@@ -102,7 +96,7 @@
 // transfers its leadership first.
 func (move *groupMove) removeVoter(name string) {
 	next := raft.Without(move.status.Membership.Voters, name)
-	behind := func(voter string) bool { return !move.isCaughtUp(voter) }
+	behind := func(voter string) bool { return !move.status.CaughtUp(voter) }
 	if slices.ContainsFunc(move.target, behind) || move.countComplete(move.target) < len(move.target) {
 		return
 	}
