--- a/system/replica/host_snapshots.go
+++ b/system/replica/host_snapshots.go
@@ -1,8 +1,6 @@
 package replica
 
 import (
-	"slices"
-
 	"github.com/apex/log"
 
 	"yardrock.example/system/raft"
@@ -48,8 +46,7 @@
 	index, encode := group.core.Applied(), group.stateMachine.Snapshot()
 	included := group.bytesSinceSnapshot
 	go func() {
-		// The clone has no spare capacity, as the snapshot stays in memory until the next one.
-		data := slices.Clone(encode())
+		data := encode()
 		host.runOnLoop(func() {
 			host.encoding = false
 			// Meanwhile the group may have been removed, or have received a later snapshot.
