--- a/system/sessionlog/snapshot.go
+++ b/system/sessionlog/snapshot.go
@@ -1,7 +1,9 @@
 package sessionlog
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -89,7 +91,9 @@
 	return nil
 }
 
-// restoreSessions fills in the sessions and the indexes that are derived from them.
+// restoreSessions fills in the sessions and the indexes that are derived from them. The data of
+// events is copied: it would keep the memory of the whole snapshot that it was decoded from, as
+// long as one event of any session stays.
 func (view *View) restoreSessions(snapshot Snapshot) {
 	turnNames := map[string][]string{}
 	for _, turn := range snapshot.Turns {
@@ -100,6 +104,10 @@
 	expiries := immutable.NewSortedMapBuilder[string, string](nil)
 	for _, session := range snapshot.Sessions {
 		session.Turns = turnNames[session.Name]
+		session.Unarchived = slices.Clone(session.Unarchived)
+		for position := range session.Unarchived {
+			session.Unarchived[position].Data = bytes.Clone(session.Unarchived[position].Data)
+		}
 		sessions.Set(session.Name, &session)
 		expiries.Set(expiryKey(&session), session.Name)
 		view.archiveDigests.Toggle(session.Name, session.ArchivedSeq)
--- a/system/wire/codec_test.go
+++ b/system/wire/codec_test.go
@@ -159,6 +159,40 @@
 	runtime.KeepAlive(inUse)
 }
 
+// TestRestoredEventDoesNotKeepItsSnapshot restores sessions from a snapshot whose bulk is that of
+// one session, which is archived then: the small event of the other must not keep it.
+func TestRestoredEventDoesNotKeepItsSnapshot(t *testing.T) {
+	const snapshots, large = 20, 1 << 20
+	machine := sessionlog.NewStateMachine()
+	for name, size := range map[string]int{"a/large": large, "a/small": 10} {
+		machine.Apply(&sessionlog.Command{Kind: sessionlog.CreateSession, Session: name, Retention: time.Hour})
+		event := sessionlog.Event{Kind: sessionlog.HelperStarted, Data: make([]byte, size)}
+		machine.Apply(&sessionlog.Command{Kind: sessionlog.AppendEvent, Session: name, Producer: "p", ProducerSeq: 1, Events: []sessionlog.Event{event}})
+	}
+	snapshot := machine.View().Snapshot()
+	data := MustEncode(schema.LineImage_TypeID, &snapshot)
+	before, restored := heapInUse(), []*sessionlog.StateMachine{}
+	for range snapshots {
+		var stored sessionlog.Snapshot
+		if err := Decode(schema.LineImage_TypeID, bytes.Clone(data), &stored); err != nil {
+			t.Fatal(err)
+		}
+		again := sessionlog.NewStateMachine()
+		if err := again.Restore(stored); err != nil {
+			t.Fatal(err)
+		}
+		again.Apply(&sessionlog.Command{Kind: sessionlog.AckArchived, Acks: []sessionlog.Ack{{Session: "a/large", ArchivedSeq: 1}}})
+		if session, found := again.View().Session("a/small"); !found || len(session.Unarchived) != 1 || len(session.Unarchived[0].Data) != 10 {
+			t.Fatalf("restored %+v", session)
+		}
+		restored = append(restored, again)
+	}
+	if retained := heapInUse() - before; retained > snapshots*large/10 {
+		t.Errorf("%d small events keep %d bytes", len(restored), retained)
+	}
+	runtime.KeepAlive(restored)
+}
+
 // heapInUse returns the bytes that are in use on the heap.
 func heapInUse() int {
 	runtime.GC()
