--- a/system/archive/store_test.go
+++ b/system/archive/store_test.go
@@ -328,20 +328,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const count, bytes = 64, 64 << 10
+	const count, chunkBytes = 64, 64 << 10
 	var chunks []wire.ArchiveChunk
 	for number := range count {
 		chunk := chunkOf(fmt.Sprint("c-", number), 1, 1, 10)
-		chunk.Events[0].Data = make([]byte, bytes)
+		chunk.Events[0].Data = make([]byte, chunkBytes)
 		chunks = append(chunks, chunk)
 	}
 	put(t, store, chunks...)
-	if sized.longest > writeBufferBytes+2*bytes {
+	if sized.longest > writeBufferBytes+2*chunkBytes {
 		t.Errorf("%d bytes were written at a time", sized.longest)
 	}
 	for _, opened := range []*Store{store, openDirectoryAgain(t, directory)} {
 		for _, chunk := range chunks {
-			if events := opened.Read(chunk.Session, 0, 1); len(events) != 1 || len(events[0].Data) != bytes {
+			if events := opened.Read(chunk.Session, 0, 1); len(events) != 1 || len(events[0].Data) != chunkBytes {
 				t.Fatalf("%s has %d events", chunk.Session, len(events))
 			}
 		}
