Fronts: a runner gets requests only within the drain timeout after it was known to serve

Cause: a front checks that its view is confirmed as the newest, by a control quorum or by a majority of the stores. That says nothing about when the control plane last read the platform's runner list: while it cannot (no stable leader, an unreadable list, a conflict at publishing), the newest view holds a list of any age. The class of fault: freshness was proven for the copy, not for the observation that it copies.

Checked again before the first byte. Gauges runner_list_age_seconds and runners{state="unconfirmed"}.

--- a/proof/standin/engine.go
+++ b/proof/standin/engine.go
@@ -75,6 +75,7 @@
 	Events int
 
 	mutex        sync.Mutex
+	draining     bool
 	faults       []Fault
 	defaultFault Fault
 	executions   []Execution
@@ -108,6 +109,27 @@
 	engine.mutex.Unlock()
 }
 
+// Drain makes the engine announce in each response that it is leaving, and fail health checks. It
+// goes on serving.
+//
+//	engine.Drain()
+func (engine *Engine) Drain() {
+	engine.mutex.Lock()
+	engine.draining = true
+	engine.mutex.Unlock()
+}
+
+// announceDrain adds the header that ends the connection to a draining engine's response, and
+// reports whether the engine drains.
+func (engine *Engine) announceDrain(header http.Header) bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if engine.draining {
+		header.Set("Connection", "close")
+	}
+	return engine.draining
+}
+
 // Executions returns the requests that ran, in order.
 //
 //	for _, execution := range engine.Executions() { ... }
@@ -193,6 +215,9 @@
 	header := writer.Header()
 	header.Set(HeaderNames.RunnerID, engine.Incarnation)
 	if request.URL.Path == "/health" {
+		if engine.announceDrain(header) {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	body, err := io.ReadAll(request.Body)
@@ -201,6 +226,7 @@
 	}
 	requestID := request.Header.Get(HeaderNames.RequestID)
 	header.Set(HeaderNames.RequestID, requestID)
+	engine.announceDrain(header)
 	if expected := request.Header.Get(HeaderNames.ExpectedRunner); expected != "" && expected != engine.Incarnation {
 		engine.mutex.Lock()
 		engine.misdirected++
--- a/system/balancer/balancer.go
+++ b/system/balancer/balancer.go
@@ -55,6 +55,9 @@
 	started time.Time // origin of all time.Duration timestamps in this package
 	// topology is replaced as a whole under mutex and read without it by Lease.Valid.
 	topology atomic.Pointer[topology]
+	// drainTimeout is a duration, firstListAt the time of the first Update since the start.
+	drainTimeout atomic.Int64
+	firstListAt  atomic.Int64
 
 	mutex    sync.Mutex // guards the fields below
 	random   *rand.Rand
--- a/system/balancer/lease.go
+++ b/system/balancer/lease.go
@@ -33,6 +33,7 @@
 	slowStartLimited bool // it took a slow-start token of the runner
 	recoveryProbe    bool // it is a probe of a runner that was ejected
 	prefilled        bool // the runner has processed the prompt
+	needsHealthCheck bool
 }
 
 // newLease returns a lease on a candidate and counts its request as in flight.
@@ -47,6 +48,9 @@
 	}
 	lease.slowStartLimited = state.slowStart.take(balancer.listFreshUntil(), now)
 	lease.recoveryProbe = state.health.startProbe()
+	if balancer.mayDrainUnnoticed(state, now) {
+		lease.needsHealthCheck, state.healthCheck.inFlight = true, true
+	}
 	state.meanInFlight.update(float64(state.inFlight), now)
 	state.inFlight++
 	state.openConnections.observe(state.inFlight, now)
@@ -74,16 +78,16 @@
 func (lease *Lease) PromptTokens() int { return int(promptTokens(&lease.request)) }
 
 // Valid reports whether the newest state still allows sending the request: the runner
-// is listed and not draining, its domain is not drained, the route still has its host
-// and prefix, and the service still has a share of the route. Call it right before
-// sending the first byte. It takes no lock.
+// is listed and not draining, that was known within the drain timeout, its domain is not
+// drained, the route still has its host and prefix, and the service still has a share of the
+// route. Call it right before sending the first byte. It takes no lock.
 //
 //	if !lease.Valid() {
 //		lease.Release(balancer.NotSent, nil)
 //	}
 func (lease *Lease) Valid() bool {
 	current := lease.balancer.topology.Load()
-	if !current.usable[lease.state] {
+	if !current.usable[lease.state] || lease.balancer.mayDrainUnnoticed(lease.state, lease.balancer.elapsed()) {
 		return false
 	}
 	requested, route := lease.request.Route, current.routes[lease.request.Route.Name]
--- a/system/balancer/status.go
+++ b/system/balancer/status.go
@@ -19,6 +19,9 @@
 	InFlight  int  // this front's requests
 	SlowStart bool // it is warming up and gets requests at a limited rate
 	Ejected   bool // it gets no requests for a while because of failures
+	// Unconfirmed is set if the runner gets no requests because it may be draining: neither the
+	// runner list nor a response of its own has shown within the drain timeout that it serves.
+	Unconfirmed bool
 }
 
 // Status returns the number of waiting requests and the state of all usable runners.
@@ -34,6 +37,7 @@
 			status.Runners = append(status.Runners, RunnerStatus{
 				Runner: candidate.runner, InFlight: candidate.state.inFlight,
 				SlowStart: candidate.state.slowStart.active(now), Ejected: candidate.state.health.ejected(now),
+				Unconfirmed: balancer.mayDrainUnnoticed(candidate.state, now),
 			})
 		}
 	}
--- a/system/balancer/topology.go
+++ b/system/balancer/topology.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"yardrock.example/system/config"
@@ -86,6 +87,10 @@
 	inFlightAtReport int // this front's requests when the load was reported
 	hasReport        bool
 	misdirected      bool // another runner answers at its address
+	// servingAt is when the last request was sent whose response showed that the runner is not
+	// draining; 0 if there was none.
+	servingAt   atomic.Int64
+	healthCheck healthCheck
 
 	// The fields below are valid if affinityEpoch equals that of the balancer.
 	affinityEpoch       uint64
@@ -106,6 +111,7 @@
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	now := balancer.elapsed()
+	balancer.firstListAt.CompareAndSwap(0, int64(now))
 	balancer.fronts.update(state, now)
 	restored := balancer.restoredDomains(state.View)
 	next := balancer.newTopology(state)
--- a/system/forwarding/attempt.go
+++ b/system/forwarding/attempt.go
@@ -12,6 +12,13 @@
 	"yardrock.example/system/runnerpool"
 )
 
+const (
+	// healthCheckTimeout bounds the health check of a runner before a request is sent to it.
+	healthCheckTimeout = 500 * time.Millisecond
+	// maxHealthResponseBytes is how much of the body of a health response is read and dropped.
+	maxHealthResponseBytes = 16 << 10
+)
+
 // attempt is one attempt to send a request to one runner, from the lease to the response
 // head. It may run in its own goroutine, so it only reads those fields of the exchange that
 // no longer change, and has copies of the others.
@@ -42,12 +49,51 @@
 // send sends the request to the runner and waits for the response head.
 func (attempt *attempt) send() {
 	exchange := attempt.attempts.exchange
+	if attempt.err = attempt.checkHealth(); attempt.err != nil {
+		return
+	}
 	attempt.startedAt = time.Now()
 	attempt.response, attempt.err = attempt.attempts.forwarder.settings.Pool.Send(attempt.context, runnerpool.Request{
 		Runner: attempt.lease.Runner, MaxConnections: attempt.lease.MaxConnections, Method: exchange.Method, Target: exchange.Target, Host: exchange.Host, Header: exchange.Header,
 		Body: exchange.body, ID: exchange.ID, Deadline: exchange.deadline, LastEventID: attempt.lastEventID,
 		BeforeSend: attempt.checkBeforeSend,
 	})
+	if attempt.err == nil && !attempt.response.Closing {
+		attempt.lease.ConfirmServing(attempt.startedAt)
+	}
+}
+
+// checkHealth checks the runner's health if the lease requires it. An error means that the request
+// was not sent.
+func (attempt *attempt) checkHealth() error {
+	if !attempt.lease.NeedsHealthCheck() {
+		return nil
+	}
+	sentAt := time.Now()
+	ctx, cancel := context.WithTimeout(attempt.context, healthCheckTimeout)
+	defer cancel()
+	response, err := attempt.attempts.forwarder.settings.Pool.Send(ctx, runnerpool.Request{
+		Runner: attempt.lease.Runner, MaxConnections: attempt.lease.MaxConnections, Method: http.MethodGet, Target: attempt.lease.Service.HealthPath,
+		Host: attempt.lease.Runner.Address, Deadline: sentAt.Add(healthCheckTimeout),
+	})
+	healthy := err == nil && response.Status == http.StatusOK
+	if err == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxHealthResponseBytes)) // an error only means that the connection is not reused
+		_ = response.Close()
+	}
+	attempt.lease.EndHealthCheck(sentAt, healthy)
+	if healthy {
+		return nil
+	}
+	failed := &apierror.Error{
+		Kind: apierror.NotRun, Message: "runner " + attempt.lease.Runner.Address + " may be draining: it failed a health check while the runner list is out of date",
+		Remedy: "retry", RetryAfter: shortRetryAfter, NeverSent: true,
+	}
+	if err != nil {
+		cause := apierror.Of(err)
+		failed.Cause, failed.Lost, failed.ConnectionRefused, failed.Misdirected = err, cause.Lost, cause.ConnectionRefused, cause.Misdirected
+	}
+	return failed
 }
 
 // checkBeforeSend is called on a ready connection just before the first byte is sent; an
--- a/system/front/metrics.go
+++ b/system/front/metrics.go
@@ -25,9 +25,10 @@
 
 // runnerStates has the predicates of the states by which usable runners are counted.
 var runnerStates = map[string]func(balancer.RunnerStatus) bool{
-	"usable":     func(balancer.RunnerStatus) bool { return true },
-	"slow_start": func(runner balancer.RunnerStatus) bool { return runner.SlowStart },
-	"ejected":    func(runner balancer.RunnerStatus) bool { return runner.Ejected },
+	"usable":      func(balancer.RunnerStatus) bool { return true },
+	"slow_start":  func(runner balancer.RunnerStatus) bool { return runner.SlowStart },
+	"ejected":     func(runner balancer.RunnerStatus) bool { return runner.Ejected },
+	"unconfirmed": func(runner balancer.RunnerStatus) bool { return runner.Unconfirmed },
 }
 
 // publishBalancer adds gauges of the queued requests and of the usable runners by state to a
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -22,6 +22,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -60,6 +61,8 @@
 	// minBodyLimit is the smallest limit on a request body of the work API, in bytes, so that
 	// a front without a config yet can still read a request and say why it is rejected.
 	minBodyLimit = 1024
+	// DefaultDrainTimeout is the default of Settings.DrainTimeout.
+	DefaultDrainTimeout = 3 * time.Second
 )
 
 // Settings configure a front node.
@@ -79,6 +82,9 @@
 	// MaxBufferedBytes bounds the total size of buffered forwarded requests and histories;
 	// 0 means forwarding.DefaultMaxBufferedBytes.
 	MaxBufferedBytes int64
+	// DrainTimeout is how long after the platform has listed a runner as draining the front may
+	// still send it forwarded requests; 0 means DefaultDrainTimeout.
+	DrainTimeout time.Duration
 	// LogRequests enables a log line for each forwarded request, with the time of its stages.
 	LogRequests bool
 	// Metrics receives the metrics of forwarded requests and of the balancer; nil disables
@@ -130,6 +136,7 @@
 	member := feed.Member{Name: node.name, Role: feed.RoleFront, Address: settings.Address, Domain: settings.Domain, Machine: settings.Machine}
 	node.feedClient = feedclient.Start(node.linkClient, member, settings.Seeds, nil, node.applyView)
 	node.balancer.SetListReadTime(node.feedClient.RunnerListReadAt)
+	node.balancer.SetDrainTimeout(node.settings.DrainTimeout)
 	node.peerWatcher.Go(node.watchPeers)
 	node.linkServer = link.Serve(linkListener, node.handleCall)
 	if publicListener != nil {
@@ -143,6 +150,7 @@
 
 // newNode returns a node with the components that open no connections yet.
 func newNode(settings Settings, network link.Network) *Node {
+	settings.DrainTimeout = cmp.Or(settings.DrainTimeout, DefaultDrainTimeout)
 	node := &Node{settings: settings, name: "front-" + uuid.NewString(), linkClient: link.NewClient(network), runnerClient: runnerclient.New(network)}
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.current.Store(&currentConfig{view: &feed.View{}, config: &config.Config{}})
@@ -158,6 +166,7 @@
 	})
 	if settings.Metrics != nil {
 		publishBalancer(settings.Metrics, node.balancer.Status)
+		settings.Metrics.Gauge("runner_list_age_seconds", func() float64 { return time.Since(node.feedClient.RunnerListReadAt()).Seconds() })
 	}
 	return node
 }
--- a/system/runnerpool/response.go
+++ b/system/runnerpool/response.go
@@ -21,6 +21,9 @@
 	Header http.Header // without hop-by-hop headers
 	Load   *Load       // nil if the runner reported none
 	Length int64       // of the body in bytes; -1: unknown
+	// Closing reports that the runner closes the connection after the response. A runner that
+	// drains says so in each response; others do now and then.
+	Closing bool
 
 	trip     *roundTrip
 	body     io.Reader
@@ -36,7 +39,7 @@
 // newResponse returns the response with the given head and records the runner's
 // Keep-Alive timeout on the connection.
 func (trip *roundTrip) newResponse(head *http.Response) *Response {
-	response := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, trip: trip, body: head.Body}
+	response := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Closing: head.Close, trip: trip, body: head.Body}
 	response.reusable = !head.Close && !trip.stray && head.ProtoAtLeast(1, 1)
 	response.complete, response.closeDelimited = head.Body == http.NoBody, isCloseDelimited(head)
 	if keepAlive, found := parseKeepAlive(head.Header); found {
