--- a/system/config/routing.go
+++ b/system/config/routing.go
@@ -16,6 +16,9 @@
 	// Streaming requests are answered with a stream of events. They are executed at most once,
 	// unless the route is resumable.
 	Streaming RouteKind = "streaming"
+	// Keyed requests bear an operation key. All requests of a tenant with the same key are one
+	// operation, which is executed at most once; a repeat gets the answer of the first execution.
+	Keyed RouteKind = "keyed"
 )
 
 // WeightedService is a service that receives a share of a route's requests: its weight divided by
@@ -53,6 +56,8 @@
 	// Resumable allows an interrupted stream to be executed again; it continues where it was
 	// interrupted.
 	Resumable bool `json:"resumable"`
+	// Public routes are open to requests without a tenant's key.
+	Public bool `json:"public,omitempty"`
 	// Original is the item as its operator wrote it; it is returned unchanged.
 	Original json.RawMessage `json:"written,omitempty"`
 }
@@ -78,7 +83,10 @@
 	// second that it receives meanwhile from all fronts together; 0 means no limit.
 	WarmUp     Duration `json:"cold_for"`
 	WarmUpRate float64  `json:"cold_rate"`
-	Engine     *Engine  `json:"engine,omitempty"` // nil: not a model runner
+	// Deduplicates states that the runners share a record of operation keys, and answer a repeated
+	// request themselves.
+	Deduplicates bool    `json:"deduplicates,omitempty"`
+	Engine       *Engine `json:"engine,omitempty"` // nil: not a model runner
 	// Original is the item as its operator wrote it; it is returned unchanged.
 	Original json.RawMessage `json:"written,omitempty"`
 }
@@ -99,6 +107,7 @@
 	Revision         uint64            `json:"revision"`
 	Routes           []Route           `json:"routes"`
 	Services         []Service         `json:"services"`
+	Tenants          []Tenant          `json:"tenants,omitempty"`
 	Bounds           Bounds            `json:"bounds"`
 	AcceptedRequests []AcceptedRequest `json:"taken,omitempty"`
 	// UnknownFields preserves the fields that this version does not know, as they were written.
--- a/system/config/routing_check.go
+++ b/system/config/routing_check.go
@@ -37,7 +37,7 @@
 	attemptsRemedy = fmt.Sprintf("use 1 to %d", maxAttempts)
 )
 
-var routeKinds = map[RouteKind]bool{Repeatable: true, Once: true, Streaming: true}
+var routeKinds = map[RouteKind]bool{Repeatable: true, Once: true, Streaming: true, Keyed: true}
 
 // fieldRule is a rule for one field, already evaluated, and the error if it is violated.
 type fieldRule struct {
@@ -89,7 +89,7 @@
 		{!isLabel(route.Name), ".name", "%q is not a valid name", route.Name, labelRemedy},
 		{!isLabel(route.Host) || strings.Contains(route.Host, "/"), ".host", "%q is not a valid host", route.Host, "use a host name without port and path"},
 		{!isPrefix(route.Prefix), ".prefix", "%q is not a valid prefix", route.Prefix, "begin and end it with a slash"},
-		{!routeKinds[route.Kind], ".kind", "%q is not a kind of route", route.Kind, "use repeatable, once or streaming"},
+		{!routeKinds[route.Kind], ".kind", "%q is not a kind of route", route.Kind, "use repeatable, once, streaming or keyed"},
 		{route.Timeout <= 0, ".patience", "%v is not above 0", time.Duration(route.Timeout), "use a duration above 0"},
 		{route.FirstByteTarget < 0, ".target", "it is below 0", nil, durationRemedy},
 		{route.EventGapTarget < 0, ".gap", "it is below 0", nil, durationRemedy},
@@ -173,5 +173,8 @@
 		}
 		seen[key] = route.Name
 	}
+	if err := routing.checkTenants(); err != nil {
+		return err
+	}
 	return routing.Bounds.check()
 }
--- a/system/config/routing_lookup.go
+++ b/system/config/routing_lookup.go
@@ -24,11 +24,12 @@
 	return nil, false
 }
 
-// routeIndex indexes routes by lower-case host and by prefix, and services by name. It is
-// immutable.
+// routeIndex indexes routes by lower-case host and by prefix, services by name, and tenants by
+// their keys. It is immutable.
 type routeIndex struct {
 	hosts    map[string]*hostRoutes
 	services map[string]*Service
+	tenants  map[string]*Tenant // by the hash of each key
 }
 
 // hostRoutes holds the routes of one host by prefix, and the length of the longest prefix.
@@ -42,7 +43,12 @@
 //
 //	routing.BuildIndex()
 func (routing *Routing) BuildIndex() {
-	index := &routeIndex{hosts: map[string]*hostRoutes{}, services: make(map[string]*Service, len(routing.Services))}
+	index := &routeIndex{hosts: map[string]*hostRoutes{}, services: make(map[string]*Service, len(routing.Services)), tenants: make(map[string]*Tenant, len(routing.Tenants))}
+	for position := range routing.Tenants {
+		for _, hash := range routing.Tenants[position].KeyHashes {
+			index.tenants[hash] = &routing.Tenants[position]
+		}
+	}
 	for position := range routing.Services {
 		index.services[routing.Services[position].Name] = &routing.Services[position]
 	}
--- a/system/config/routing_revisions.go
+++ b/system/config/routing_revisions.go
@@ -24,8 +24,10 @@
 	Revision       uint64    // of the patched routing
 	Routes         []Route   // to add or replace, by name
 	Services       []Service // to add or replace, by name
+	Tenants        []Tenant  // to add or replace, by name
 	RemoveRoutes   []string  // names
 	RemoveServices []string  // names
+	RemoveTenants  []string  // names
 	Bounds         *Bounds   // nil means unchanged
 }
 
@@ -34,6 +36,9 @@
 	if err := checkUniqueNames("services", patch.Services, serviceName); err != nil {
 		return err
 	}
+	if err := checkUniqueNames("tenants", patch.Tenants, tenantName); err != nil {
+		return err
+	}
 	return checkUniqueNames("routes", patch.Routes, routeName)
 }
 
@@ -69,11 +74,12 @@
 	}
 	next := Routing{}
 	if routing != nil {
-		next = Routing{Routes: routing.Routes, Services: routing.Services, Bounds: routing.Bounds, UnknownFields: routing.UnknownFields}
+		next = Routing{Routes: routing.Routes, Services: routing.Services, Tenants: routing.Tenants, Bounds: routing.Bounds, UnknownFields: routing.UnknownFields}
 	}
 	next.Revision = patch.Revision
 	next.Routes = mergeByName(next.Routes, patch.RemoveRoutes, patch.Routes, routeName)
 	next.Services = mergeByName(next.Services, patch.RemoveServices, patch.Services, serviceName)
+	next.Tenants = mergeByName(next.Tenants, patch.RemoveTenants, patch.Tenants, tenantName)
 	if patch.Bounds != nil {
 		next.Bounds = *patch.Bounds
 	}
@@ -172,6 +178,10 @@
 		for position := range routing.Services {
 			routing.Services[position].Original = nil
 		}
+		routing.Tenants = slices.Clone(routing.Tenants)
+		for position := range routing.Tenants {
+			routing.Tenants[position].Original = nil
+		}
 		data, _ := json.Marshal(routing) // fails only for a NaN or infinite weight, which JSON cannot express
 		return data
 	}
--- a/system/configsource/schema.cue
+++ b/system/configsource/schema.cue
@@ -9,7 +9,7 @@
 	name:     #Label
 	host:     =~"^[!-.0-~]{1,255}$"
 	prefix:   =~"^/([!-~]*/)?$"
-	kind:     "repeatable" | "once" | "streaming"
+	kind:     "repeatable" | "once" | "streaming" | "keyed"
 	patience: #Duration         // timeout of a request
 	target:   #Duration | *"0s" // for the time to the first byte of the answer; 0 is no target
 	gap:      #Duration | *"0s" // target for the time between events; 0 is no target
@@ -21,6 +21,7 @@
 	keep:          #Duration | *"0s"       // retention of the stored turns after the last event
 	sticky:        bool | *false           // prefer the runner that served the session last
 	resumable:     bool | *false           // an interrupted stream may be executed again
+	public:        bool | *false           // open to requests without a tenant's key
 	// the route as its operator wrote it
 	written?: _
 }
@@ -32,6 +33,7 @@
 	most_connections: int & >=0 | *0    // of all fronts together to one runner; 0 is no limit
 	cold_for:         #Duration | *"0s" // how long a runner warms up after its start
 	cold_rate:        number & >=0 | *0 // requests per second to a runner that warms up; 0 is no limit
+	deduplicates:     bool | *false     // the runners answer repeated operations themselves
 	engine?: {
 		slots:            int & >=0
 		cache_tokens:     int & >=0 | *0
@@ -40,11 +42,23 @@
 	written?: _
 }
 
+// A tenant is a client organization; its requests bear one of its keys.
+#Tenant: {
+	name: #Label
+	// only hashes of the keys (SHA-256, hex) are needed
+	key_hashes: [...=~"^[0-9a-f]{64}$"] | *[]
+	urgency?: int & >=0 & <=1000 // replaces that of the routes
+	rate:     number & >=0 | *0  // requests per second through all fronts; 0 is no limit
+	burst:    number & >=0 | *0  // requests above the rate at a time
+	written?: _
+}
+
 #Routing: {
 	// increases with every change, not always by 1
 	revision: int & >=0
 	routes: [...#Route]
 	services: [...#Service]
+	tenants?: [...#Tenant]
 	bounds: {
 		header_bytes: int & >=0 | *0
 		body_bytes:   int & >=0 | *0
