Rate limits of tenants: a counting leader per tenant, tokens leased to fronts

Change: each tenant belongs to one session log group, whose leader counts for it with a token bucket; the group's followers are its successors.

Turns to continue are looked for only in the sessions of one tenant (FindTurnQuery.Scope).

--- a/system/apierror/apierror.go
+++ b/system/apierror/apierror.go
@@ -34,6 +34,9 @@
 	TooLarge Kind = "too_large"
 	// QuotaExhausted: the program's quota does not allow another turn.
 	QuotaExhausted Kind = "allowance_exhausted"
+	// RateLimited: the tenant has sent more requests than its rate limit allows; this one was not
+	// executed and never will be.
+	RateLimited Kind = "rate_limited"
 	// NotLeader: another replica leads the group; Error.Leader names it if known.
 	NotLeader Kind = "not_leader"
 	// NoQuorum: too few replicas responded in time.
--- a/system/sessionlog/turns.go
+++ b/system/sessionlog/turns.go
@@ -1,6 +1,9 @@
 package sessionlog
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Turn is one turn of a program in a view. It is immutable once published. A turn that others
 // follow is complete and is never replaced.
@@ -69,21 +72,24 @@
 	return nil, false
 }
 
-// TurnInAnySession returns a turn by name from any session of the group that has it. It prefers a
-// complete one.
+// TurnInAnySession returns a turn by name from any session of the group that has it and whose name
+// begins with scope. It prefers a complete one.
 //
-//	turn, found := machine.View().TurnInAnySession("9c41d07b")
-func (view *View) TurnInAnySession(name string) (*Turn, bool) {
+//	turn, found := machine.View().TurnInAnySession("tenant/depot/", "9c41d07b")
+func (view *View) TurnInAnySession(scope, name string) (turn *Turn, found bool) {
 	turns, _ := view.turns.Get(name)
-	for _, turn := range turns {
-		if turn.Complete() {
-			return turn, true
+	for _, candidate := range turns {
+		if !strings.HasPrefix(candidate.Session, scope) {
+			continue
+		}
+		if candidate.Complete() {
+			return candidate, true
+		}
+		if !found {
+			turn, found = candidate, true
 		}
 	}
-	if len(turns) == 0 {
-		return nil, false
-	}
-	return turns[0], true
+	return turn, found
 }
 
 // beginTurn atomically creates the session if it is absent, reserves the turn's output tokens and
--- a/system/sessionlog/turns_test.go
+++ b/system/sessionlog/turns_test.go
@@ -129,7 +129,7 @@
 	if _, found := machine.View().Turn("program/a", "x"); found {
 		t.Fatal("a turn was found after its session was removed")
 	}
-	if found, known := machine.View().TurnInAnySession("x"); !known || found.Session != "program/b" {
+	if found, known := machine.View().TurnInAnySession("", "x"); !known || found.Session != "program/b" {
 		t.Fatal("a turn was removed that another session adopted")
 	}
 	machine.Apply(&Command{Kind: AckArchived, Now: int64(5 * time.Hour)})
--- a/system/store/node.go
+++ b/system/store/node.go
@@ -100,6 +100,7 @@
 	// groups that this node leads.
 	laggingReplicas sync.Map
 	prefixDetector  sharedprefix.Detector
+	rateLimits      rateLimits
 
 	tailMutex   sync.Mutex
 	tailWaiters map[string]*tailWaiter
@@ -147,6 +148,7 @@
 	node := &Node{
 		settings: settings, caller: link.NewClient(network), archiveStore: archiveStore,
 		viewChanged: make(chan struct{}, 1), tailWaiters: map[string]*tailWaiter{},
+		rateLimits: rateLimits{groups: map[uint32]*groupRateLimits{}},
 	}
 	node.context, node.stop = context.WithCancel(context.Background())
 	node.view.Store(&feed.View{})
@@ -187,6 +189,7 @@
 	node.tasks.Go(node.runPlacement)
 	node.tasks.Go(func() { node.runEvery(repairInterval, node.repairAll) })
 	node.tasks.Go(func() { node.runEvery(laggingRepairInterval, node.laggingRepairer()) })
+	node.tasks.Go(func() { node.runEvery(leadershipPollInterval, node.recordLeadership) })
 }
 
 // runEvery runs a task at an interval until the node stops. Ticks during a run that takes longer
--- a/system/store/requests.go
+++ b/system/store/requests.go
@@ -24,6 +24,7 @@
 	schema.Query_Which_digests:   (*Node).handleDigests,
 	schema.Query_Which_find:      (*Node).handleFindTurn,
 	schema.Query_Which_opening:   (*Node).handleSharedPrefix,
+	schema.Query_Which_rateLimit: (*Node).handleRateLimit,
 }
 
 // Handle handles one query from another process; failures are error replies. It rejects queries
--- a/system/store/turns.go
+++ b/system/store/turns.go
@@ -124,7 +124,7 @@
 			if err != nil {
 				return // the group is not reported as searched
 			}
-			chain, open, err := node.findTurn(ctx, group, view, query.FindTurn.Name)
+			chain, open, err := node.findTurn(ctx, group, view, query.FindTurn)
 			mutex.Lock()
 			defer mutex.Unlock()
 			if err != nil {
@@ -147,8 +147,8 @@
 
 // findTurn searches for a turn in one group. It returns a complete turn with all turns that it
 // follows, oldest first, or reports that the turn is open.
-func (node *Node) findTurn(ctx context.Context, group uint32, view *sessionlog.View, turnName string) (chain []sessionlog.AdoptedTurn, open bool, err error) {
-	found, known := view.TurnInAnySession(turnName)
+func (node *Node) findTurn(ctx context.Context, group uint32, view *sessionlog.View, query *wire.FindTurnQuery) (chain []sessionlog.AdoptedTurn, open bool, err error) {
+	found, known := view.TurnInAnySession(query.Scope, query.Name)
 	if !known || !found.Complete() {
 		return nil, known && found.Open(view.Clock()), nil
 	}
--- a/system/storeclient/find_turn.go
+++ b/system/storeclient/find_turn.go
@@ -13,10 +13,10 @@
 // findTurn searches for a turn in the sessions of all groups and returns the chain of turns
 // up to it. It fails with NotFound only if the leader of every group, confirmed by a quorum,
 // has no such turn.
-func (client *Client) findTurn(ctx context.Context, turnName string) ([]sessionlog.AdoptedTurn, error) {
+func (client *Client) findTurn(ctx context.Context, turn wire.FindTurnQuery) ([]sessionlog.AdoptedTurn, error) {
 	searched := map[uint32]bool{}
 	for timeout := hedgeDelay; ; timeout = min(2*timeout, callTimeout) {
-		chain, err := client.findTurnOnce(ctx, turnName, timeout, searched)
+		chain, err := client.findTurnOnce(ctx, turn, timeout, searched)
 		if chain != nil || err != nil {
 			return chain, err
 		}
@@ -31,14 +31,14 @@
 // findTurnOnce queries every store for the turn in the groups that it leads, and adds these
 // groups to searched. It returns as soon as the turn is found or all groups are searched, and
 // returns nil, nil if some groups were not.
-func (client *Client) findTurnOnce(ctx context.Context, turnName string, timeout time.Duration, searched map[uint32]bool) ([]sessionlog.AdoptedTurn, error) {
+func (client *Client) findTurnOnce(ctx context.Context, turn wire.FindTurnQuery, timeout time.Duration, searched map[uint32]bool) ([]sessionlog.AdoptedTurn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	view := client.view()
 	replies := make(chan *wire.FindTurnReply, len(view.Stores))
 	for _, member := range view.Stores {
 		go func() { // ends with the call; replies is buffered for all stores
-			reply, err := client.caller.Call(ctx, member.Address, &wire.Query{Fleet: view.Fleet, Which: schema.Query_Which_find, FindTurn: &wire.FindTurnQuery{Name: turnName}})
+			reply, err := client.caller.Call(ctx, member.Address, &wire.Query{Fleet: view.Fleet, Which: schema.Query_Which_find, FindTurn: &turn})
 			if err != nil || reply.FoundTurn == nil {
 				reply = &wire.Reply{FoundTurn: &wire.FindTurnReply{}}
 			}
--- a/system/storeclient/turns.go
+++ b/system/storeclient/turns.go
@@ -6,6 +6,7 @@
 
 	"yardrock.example/system/apierror"
 	"yardrock.example/system/sessionlog"
+	"yardrock.example/system/wire"
 )
 
 // Turn is a turn of a program to begin.
@@ -14,6 +15,9 @@
 	// fleet and makes its begin idempotent.
 	SessionName string
 	Name        string
+	// Scope is the beginning of the names of those sessions in which the turn to continue may be;
+	// "" means all.
+	Scope string
 	// Follows is the name of the turn that this one continues; "" starts a conversation.
 	Follows string
 	// Conversation is the conversation of the program to which the turn belongs; it may be "".
@@ -122,7 +126,7 @@
 			if len(command.Adopted) > 0 {
 				return nil, apierror.NewRetryable(apierror.NotRun, "the turn to continue could not be adopted from its session", "retry", retryAfter)
 			}
-			if command.Adopted, err = client.findTurn(ctx, turn.Follows); err != nil {
+			if command.Adopted, err = client.findTurn(ctx, wire.FindTurnQuery{Scope: turn.Scope, Name: turn.Follows}); err != nil {
 				return nil, err
 			}
 		default:
--- a/system/wire/query_codec.go
+++ b/system/wire/query_codec.go
@@ -53,6 +53,8 @@
 		schema.Query.NewHold, schema.Query.Hold, encodeReplicateViewQuery, decodeReplicateViewQuery),
 	schema.Query_Which_newest: contentCodec(func(query *Query) **NewestViewQuery { return &query.NewestView },
 		schema.Query.NewNewest, schema.Query.Newest, encodeNewestViewQuery, decodeNewestViewQuery),
+	schema.Query_Which_rateLimit: contentCodec(func(query *Query) **RateLimitQuery { return &query.RateLimit },
+		schema.Query.NewRateLimit, schema.Query.RateLimit, encodeRateLimitQuery, decodeRateLimitQuery),
 	schema.Query_Which_sessions: contentCodec(func(query *Query) **MemberSessionBatch { return &query.MemberSessions },
 		schema.Query.NewSessions, schema.Query.Sessions, encodeMemberSessionBatch, decodeMemberSessionBatch),
 }
--- a/system/wire/reply_codec.go
+++ b/system/wire/reply_codec.go
@@ -27,6 +27,8 @@
 		return encodeNested(target.NewFollow, reply.Follow, encodeFollowReply)
 	case reply.Which == schema.Reply_Which_newest:
 		return encodeNested(target.NewNewest, reply.NewestView, encodeNewestViewReply)
+	case reply.Which == schema.Reply_Which_rateLimit:
+		return encodeNested(target.NewRateLimit, reply.RateLimit, encodeRateLimitReply)
 	}
 	return pogs.Insert(schema.Reply_TypeID, capnp.Struct(target), reply)
 }
@@ -55,6 +57,9 @@
 	case schema.Reply_Which_newest:
 		reply.NewestView = &NewestViewReply{}
 		return reply, decodeNested(source.Newest, reply.NewestView, decodeNewestViewReply)
+	case schema.Reply_Which_rateLimit:
+		reply.RateLimit = &RateLimitReply{}
+		return reply, decodeNested(source.RateLimit, reply.RateLimit, decodeRateLimitReply)
 	}
 	return reply, pogs.Extract(reply, schema.Reply_TypeID, capnp.Struct(source))
 }
--- a/system/wire/roundtrip_test.go
+++ b/system/wire/roundtrip_test.go
@@ -34,6 +34,8 @@
 		value.SetBool(true)
 	case reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
 		value.SetUint(1 + filler.count%255)
+	case reflect.Float64:
+		value.SetFloat(float64(filler.count) + 0.5)
 	case reflect.Int64:
 		value.SetInt(int64(filler.count))
 	default:
--- a/system/wire/schema/wire.capnp
+++ b/system/wire/schema/wire.capnp
@@ -24,6 +24,7 @@
     runner @14 :RunnerNote;
     find @15 :FindQuery;
     opening @16 :OpeningQuery;
+    rateLimit @19 :RateLimitQuery;
   }
   forwarded @17 :Bool;
   # The name of the process that is meant; empty: whoever listens at the address.
@@ -44,9 +45,31 @@
     chunks @9 :ColdChunkBatch;
     found @10 :FindReply;
     opening @11 :Opening;
+    rateLimit @12 :RateLimitReply;
   }
 }
 
+# --- rate limits ---
+
+struct RateLimitQuery {
+  group @0 :UInt32;
+  tenant @1 :Text;
+  rate @2 :Float64;
+  burst @3 :Float64;
+  config @4 :UInt64;
+  wanted @5 :UInt32;
+  unused @6 :UInt32;
+  term @7 :UInt64;
+  maxDelay @8 :Int64;
+}
+
+struct RateLimitReply {
+  granted @0 :UInt32;
+  retryAfter @1 :Int64;
+  term @2 :UInt64;
+  delay @3 :Int64;
+}
+
 struct Failure {
   kind @0 :Text;
   message @1 :Text;
@@ -312,6 +335,7 @@
 
 struct FindQuery {
   name @0 :Text;
+  scope @1 :Text;
 }
 
 struct FindReply {
--- a/system/wire/sessions.go
+++ b/system/wire/sessions.go
@@ -20,8 +20,11 @@
 }
 
 // FindTurnQuery requests a turn from a store, which searches all groups that it leads.
+//
+// Scope restricts the search to sessions whose names begin with it.
 type FindTurnQuery struct {
-	Name string `capnp:"name"`
+	Scope string `capnp:"scope"`
+	Name  string `capnp:"name"`
 }
 
 // FindTurnReply is the response to a FindTurnQuery. It covers only SearchedGroups, the groups
--- a/system/wire/wire.go
+++ b/system/wire/wire.go
@@ -55,6 +55,7 @@
 	RunnerWarmUp   *RunnerWarmUpNote   `capnp:"runner"`
 	FindTurn       *FindTurnQuery      `capnp:"find"`
 	SharedPrefix   *SharedPrefixQuery  `capnp:"opening"`
+	RateLimit      *RateLimitQuery     `capnp:"rateLimit"`
 	// Forwarded marks a query that its sender received from another process. It is not
 	// forwarded again, which rules out forwarding loops.
 	Forwarded bool `capnp:"forwarded"`
@@ -91,6 +92,7 @@
 	Chunks       *ArchiveChunkBatch             `capnp:"chunks"`
 	FoundTurn    *FindTurnReply                 `capnp:"found"`
 	SharedPrefix *sessionlog.SharedPrefixRecord `capnp:"opening"`
+	RateLimit    *RateLimitReply                `capnp:"rateLimit"`
 }
 
 // Failure is the wire form of an apierror.Error; an empty Kind means no error. What the sender
