Fronts: tenants' keys, rate limits and operations that run once on the platform's path

Change: a request on a route that is not public needs a known key wherever there are tenants (401); the key and a tenant header of the client's own are withheld from the runner, which gets the tenant's name. Key, tenant and token are checked again right before the first byte. Sessions and shared prefixes are named by tenant, so histories do not cross. A tenant's urgency replaces that of the route in the queue. Beyond the limit a request is answered 429 with a time to retry.

Keyed routes: services that deduplicate get the key and may get the request again; their 409 is passed on. For the others a front commits the start of an operation before it sends the request, and the response before the client gets it; a repeat through any front gets that response, 409 while the first is at work, or 502 if its outcome is unknown. It runs again only after the record proves that it did not.

--- a/proof/simulator/forward.go
+++ b/proof/simulator/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -35,6 +36,9 @@
 }
 `
 
+// operationHeader is the header in which clients send the key of an operation.
+const operationHeader = "Operation"
+
 // ForwardedAnswer records the answer to a forwarded request.
 type ForwardedAnswer struct {
 	Status int
@@ -89,7 +93,14 @@
 // defaults: POST, and 4 s from now.
 //
 //	answer := cluster.Forward(cluster.Fronts[0], forwarding.Request{Name: "q-1", Path: "/lookup/1"})
-func (*Cluster) Forward(machine *Machine, request forwarding.Request) *ForwardedAnswer {
+func (cluster *Cluster) Forward(machine *Machine, request forwarding.Request) *ForwardedAnswer {
+	return cluster.ForwardWith(machine, request, nil)
+}
+
+// ForwardWith is Forward for a client that sends further headers.
+//
+//	answer := cluster.ForwardWith(front, request, http.Header{"Authorization": {"Bearer key"}})
+func (*Cluster) ForwardWith(machine *Machine, request forwarding.Request, header http.Header) *ForwardedAnswer {
 	if request.Method == "" {
 		request.Method = http.MethodPost
 	}
@@ -98,6 +109,10 @@
 	}
 	request.Host, request.Target, request.ReceivedAt = RoutedHost, request.Path, time.Now()
 	request.Header = http.Header{standin.HeaderNames.RequestID: {request.ID}}
+	if request.OperationKey != "" {
+		request.Header.Set(operationHeader, request.OperationKey)
+	}
+	maps.Copy(request.Header, header)
 	answer := &ForwardedAnswer{}
 	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
 	defer cancel()
--- a/proof/simulator/runnerlist.go
+++ b/proof/simulator/runnerlist.go
@@ -105,7 +105,7 @@
 
 func (cluster *Cluster) startEngines(shape Shape) error {
 	var errs error
-	for group, count := range map[string]int{"engines": shape.Engines, "tools": shape.Tools} {
+	for group, count := range map[string]int{"engines": shape.Engines, "tools": shape.Tools, "records": shape.Records} {
 		for index := range count {
 			machine := &EngineMachine{Host: fmt.Sprintf("10.0.6.%d", len(cluster.Engines)+1), Domain: domain(index), Group: group}
 			errs = errors.Join(errs, machine.Start(cluster, fmt.Sprintf("life-%d", len(cluster.Engines)+1)))
--- /dev/null
+++ b/proof/simulator/tenants_test.go
@@ -0,0 +1,248 @@
+package simulator
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"yardrock.example/proof/standin"
+	"yardrock.example/system/apierror"
+	"yardrock.example/system/config"
+	"yardrock.example/system/forwarding"
+)
+
+// The keys of the tenants of tenantsConfig.
+const (
+	harborKey = "harbor-key"
+	hillKey   = "hill-key"
+)
+
+// tenantsConfig returns RoutedConfig with tenants: "harbor" has the given limit, "hill" none. The
+// fronts record the operations of the keyed route "booking", the runners those of "receipt".
+func tenantsConfig(revision int, rate, burst float64, harborKeys ...string) string {
+	hashes := []string{}
+	for _, key := range harborKeys {
+		hashes = append(hashes, fmt.Sprintf("%q", config.HashToken(key)))
+	}
+	tenants := fmt.Sprintf(`
+	tenants: [
+		{name: "harbor", key_hashes: [%s], rate: %v, burst: %v},
+		{name: "hill", key_hashes: [%q]},
+	]
+`, strings.Join(hashes, ", "), rate, burst, config.HashToken(hillKey))
+	routes := `
+		{name: "booking", host: "talk.example", prefix: "/booking/", kind: "keyed", patience: "3s", target: "500ms", urgency: 2, shares: [{service: "tools", weight: 1}], tries: 2},
+		{name: "receipt", host: "talk.example", prefix: "/receipt/", kind: "keyed", patience: "3s", target: "500ms", urgency: 2, shares: [{service: "records", weight: 1}], tries: 2},
+		{name: "status", host: "talk.example", prefix: "/status/", kind: "repeatable", patience: "2s", target: "150ms", urgency: 2, shares: [{service: "tools", weight: 1}], tries: 3, public: true},
+	]
+	bounds:`
+	source := strings.Replace(RoutedConfig, "\n\t]\n\tbounds:", routes, 1)
+	source = strings.Replace(source, "\n\t]\n\troutes:", "\n\t\t{name: \"records\", deduplicates: true},\n\t]\n\troutes:", 1)
+	source = strings.Replace(source, "revision: 1", fmt.Sprintf("revision: %d", revision), 1)
+	return strings.Replace(source, "\n\tbounds:", tenants+"\tbounds:", 1)
+}
+
+// simulateTenants is simulateRouted with the tenants' config.
+func simulateTenants(t *testing.T, rate, burst float64, body func(t *testing.T, cluster *Cluster)) {
+	t.Helper()
+	simulateRouted(t, func(t *testing.T, cluster *Cluster) {
+		putTenants(t, cluster, 2, rate, burst, harborKey)
+		body(t, cluster)
+	})
+}
+
+// putTenants stores a config with tenants and waits until every front has it.
+func putTenants(t *testing.T, cluster *Cluster, revision int, rate, burst float64, harborKeys ...string) {
+	t.Helper()
+	if err := cluster.PutConfig(tenantsConfig(revision, rate, burst, harborKeys...)); err != nil {
+		t.Fatal(err)
+	}
+	cluster.Sleep(2 * time.Second)
+}
+
+// TestOnlyRequestsWithATenantsKeyRun guards against requests that run without a key, or with one that
+// was revoked, and against runners that learn a key or a tenant that the client made up.
+func TestOnlyRequestsWithATenantsKeyRun(t *testing.T) {
+	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
+		send := func(name, path, key string) *ForwardedAnswer {
+			return cluster.ForwardWith(cluster.Fronts[0], forwarding.Request{ID: name, Path: path, TenantKey: key}, http.Header{
+				"Authorization": {"Bearer " + key}, standin.HeaderNames.Tenant: {"made-up"},
+			})
+		}
+		for _, key := range []string{"", "unknown", "harbor"} {
+			name := "no-tenant-" + key
+			if answer := send(name, "/lookup/1", key); !apierror.Is(answer.Err, apierror.Unauthorized) || executionsOf(cluster, name) != 0 {
+				t.Errorf("key %q: %d %v", key, answer.Status, answer.Err)
+			}
+		}
+		for name, expected := range map[string]struct{ path, key, tenant string }{
+			"by-harbor": {"/lookup/1", harborKey, "harbor"}, "by-hill": {"/order/1", hillKey, "hill"},
+			"public": {"/status/1", "", ""}, "public-by-hill": {"/status/1", hillKey, "hill"},
+		} {
+			if answer := send(name, expected.path, expected.key); !answer.Complete() {
+				t.Errorf("%s: %d %v", name, answer.Status, answer.Err)
+			}
+			checkTenantHeaders(t, cluster, name, expected.tenant)
+		}
+		putTenants(t, cluster, 3, 0, 0, "harbor-new-key")
+		if answer := send("revoked", "/lookup/1", harborKey); !apierror.Is(answer.Err, apierror.Unauthorized) || executionsOf(cluster, "revoked") != 0 {
+			t.Errorf("revoked key: %d %v", answer.Status, answer.Err)
+		}
+		if answer := send("replaced", "/lookup/1", "harbor-new-key"); !answer.Complete() {
+			t.Errorf("new key: %d %v", answer.Status, answer.Err)
+		}
+	})
+}
+
+// checkTenantHeaders checks what the runner of a request learned of its client.
+func checkTenantHeaders(t *testing.T, cluster *Cluster, name, tenant string) {
+	t.Helper()
+	for _, machine := range cluster.Engines {
+		for _, execution := range machine.Engine.Executions() {
+			if execution.RequestID != name {
+				continue
+			}
+			if got := execution.Header.Get(standin.HeaderNames.Tenant); got != tenant || execution.Header.Get("Authorization") != "" {
+				t.Errorf("%s: the runner got tenant %q, authorization %q", name, got, execution.Header.Get("Authorization"))
+			}
+		}
+	}
+}
+
+// TestTurnOfAnotherTenantIsUnknown guards against histories that cross tenants.
+func TestTurnOfAnotherTenantIsUnknown(t *testing.T) {
+	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
+		turn := func(front int, name, program, key, follows string) *ForwardedAnswer {
+			return cluster.Forward(cluster.Fronts[front], forwarding.Request{ID: name, Path: "/talk/kept/" + name, Program: program, TenantKey: key, Follows: follows, Body: []byte("secret " + name)})
+		}
+		if answer := turn(0, "first", "shared-program", harborKey, ""); !answer.Complete() {
+			t.Fatal(answer.Err)
+		}
+		for _, program := range []string{"shared-program", "another-program"} {
+			if answer := turn(1, "stolen-"+program, program, hillKey, "first"); !apierror.Is(answer.Err, apierror.NotFound) {
+				t.Errorf("%s: %d %v", program, answer.Status, answer.Err)
+			}
+			if answer := turn(1, "own-"+program, program, harborKey, "first"); !answer.Complete() {
+				t.Errorf("%s of the tenant itself: %d %v", program, answer.Status, answer.Err)
+			}
+		}
+	})
+}
+
+// TestRateLimitHoldsOverAllFrontsWhileStoresAreLost sends three times a tenant's limit through all
+// fronts while the stores that count for it are killed one after another. Another tenant is served.
+func TestRateLimitHoldsOverAllFrontsWhileStoresAreLost(t *testing.T) {
+	const rate, burst, window, duration = 60, 20, 5 * time.Second, 24 * time.Second
+	const excess, slack = 0.1, 20
+	simulateTenants(t, rate, burst, func(t *testing.T, cluster *Cluster) {
+		random := cluster.Random(77)
+		began := time.Now()
+		go func() {
+			for time.Since(began) < duration-6*time.Second {
+				victim := cluster.Stores[random.IntN(len(cluster.Stores))]
+				victim.Kill()
+				cluster.Sleep(time.Second + time.Duration(random.Int64N(int64(time.Second))))
+				if err := victim.Start(); err != nil {
+					t.Error(err)
+				}
+				cluster.Sleep(2 * time.Second)
+			}
+		}()
+		results := make(chan string)
+		sent := 0
+		for time.Since(began) < duration {
+			for range 3 * rate / 20 {
+				name, front := fmt.Sprintf("limited-%d", sent), cluster.Fronts[sent%len(cluster.Fronts)]
+				sent++
+				go func() {
+					answer := cluster.Forward(front, forwarding.Request{ID: name, Path: "/lookup/" + name, TenantKey: harborKey, Deadline: time.Now().Add(2 * time.Second)})
+					if answer.Err != nil && !apierror.Is(answer.Err, apierror.RateLimited) && !apierror.Is(answer.Err, apierror.NotRun) {
+						t.Errorf("%s: %v", name, answer.Err)
+					}
+					results <- ""
+				}()
+			}
+			cluster.Sleep(50 * time.Millisecond)
+			name := fmt.Sprintf("other-%d", sent)
+			go func() {
+				if answer := cluster.Forward(cluster.Fronts[0], forwarding.Request{ID: name, Path: "/lookup/" + name, TenantKey: hillKey}); !answer.Complete() {
+					t.Errorf("%s: %v", name, answer.Err)
+				}
+				results <- ""
+			}()
+			sent++
+		}
+		for range sent {
+			<-results
+		}
+		arrivals := []time.Time{}
+		for _, machine := range cluster.Engines {
+			for _, execution := range machine.Engine.Executions() {
+				if execution.Header.Get(standin.HeaderNames.Tenant) == "harbor" {
+					arrivals = append(arrivals, execution.At)
+				}
+			}
+		}
+		allowed := (rate*window.Seconds()+burst)*(1+excess) + slack
+		if most := maxWithin(arrivals, window); float64(most) > allowed {
+			t.Errorf("%d requests ran within %s, at most %.0f are allowed", most, window, allowed)
+		}
+		if least := rate * duration.Seconds() / 2; float64(len(arrivals)) < least {
+			t.Errorf("%d requests ran in %s, at least %.0f expected", len(arrivals), duration, least)
+		}
+	})
+}
+
+// TestLowerRateLimitBindsAllFronts guards against fronts that spend tokens of a limit that was lowered.
+func TestLowerRateLimitBindsAllFronts(t *testing.T) {
+	simulateTenants(t, 400, 100, func(t *testing.T, cluster *Cluster) {
+		flood := func(phase string, duration time.Duration) (ran int) {
+			ran, _ = floodLookups(cluster, phase, duration)
+			return ran
+		}
+		if ran := flood("high", 2*time.Second); ran < 600 {
+			t.Errorf("%d requests ran under the high limit", ran)
+		}
+		putTenants(t, cluster, 3, 20, 10, harborKey)
+		cluster.Sleep(time.Second)
+		if ran := flood("low", 4*time.Second); ran > 4*20+10+20 || ran < 40 {
+			t.Errorf("%d requests ran in 4 s under the low limit of 20 a second", ran)
+		}
+	})
+}
+
+// floodLookups sends 400 lookups of a tenant each second through all fronts and counts those answered.
+func floodLookups(cluster *Cluster, phase string, duration time.Duration) (answered, sent int) {
+	results := make(chan bool)
+	for began := time.Now(); time.Since(began) < duration; cluster.Sleep(5 * time.Millisecond) {
+		for _, front := range cluster.Fronts {
+			name := fmt.Sprintf("%s-%d", phase, sent)
+			sent++
+			go func() {
+				results <- cluster.Forward(front, forwarding.Request{ID: name, Path: "/lookup/" + name, TenantKey: harborKey}).Complete()
+			}()
+		}
+	}
+	for range sent {
+		if <-results {
+			answered++
+		}
+	}
+	return answered, sent
+}
+
+// maxWithin returns the largest number of times within any period.
+func maxWithin(times []time.Time, period time.Duration) int {
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for last := range times {
+		for times[last].Sub(times[first]) >= period {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
--- a/proof/standin/engine.go
+++ b/proof/standin/engine.go
@@ -17,7 +17,7 @@
 // HeaderNames names the headers that an Engine reads and writes.
 var HeaderNames = runnerpool.HeaderNames{
 	RequestID: "Query-Name", NotRun: "Not-Run", ExpectedRunner: "Expected-Runner", Timeout: "Time-Left", Load: "Runner-Load",
-	Urgency: "Urgency", LastEventID: "Last-Event-ID", RunnerID: "Runner", WarmUpLeft: "Cold-For",
+	Urgency: "Urgency", LastEventID: "Last-Event-ID", Tenant: "Tenant", RunnerID: "Runner", WarmUpLeft: "Cold-For",
 }
 
 // Fault selects how an Engine mishandles one request. The texts appear only in test output.
@@ -28,6 +28,9 @@
 	NoFault Fault = ""
 	// FaultNotRun answers 503 with the header that states that the request did not run.
 	FaultNotRun Fault = "refuses"
+	// FaultInProgress answers 409 with the header that states that the request did not run, as
+	// runners that deduplicate operations do while another request runs the operation.
+	FaultInProgress Fault = "in progress"
 	// FaultLoseAnswer runs the request and closes the connection without an answer.
 	FaultLoseAnswer Fault = "loses"
 	// FaultBreakStream closes the connection after the second event of a stream.
@@ -240,6 +243,10 @@
 		header.Set(HeaderNames.NotRun, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case FaultInProgress:
+		header.Set(HeaderNames.NotRun, "1")
+		writer.WriteHeader(http.StatusConflict)
+		return
 	case FaultUnavailable:
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/system/balancer/types.go
+++ b/system/balancer/types.go
@@ -18,6 +18,8 @@
 type Request struct {
 	// Route is the matched route. Required.
 	Route *config.Route
+	// Urgency, if not nil, replaces that of the route in the order of waiting requests.
+	Urgency *int
 	// PromptParts are the parts of the prompt of model work, in order. It is empty for plain
 	// work and for prompts whose parts are not known.
 	PromptParts []PromptPart
--- a/system/balancer/wait_queue.go
+++ b/system/balancer/wait_queue.go
@@ -43,11 +43,19 @@
 	return timeout
 }
 
+// urgency returns the urgency of a request; 0 is served first.
+func (request *Request) urgency() int {
+	if request.Urgency != nil {
+		return *request.Urgency
+	}
+	return request.Route.Urgency
+}
+
 // precedes reports whether the left request is served before the right one: by urgency,
 // lowest value first, then by finish time.
 func precedes(left, right *Request) bool {
-	if left.Route.Urgency != right.Route.Urgency {
-		return left.Route.Urgency < right.Route.Urgency
+	if leftUrgency, rightUrgency := left.urgency(), right.urgency(); leftUrgency != rightUrgency {
+		return leftUrgency < rightUrgency
 	}
 	return finishTime(left).Before(finishTime(right))
 }
--- a/system/forwarding/attempt.go
+++ b/system/forwarding/attempt.go
@@ -29,6 +29,11 @@
 	// them.
 	current CurrentConfig
 	route   *config.Route
+	// tenant and sendBy are those of the exchange when the attempt was made.
+	tenant *config.Tenant
+	sendBy time.Time
+	// unrecorded is set if the front keeps no record of the operation.
+	unrecorded bool
 	// lastEventID is the ID of the last event that the client received.
 	lastEventID string
 	startedAt   time.Time
@@ -56,7 +61,7 @@
 	attempt.response, attempt.err = attempt.attempts.forwarder.settings.Pool.Send(attempt.context, runnerpool.Request{
 		Runner: attempt.lease.Runner, MaxConnections: attempt.lease.MaxConnections, Method: exchange.Method, Target: exchange.Target, Host: exchange.Host, Header: exchange.Header,
 		Body: exchange.body, ID: exchange.ID, Deadline: exchange.deadline, LastEventID: attempt.lastEventID,
-		BeforeSend: attempt.checkBeforeSend,
+		BeforeSend: attempt.checkBeforeSend, Tenant: nameOf(attempt.tenant), WithholdsKey: attempt.current.Routing.HasTenants(),
 	})
 	if attempt.err == nil && !attempt.response.Closing {
 		attempt.lease.ConfirmServing(attempt.startedAt)
@@ -114,8 +119,17 @@
 		if !found || route.Kind != attempt.route.Kind || route.StoresHistory != attempt.route.StoresHistory {
 			return changed
 		}
+		if tenant, err := tenantOf(current.Routing, route, exchange.TenantKey); err != nil || nameOf(tenant) != nameOf(attempt.tenant) {
+			return changed
+		}
+		if route.Kind == config.Keyed && attempt.unrecorded && !current.Routing.DeduplicatesOperations(route) {
+			return changed
+		}
 		attempt.current, attempt.route = current, route
 	}
+	if attempt.sendBy != (time.Time{}) && time.Now().After(attempt.sendBy) {
+		return apierror.NewRetryable(apierror.NotRun, "the request's token of the rate limit has expired", "retry", shortRetryAfter)
+	}
 	if !attempt.lease.Valid() || !attempt.lease.Serves(attempt.route) {
 		return changed
 	}
--- a/system/forwarding/dispatch.go
+++ b/system/forwarding/dispatch.go
@@ -46,6 +46,7 @@
 		}
 		if err = attempts.awaitInFlight(err); err != nil {
 			forwarder.recordUnansweredTurn(exchange, err)
+			forwarder.recordUnansweredOperation(exchange, err)
 		}
 		return true, err
 	}
@@ -57,9 +58,18 @@
 }
 
 // idempotent reports whether the request may run more than once. This includes resumable
-// streams, which another runner continues after the last event that the client received.
+// streams, which another runner continues after the last event that the client received, and
+// operations that the runners deduplicate.
 func (exchange *exchange) idempotent() bool {
-	return exchange.route.Kind == config.Repeatable || (exchange.route.Kind == config.Streaming && exchange.route.Resumable)
+	switch exchange.route.Kind {
+	case config.Repeatable:
+		return true
+	case config.Streaming:
+		return exchange.route.Resumable
+	case config.Keyed:
+		return exchange.operation == nil && exchange.current.Routing.DeduplicatesOperations(exchange.route)
+	}
+	return false
 }
 
 // mayRetry reports whether the request may be sent to another runner after a failed attempt.
@@ -71,7 +81,7 @@
 // only if no earlier attempt may have run either.
 func (exchange *exchange) errorForClient(err error) error {
 	failure := *apierror.Of(err)
-	provenNotRun := failure.NeverSent || failure.Kind == apierror.NotRun
+	provenNotRun := failure.NeverSent || failure.Kind == apierror.NotRun || failure.Kind == apierror.RateLimited
 	switch {
 	case exchange.stream.started:
 		return err
@@ -82,6 +92,7 @@
 		}
 	case exchange.mayHaveRun:
 		failure.Kind = apierror.Unknown
+	case failure.Kind == apierror.RateLimited:
 	default:
 		failure.Kind = apierror.NotRun
 		if failure.RetryAfter == 0 {
--- a/system/forwarding/filters.go
+++ b/system/forwarding/filters.go
@@ -12,9 +12,9 @@
 type filter func(ctx context.Context, forwarder *Forwarder, exchange *exchange) (done bool, err error)
 
 // filters is the chain that every request passes through. The buffer limit comes first
-// because it protects the other filters. The turn is recorded just before dispatch, so that
-// requests rejected by an earlier filter leave no record.
-var filters = []filter{limitBufferedBytes, awaitFreshView, findRoute, setDeadline, beginTurn, dispatch}
+// because it protects the other filters. The turn or operation is recorded just before dispatch,
+// so that requests rejected by an earlier filter leave no record.
+var filters = []filter{limitBufferedBytes, awaitFreshView, findRoute, authenticate, setDeadline, limitRate, beginTurn, beginOperation, dispatch}
 
 // viewWaitFraction is the fraction of its remaining time that a request may wait for a
 // fresh view.
--- a/system/forwarding/forwarder.go
+++ b/system/forwarding/forwarder.go
@@ -60,6 +60,7 @@
 	if settings.MaxBufferedBytes == 0 {
 		settings.MaxBufferedBytes = DefaultMaxBufferedBytes
 	}
+	settings.OperationRetention = max(settings.OperationRetention, DefaultOperationRetention)
 	forwarder := &Forwarder{settings: settings}
 	forwarder.context, forwarder.stop = context.WithCancel(context.Background())
 	return forwarder
@@ -119,6 +120,12 @@
 	current  CurrentConfig
 	route    *config.Route
 	deadline time.Time
+	// tenant is the tenant that the request's key belongs to; nil if it has none.
+	tenant *config.Tenant
+	// sendBy is until when the request's token of the rate limit may be used; zero without one.
+	sendBy time.Time
+	// operation is the record of the operation; nil if the front keeps none.
+	operation *operationRecord
 	// triedRunners are the incarnations of the runners that were sent the request or were
 	// unreachable. They are not tried again.
 	triedRunners []string
--- a/system/forwarding/hedging.go
+++ b/system/forwarding/hedging.go
@@ -54,6 +54,9 @@
 // tryNext makes one more attempt and waits for the response of any attempt. On an error,
 // retry reports whether another runner may be tried.
 func (attempts *attemptSet) tryNext() (retry bool, err error) {
+	if err := attempts.exchange.acquireToken(attempts.context, attempts.forwarder); err != nil {
+		return false, attempts.exchange.errorForClient(err)
+	}
 	attempt, err := attempts.leaseRunner()
 	attempts.exchange.timer.end(StageQueue)
 	if err != nil {
@@ -81,7 +84,7 @@
 func (attempts *attemptSet) leaseRunner() (*attempt, error) {
 	exchange := attempts.exchange
 	lease, err := attempts.forwarder.settings.Balancer.Acquire(attempts.context, balancer.Request{
-		Route: exchange.route, PromptParts: exchange.PromptParts, Program: exchange.Program, Session: exchange.Session, AffinityKey: exchange.AffinityKey,
+		Route: exchange.route, Urgency: urgencyOf(exchange.tenant), PromptParts: exchange.PromptParts, Program: exchange.Program, Session: exchange.Session, AffinityKey: exchange.AffinityKey,
 		InputTokens: exchange.InputTokens, MaxOutputTokens: exchange.MaxOutputTokens, Deadline: exchange.deadline, FinishBy: exchange.FinishBy, Excluded: exchange.triedRunners,
 		CachedAt: exchange.cachedAt(),
 	})
@@ -89,7 +92,7 @@
 		return nil, err
 	}
 	return &attempt{
-		attempts: attempts, lease: lease, current: exchange.current, route: exchange.route, lastEventID: exchange.stream.lastEventID,
+		attempts: attempts, lease: lease, current: exchange.current, route: exchange.route, tenant: exchange.tenant, sendBy: exchange.sendBy, unrecorded: exchange.operation == nil, lastEventID: exchange.stream.lastEventID,
 		context: attempts.context, cancel: func() {},
 	}, nil
 }
@@ -172,6 +175,10 @@
 	exchange.lastLease = attempt.lease
 	exchange.current, exchange.route = attempt.current, attempt.route
 	if attempt.err != nil {
+		if attempt.isInProgress() {
+			attempt.lease.Release(balancer.NotSent, attempt.response.Load)
+			return false, operationInProgressError()
+		}
 		failure := apierror.Of(attempt.err)
 		attempts.countFailedSend(attempt, failure)
 		attempt.lease.Release(outcomeOf(attempts.context, failure), nil)
--- a/system/forwarding/relay.go
+++ b/system/forwarding/relay.go
@@ -107,6 +107,7 @@
 	if err != nil {
 		return outcome, err
 	}
+	forwarder.recordResponse(ctx, exchange, response.Status, response.Header, data, len(data) < maxBufferedResponseBytes)
 	if writeOutcome, err := exchange.writeBuffered(response, data); err != nil {
 		return writeOutcome, err
 	}
--- a/system/forwarding/request_log.go
+++ b/system/forwarding/request_log.go
@@ -19,6 +19,8 @@
 	StageReceive Stage = iota
 	// StageView is the wait for a fresh view.
 	StageView
+	// StageRateLimit is the wait for a token of the tenant's rate limit.
+	StageRateLimit
 	// StageBeginTurn is the commit that records the start of a turn.
 	StageBeginTurn
 	// StageQueue is the wait for a runner that can accept the request.
@@ -40,7 +42,7 @@
 // String returns the name of the stage in logs and metrics.
 func (stage Stage) String() string { return stageNames[stage] }
 
-var stageNames = [stageCount]string{"receive", "view", "begin", "queue", "head", "first_event", "stream", "end"}
+var stageNames = [stageCount]string{"receive", "view", "rate_limit", "begin", "queue", "head", "first_event", "stream", "end"}
 
 // RequestRecord describes an ended request for logs and metrics.
 type RequestRecord struct {
--- a/system/forwarding/turns.go
+++ b/system/forwarding/turns.go
@@ -46,12 +46,12 @@
 	if !exchange.isRecorded() {
 		return false, nil
 	}
-	exchange.sessionName = sessionNameOf(exchange.Request)
+	exchange.sessionName = exchange.tenantScope() + sessionNameOf(exchange.Request)
 	lifetime := time.Until(exchange.deadline) + turnLifetimeMargin
 	ctx, cancel := context.WithTimeout(ctx, exchange.beginTurnTimeout())
 	defer cancel()
 	begun, err := forwarder.settings.TurnStore.BeginTurn(ctx, storeclient.Turn{
-		SessionName: exchange.sessionName, Name: exchange.ID, Follows: exchange.Follows, Conversation: exchange.Session, Input: exchange.Body,
+		SessionName: exchange.sessionName, Name: exchange.ID, Scope: exchange.tenantScope(), Follows: exchange.Follows, Conversation: exchange.Session, Input: exchange.Body,
 		KeepHistory: exchange.route.StoresHistory, Retention: time.Duration(exchange.route.Retention), PrefixScope: exchange.prefixScope(),
 		HasTokenQuota: exchange.HasOutputBudget, MaxOutputTokens: exchange.MaxOutputTokens, TokenQuota: exchange.OutputBudget,
 		DispatchID: forwarder.settings.Node, Lifetime: lifetime,
@@ -79,12 +79,12 @@
 }
 
 // prefixScope identifies the turns that the input may share a stored prefix with: those of
-// the same route if the configuration enables sharing, otherwise "", which means none.
+// the same tenant and route if the configuration enables sharing, otherwise "", which means none.
 func (exchange *exchange) prefixScope() string {
 	if !exchange.current.SharedPrefixes.Enabled {
 		return ""
 	}
-	return exchange.route.Name
+	return exchange.tenantScope() + exchange.route.Name
 }
 
 // sessionNameOf returns the name of the session log that records the turn: that of the
--- a/system/forwarding/types.go
+++ b/system/forwarding/types.go
@@ -8,8 +8,11 @@
 	"yardrock.example/system/balancer"
 	"yardrock.example/system/config"
 	"yardrock.example/system/feed"
+	"yardrock.example/system/ratelimit"
 	"yardrock.example/system/runnerpool"
+	"yardrock.example/system/sessionlog"
 	"yardrock.example/system/storeclient"
+	"yardrock.example/system/wire"
 )
 
 // Request is one HTTP request of a client, as parsed by the ingress. Each attempt of the
@@ -56,6 +59,11 @@
 	// Follows identifies the request whose turn this one continues. It is empty for the first
 	// turn of a conversation.
 	Follows string
+	// TenantKey is the key by which the tenant is known; empty if the client sent none.
+	TenantKey string
+	// OperationKey identifies the operation on a keyed route: a tenant's requests with the same
+	// key are one operation.
+	OperationKey string
 	// LastEventID is the ID of the last event that the client received, as in the
 	// Last-Event-ID header of server-sent events; empty if none.
 	LastEventID string
@@ -70,10 +78,17 @@
 	Write(data []byte) error
 }
 
-// TurnStore records turns and their quota usage. storeclient.Client implements it.
+// TurnStore records turns and their quota usage, and operations. storeclient.Client implements it.
 type TurnStore interface {
 	BeginTurn(ctx context.Context, turn storeclient.Turn) (*storeclient.BegunTurn, error)
 	EndTurn(ctx context.Context, end storeclient.TurnEnd) error
+	Command(ctx context.Context, sessionName string, commands ...sessionlog.Command) ([]sessionlog.Result, error)
+	ReadAll(ctx context.Context, sessionName string) ([]sessionlog.Event, *wire.ReadReply, error)
+}
+
+// RateLimiter admits the requests of tenants with a rate limit. ratelimit.Limiter implements it.
+type RateLimiter interface {
+	Admit(ctx context.Context, tenant string, limit ratelimit.Limit, config uint64) (sendBy time.Time, err error)
 }
 
 // CurrentConfig is the part of the current configuration that forwarding uses, and the view
@@ -106,6 +121,10 @@
 	Balancer      *balancer.Balancer
 	Pool          *runnerpool.Pool
 	TurnStore     TurnStore
+	RateLimiter   RateLimiter
+	// OperationRetention is how long an operation is recorded after its last event; less than
+	// DefaultOperationRetention means that.
+	OperationRetention time.Duration
 	// MaxBufferedBytes limits the bytes of request bodies and histories that are buffered
 	// at a time; 0 means DefaultMaxBufferedBytes. A request that exceeds it is rejected with
 	// apierror.NotRun.
--- a/system/front/node.go
+++ b/system/front/node.go
@@ -41,6 +41,7 @@
 	"yardrock.example/system/httpapi"
 	"yardrock.example/system/link"
 	"yardrock.example/system/metrics"
+	"yardrock.example/system/ratelimit"
 	"yardrock.example/system/runnerclient"
 	"yardrock.example/system/runnerpool"
 	"yardrock.example/system/scheduler"
@@ -85,6 +86,12 @@
 	// DrainTimeout is how long after the platform has listed a runner as draining the front may
 	// still send it forwarded requests; 0 means DefaultDrainTimeout.
 	DrainTimeout time.Duration
+	// RateLimitLease is how long after it was asked for a token of a tenant's rate limit may be
+	// used; 0 means ratelimit.DefaultLeaseLifetime.
+	RateLimitLease time.Duration
+	// OperationRetention is how long an operation is recorded; 0 means
+	// forwarding.DefaultOperationRetention, which is also the shortest time.
+	OperationRetention time.Duration
 	// LogRequests enables a log line for each forwarded request, with the time of its stages.
 	LogRequests bool
 	// Metrics receives the metrics of forwarded requests and of the balancer; nil disables
@@ -104,6 +111,7 @@
 	pool         *runnerpool.Pool
 	balancer     *balancer.Balancer
 	forwarder    *forwarding.Forwarder
+	rateLimiter  *ratelimit.Limiter
 	linkServer   *link.Server
 	publicServer *httpapi.Server
 	current      atomic.Pointer[currentConfig]
@@ -159,9 +167,10 @@
 	node.scheduler = scheduler.New(node.name, settings.Domain, node.schedulerState, node.notifyPeers)
 	node.pool = runnerpool.New(network, settings.HeaderNames)
 	node.balancer = balancer.New(settings.Domain, rand.Uint64(), nil)
+	node.rateLimiter = ratelimit.New(ratelimit.Settings{Granter: node.stores, LeaseLifetime: settings.RateLimitLease})
 	node.forwarder = forwarding.New(forwarding.Settings{
 		Node: node.name, CheckViewFresh: node.checkViewFresh, AwaitViewFresh: node.awaitViewFresh, CurrentConfig: node.forwardingConfig,
-		Balancer: node.balancer, Pool: node.pool, TurnStore: node.stores, MaxBufferedBytes: settings.MaxBufferedBytes,
+		Balancer: node.balancer, Pool: node.pool, TurnStore: node.stores, RateLimiter: node.rateLimiter, OperationRetention: settings.OperationRetention, MaxBufferedBytes: settings.MaxBufferedBytes,
 		LogRequests: settings.LogRequests, Observe: requestObserver(settings.Metrics),
 	})
 	if settings.Metrics != nil {
@@ -246,6 +255,7 @@
 		node.publicServer.Close()
 	}
 	node.forwarder.Close()
+	node.rateLimiter.Close()
 	node.pool.Close()
 	node.feedClient.Stop()
 	node.linkServer.Close()
--- a/system/runnerpool/pool.go
+++ b/system/runnerpool/pool.go
@@ -81,7 +81,7 @@
 //	pool := runnerpool.New(link.TCP{}, runnerpool.HeaderNames{RequestID: "Query-Name", NotRun: "Not-Run"})
 //	defer pool.Close()
 func New(network link.Network, headers HeaderNames) *Pool {
-	for _, name := range []*string{&headers.RequestID, &headers.NotRun, &headers.ExpectedRunner, &headers.Timeout, &headers.Load, &headers.Urgency, &headers.LastEventID, &headers.RunnerID, &headers.WarmUpLeft} {
+	for _, name := range []*string{&headers.RequestID, &headers.NotRun, &headers.ExpectedRunner, &headers.Timeout, &headers.Load, &headers.Urgency, &headers.LastEventID, &headers.Tenant, &headers.RunnerID, &headers.WarmUpLeft} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
 	}
 	pool := &Pool{network: network, headers: headers, runners: map[string]*runnerConnections{}}
--- a/system/runnerpool/request_head.go
+++ b/system/runnerpool/request_head.go
@@ -68,7 +68,7 @@
 	if !isVisible(request.Host) {
 		return invalidRequestError("invalid request host "+strconv.Quote(request.Host), "use a host name without spaces and control bytes")
 	}
-	for _, value := range [...]string{request.ID, request.Runner.Incarnation, request.Urgency, request.LastEventID} {
+	for _, value := range [...]string{request.ID, request.Runner.Incarnation, request.Urgency, request.LastEventID, request.Tenant} {
 		if !isHeaderValue(value) {
 			return invalidRequestError("invalid request header value "+strconv.Quote(value), "remove the control bytes")
 		}
@@ -114,6 +114,9 @@
 	buffer = appendHeader(buffer, headers.ExpectedRunner, request.Runner.Incarnation)
 	buffer = appendHeader(buffer, headers.Urgency, request.Urgency)
 	buffer = appendHeader(buffer, headers.LastEventID, request.LastEventID)
+	if request.WithholdsKey {
+		buffer = appendHeader(buffer, headers.Tenant, request.Tenant)
+	}
 	if headers.Timeout != "" && !request.Deadline.IsZero() {
 		buffer = appendNumber(buffer, headers.Timeout, left)
 	}
@@ -165,6 +168,8 @@
 		return true
 	case pool.headers.LastEventID:
 		return request.LastEventID != ""
+	case pool.headers.Tenant, "Authorization":
+		return request.WithholdsKey
 	}
 	return false
 }
--- a/system/runnerpool/types.go
+++ b/system/runnerpool/types.go
@@ -17,6 +17,7 @@
 	Load           string // in responses: running,waiting,slots
 	Urgency        string // in requests: 0 to 9, 0 is the most urgent
 	LastEventID    string // in requests: ID of the last event that the client received
+	Tenant         string // in requests: name of the tenant
 	RunnerID       string // in health responses: incarnation of the runner
 	WarmUpLeft     string // in health responses: milliseconds of warm-up that remain
 }
@@ -40,6 +41,11 @@
 	// Deadline is when the request times out; zero: never.
 	Deadline time.Time
 	Urgency  string // empty: not sent
+	// WithholdsKey is set if clients bear keys of tenants: the client's credentials are not
+	// forwarded, nor is its own header for the tenant. Tenant is sent in that header; empty: not
+	// sent.
+	WithholdsKey bool
+	Tenant       string
 	// LastEventID is the event to resume after; empty: the value in Header is forwarded.
 	LastEventID string
 	// BeforeSend, if not nil, is called right before the first byte is sent. If it returns
