--- a/proof/simulator/tenants_test.go
+++ b/proof/simulator/tenants_test.go
@@ -187,8 +187,8 @@
 			}
 		}
 		allowed := (rate*window.Seconds()+burst)*(1+excess) + slack
-		if most := maxWithin(arrivals, window); float64(most) > allowed {
-			t.Errorf("%d requests ran within %s, at most %.0f are allowed", most, window, allowed)
+		if highest := maxWithin(arrivals, window); float64(highest) > allowed {
+			t.Errorf("%d requests ran within %s, at most %.0f are allowed", highest, window, allowed)
 		}
 		if least := rate * duration.Seconds() / 2; float64(len(arrivals)) < least {
 			t.Errorf("%d requests ran in %s, at least %.0f expected", len(arrivals), duration, least)
@@ -237,12 +237,12 @@
 // maxWithin returns the largest number of times within any period.
 func maxWithin(times []time.Time, period time.Duration) int {
 	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
+	highest, first := 0, 0
 	for last := range times {
 		for times[last].Sub(times[first]) >= period {
 			first++
 		}
-		most = max(most, last-first+1)
+		highest = max(highest, last-first+1)
 	}
-	return most
+	return highest
 }
--- a/system/forwarding/attempt.go
+++ b/system/forwarding/attempt.go
@@ -105,7 +105,7 @@
 // error prevents that. The dial may have been slow or this process suspended since the
 // runner was leased, so the configuration and the lease are checked again.
 func (attempt *attempt) checkBeforeSend() error {
-	settings, exchange := &attempt.attempts.forwarder.settings, attempt.attempts.exchange
+	settings := &attempt.attempts.forwarder.settings
 	if attempt.attempts.closed.Load() || attempt.attempts.context.Err() != nil {
 		return apierror.New(apierror.NotRun, "the request was already answered or cancelled by the client", "none; no response is expected")
 	}
@@ -113,21 +113,10 @@
 		return err
 	}
 	changed := apierror.NewRetryable(apierror.NotRun, "the configuration or runner list changed before the request was sent", "retry", shortRetryAfter)
-	current := settings.CurrentConfig()
-	if current.Routing != attempt.current.Routing {
-		route, found := current.Routing.Match(exchange.Host, exchange.Path)
-		if !found || route.Kind != attempt.route.Kind || route.StoresHistory != attempt.route.StoresHistory {
-			return changed
-		}
-		if tenant, err := tenantOf(current.Routing, route, exchange.TenantKey); err != nil || nameOf(tenant) != nameOf(attempt.tenant) {
-			return changed
-		}
-		if route.Kind == config.Keyed && attempt.unrecorded && !current.Routing.DeduplicatesOperations(route) {
-			return changed
-		}
-		attempt.current, attempt.route = current, route
-	}
-	if attempt.sendBy != (time.Time{}) && time.Now().After(attempt.sendBy) {
+	if current := settings.CurrentConfig(); current.Routing != attempt.current.Routing && !attempt.adoptConfig(current) {
+		return changed
+	}
+	if !attempt.sendBy.IsZero() && time.Now().After(attempt.sendBy) {
 		return apierror.NewRetryable(apierror.NotRun, "the request's token of the rate limit has expired", "retry", shortRetryAfter)
 	}
 	if !attempt.lease.Valid() || !attempt.lease.Serves(attempt.route) {
@@ -136,6 +125,24 @@
 	return nil
 }
 
+// adoptConfig puts the request under a newer configuration. It returns false if the request is of
+// another kind or of another tenant there.
+func (attempt *attempt) adoptConfig(current CurrentConfig) bool {
+	exchange := attempt.attempts.exchange
+	route, found := current.Routing.Match(exchange.Host, exchange.Path)
+	if !found || route.Kind != attempt.route.Kind || route.StoresHistory != attempt.route.StoresHistory {
+		return false
+	}
+	if tenant, err := tenantOf(current.Routing, route, exchange.TenantKey); err != nil || nameOf(tenant) != nameOf(attempt.tenant) {
+		return false
+	}
+	if route.Kind == config.Keyed && attempt.unrecorded && !current.Routing.DeduplicatesOperations(route) {
+		return false
+	}
+	attempt.current, attempt.route = current, route
+	return true
+}
+
 // discard ends an attempt whose response is not needed. The response is drained, up to a
 // limit, because aborting it would waste the runner's work and the connection.
 func (attempt *attempt) discard() {
--- a/system/forwarding/operations.go
+++ b/system/forwarding/operations.go
@@ -175,7 +175,7 @@
 
 // recordResponse records the response of an operation before it is sent to the client. It waits for
 // operationEndTimeout at most and goes on in the background after that. A response that was not read
-// to its end is not recorded, so that a repeat is told that the outcome is unknown.
+// to its end is not recorded, so that a repeat gets the answer that the outcome is unknown.
 func (forwarder *Forwarder) recordResponse(ctx context.Context, exchange *exchange, status int, header http.Header, body []byte, complete bool) {
 	record := exchange.operation
 	if record == nil {
--- a/system/forwarding/types.go
+++ b/system/forwarding/types.go
@@ -88,7 +88,7 @@
 
 // RateLimiter admits the requests of tenants with a rate limit. ratelimit.Limiter implements it.
 type RateLimiter interface {
-	Admit(ctx context.Context, tenant string, limit ratelimit.Limit, config uint64) (sendBy time.Time, err error)
+	Admit(ctx context.Context, tenant string, limit ratelimit.Limit, configNumber uint64) (sendBy time.Time, err error)
 }
 
 // CurrentConfig is the part of the current configuration that forwarding uses, and the view
--- a/system/ratelimit/limiter_test.go
+++ b/system/ratelimit/limiter_test.go
@@ -76,14 +76,14 @@
 // maxWithin returns the largest number of times within any period.
 func maxWithin(times []time.Time, period time.Duration) int {
 	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
+	highest, first := 0, 0
 	for last := range times {
 		for times[last].Sub(times[first]) >= period {
 			first++
 		}
-		most = max(most, last-first+1)
+		highest = max(highest, last-first+1)
 	}
-	return most
+	return highest
 }
 
 // TestRequestsStayWithinTheLimitThroughLeaderChanges sends far more than the limit through several
@@ -108,7 +108,7 @@
 	began := time.Now()
 	for range fronts {
 		limiter := New(Settings{Granter: leaders})
-		defer limiter.Close()
+		t.Cleanup(limiter.Close)
 		requests.Go(func() {
 			for time.Since(began) < duration {
 				<-time.After(leaders.draw(time.Duration(2 * fronts * float64(time.Second) / (3 * limit.Rate))))
@@ -131,8 +131,8 @@
 	})
 	requests.Wait()
 	allowed := limit.Rate*(window+2*DefaultLeaseLifetime).Seconds() + limit.Burst + 1
-	if most := maxWithin(admitted, window); float64(most) > allowed {
-		t.Errorf("%d requests within %s, at most %.0f are allowed", most, window, allowed)
+	if highest := maxWithin(admitted, window); float64(highest) > allowed {
+		t.Errorf("%d requests within %s, at most %.0f are allowed", highest, window, allowed)
 	}
 	if least := limit.Rate * duration.Seconds() / 2; float64(len(admitted)) < least {
 		t.Errorf("%d requests were admitted in %s, at least %.0f expected", len(admitted), duration, least)
@@ -152,7 +152,7 @@
 		var requests sync.WaitGroup
 		for range fronts {
 			limiter := New(Settings{Granter: leaders})
-			defer limiter.Close()
+			t.Cleanup(limiter.Close)
 			for range perFront {
 				at := leaders.draw(time.Duration(fronts * perFront / (0.8 * limit.Rate) * float64(time.Second)))
 				requests.Go(func() {
