--- a/system/balancer/wait_queue_test.go
+++ b/system/balancer/wait_queue_test.go
@@ -54,6 +54,15 @@
 	})
 }
 
+func TestUrgencyOfTheRequestReplacesThatOfTheRoute(t *testing.T) {
+	route := routeTo(config.WeightedService{Service: "plain", Weight: 1})
+	route.Urgency = 3
+	plain, urgent, patient := Request{Route: &route}, Request{Route: &route, Urgency: new(1)}, Request{Route: &route, Urgency: new(7)}
+	if !precedes(&urgent, &plain) || !precedes(&plain, &patient) || precedes(&patient, &urgent) {
+		t.Error("waiting requests are not ordered by their own urgency")
+	}
+}
+
 func TestRejectionsAreTimely(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		route := routeTo(config.WeightedService{Service: "plain", Weight: 1})
