Review case 3: a turn continues one whose history was not saved

A turn that was recorded only for its budget counts as complete, and its empty data is joined into the history of the turns that continue it. Without a budget the same turn gets 404.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -12,4 +12,4 @@
 if [ ! -x "$root/target/review-harness" ]; then
 	"$root/review/build.sh" || exit 2
 fi
-exec "$root/target/review-harness" "$root" "$folder" budget-of-a-passed-key
+exec "$root/target/review-harness" "$root" "$folder" history-of-an-unsaved-turn
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -35,7 +35,9 @@
 var cases = map[string]play{
 	"operation-on-another-service": playOperationOnAnotherService,
 	"history-without-a-key":        playHistoryWithoutAKey,
+	"history-of-an-unsaved-turn":   playHistoryOfAnUnsavedTurn,
 	"budget-of-a-passed-key":       playBudgetOfAPassedKey,
+	"key-of-a-removed-customer":    playKeyOfARemovedCustomer,
 }
 
 func main() {
