--- a/system/sessionlog/events.go
+++ b/system/sessionlog/events.go
@@ -29,8 +29,12 @@
 // The outcomes of a turn or tool call, as recorded by the event that ends it. The values are
 // stored.
 const (
-	// OutcomeComplete: the answer is complete.
+	// OutcomeComplete: the answer is complete. For a turn of a program also: its data is stored,
+	// so that others may continue it.
 	OutcomeComplete = "complete"
+	// OutcomeUnsaved: the answer of a program's turn is complete, but the turn's data is not
+	// stored, so that no other may continue it. Earlier versions recorded OutcomeComplete.
+	OutcomeUnsaved = "unsaved"
 	// OutcomeInterrupted: the answer was interrupted.
 	OutcomeInterrupted = "cut"
 	// OutcomeNotRun: the turn never reached a runner, so it is safe to retry.
--- a/system/store/commands.go
+++ b/system/store/commands.go
@@ -35,7 +35,7 @@
 		}
 		reply.Results = append(reply.Results, result.commandResult)
 		if command.Kind == sessionlog.BeginTurn && command.KeepData && result.commandResult.Status == sessionlog.Done {
-			if reply.History, err = node.history(ctx, group, result.view, command.Session, command.Producer); err != nil {
+			if err := node.addHistory(ctx, group, command, result, reply); err != nil {
 				return nil, err
 			}
 		}
--- a/system/store/turns.go
+++ b/system/store/turns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,28 @@
 	"yardrock.example/system/wire/schema"
 )
 
+// errTurnUnsaved means that a turn was recorded without its data, so that none can continue it.
+// Versions before sessionlog.OutcomeUnsaved recorded such a turn as complete, also in the sessions
+// that adopted it.
+var errTurnUnsaved = errors.New("the data of a turn was not saved")
+
+// addHistory adds the data of the turns that a turn continues to the reply to its begin. If that
+// data was not saved, the turn is closed as not run and the result is TurnIncomplete. The state
+// machine can't decide this: replicas of earlier versions would begin the turn.
+func (node *Node) addHistory(ctx context.Context, group uint32, command *sessionlog.Command, begun applyResult, reply *wire.CommandReply) error {
+	history, err := node.history(ctx, group, begun.view, command.Session, command.Producer)
+	if !errors.Is(err, errTurnUnsaved) {
+		reply.History = history
+		return err
+	}
+	fence := sessionlog.Command{Kind: sessionlog.EndTurn, Session: command.Session, Now: node.clock(group), Producer: command.Producer, Outcome: sessionlog.OutcomeNotRun}
+	if _, err := node.propose(ctx, group, fence); err != nil {
+		return err
+	}
+	reply.Results[len(reply.Results)-1].Status = sessionlog.TurnIncomplete
+	return nil
+}
+
 // history concatenates the data of the turns that a turn follows, oldest first: the input, then
 // the output of each. It returns an error rather than an incomplete history.
 func (node *Node) history(ctx context.Context, group uint32, view *sessionlog.View, sessionName, turnName string) ([]byte, error) {
@@ -45,7 +68,8 @@
 }
 
 // turnData returns the data of a chain's events, two items for each turn: its input and its
-// output. For an adopted turn, the first item has both and the second is empty.
+// output. For an adopted turn, the first item has both and the second is empty. It fails with
+// errTurnUnsaved if a turn has no data at all.
 func (node *Node) turnData(ctx context.Context, group uint32, view *sessionlog.View, chain []*sessionlog.Turn) ([][]byte, error) {
 	session, found := view.Session(chain[0].Session)
 	if !found {
@@ -69,6 +93,11 @@
 			return nil, err
 		}
 	}
+	for position := 0; position < len(data); position += 2 {
+		if len(data[position]) == 0 && len(data[position+1]) == 0 {
+			return nil, errTurnUnsaved
+		}
+	}
 	return data, nil
 }
 
@@ -146,7 +175,8 @@
 }
 
 // findTurn searches for a turn in one group. It returns a complete turn with all turns that it
-// follows, oldest first, or reports that the turn is open.
+// follows, oldest first, or reports that the turn is open. A turn whose data, or that of a turn that
+// it follows, was not saved is not found.
 func (node *Node) findTurn(ctx context.Context, group uint32, view *sessionlog.View, query *wire.FindTurnQuery) (chain []sessionlog.AdoptedTurn, open bool, err error) {
 	found, known := view.TurnInAnySession(query.Scope, query.Name)
 	if !known || !found.Complete() {
@@ -154,6 +184,9 @@
 	}
 	turns := found.Chain()
 	data, err := node.turnData(ctx, group, view, turns)
+	if errors.Is(err, errTurnUnsaved) {
+		return nil, false, nil
+	}
 	if err != nil {
 		return nil, false, err
 	}
--- a/system/storeclient/turns.go
+++ b/system/storeclient/turns.go
@@ -65,7 +65,8 @@
 	Output []byte
 	// Tokens is the number of output tokens, whether or not the caller received them.
 	Tokens uint64
-	// Outcome is one of the Outcome constants of package sessionlog.
+	// Outcome is one of the Outcome constants of package sessionlog. Without KeepHistory,
+	// OutcomeComplete is recorded as OutcomeUnsaved.
 	Outcome     string
 	KeepHistory bool
 	// Conversation is as in Turn. Runner is the incarnation of the runner that responded, or ""
@@ -94,11 +95,11 @@
 
 // BeginTurn reserves a turn's maximum output and records its begin, in one commit.
 //
-// Error kinds: NotFound means that there is no complete turn named Follows; QuotaExhausted that
-// the quota does not allow the turn; Conflict that another dispatch began the turn; Invalid that
-// the turn has no name or follows itself; NotRun that the turn did not begin but may be retried.
-// In the last case, a begin that was committed after all is not used and is closed in the
-// background.
+// Error kinds: NotFound means that there is no complete turn named Follows, or that its data or that
+// of a turn before it was not saved; QuotaExhausted that the quota does not allow the turn; Conflict
+// that another dispatch began the turn; Invalid that the turn has no name or follows itself; NotRun
+// that the turn did not begin but may be retried. In the last case, a begin that was committed after
+// all is not used and is closed in the background.
 //
 //	begun, err := client.BeginTurn(ctx, storeclient.Turn{SessionName: "program/3fa81c", Name: "9c41d07b", Input: body, KeepHistory: true, Retention: time.Minute, DispatchID: "front-1/7", Lifetime: time.Minute})
 func (client *Client) BeginTurn(ctx context.Context, turn Turn) (*BegunTurn, error) {
@@ -121,6 +122,11 @@
 		}
 		switch result.Status {
 		case sessionlog.Done:
+			if turn.KeepHistory && turn.Follows != "" && len(history) == 0 {
+				// Stores of an earlier version let a turn continue one whose data was not saved.
+				go client.fenceTurn(turn)
+				return nil, unknownTurnError()
+			}
 			return &BegunTurn{Seq: result.Seq, History: history, Runner: result.Runner, CachedTokens: result.CachedTokens}, nil
 		case sessionlog.UnknownTurn:
 			if len(command.Adopted) > 0 {
@@ -178,8 +184,12 @@
 		Outcome: end.Outcome, Tokens: end.Tokens, KeepData: end.KeepHistory, Retention: minSessionRetention,
 		Conversation: end.Conversation, Runner: end.Runner, PromptTokens: end.CachedTokens,
 	}
-	if end.KeepHistory && end.Outcome == sessionlog.OutcomeComplete {
+	switch {
+	case end.Outcome != sessionlog.OutcomeComplete:
+	case end.KeepHistory:
 		command.Data = end.Output
+	default:
+		command.Outcome = sessionlog.OutcomeUnsaved
 	}
 	result, _, err := client.commitTurn(ctx, end.SessionName, command)
 	if err != nil {
@@ -204,8 +214,8 @@
 	},
 }
 
-// fenceTurn closes a turn whose begin has an unknown outcome, so that neither the turn nor its
-// reservation stays open. It runs in a goroutine that is not waited for; fenceTimeout bounds it.
+// fenceTurn closes a turn whose begin has an unknown outcome or that may not run, so that neither
+// the turn nor its reservation stays open. It runs in a goroutine that is not waited for; fenceTimeout bounds it.
 func (client *Client) fenceTurn(turn Turn) {
 	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
 	defer cancel()
