A turn that continues another has its history on every route

What callers would see: a conversation began on a route with saves-history. A change takes that from the route, or the next turn matches another one; the client goes on with its new input and Continues. It got 200: the runner had the new input alone.

Cause: whether the history was fetched depended on the route of the continuing turn only. Without a budget Continues wasn't looked at; with one, the turn to continue had to exist, but its data was not requested (the store sends a history only with KeepData), and the new turn was recorded without data.

Change: a request with Continues is a turn on every streaming route, gets its chain, and is recorded with its data, so that the conversation goes on. The store sends the history whenever a turn follows one, so that fronts of the version before, which ask for none here but use what they get, send it too.

--- a/proof/simulator/unsavedturns_test.go
+++ b/proof/simulator/unsavedturns_test.go
@@ -165,3 +165,39 @@
 		check("restarted")
 	})
 }
+
+// TestTurnThatContinuesAnotherHasItsHistoryOnEveryRoute guards against a runner that gets a turn with
+// Follows without the conversation, because the route stores no history (any more).
+func TestTurnThatContinuesAnotherHasItsHistoryOnEveryRoute(t *testing.T) {
+	simulateRouted(t, func(t *testing.T, cluster *Cluster) {
+		for _, hasBudget := range []bool{true, false} {
+			history := ""
+			turn := func(front int, path, name, follows, program string) {
+				t.Helper()
+				input := "input of " + name + " "
+				answer := cluster.Forward(cluster.Fronts[front], forwarding.Request{ID: name, Path: path, Follows: follows, Body: []byte(input), Program: program, HasOutputBudget: hasBudget, OutputBudget: 10000, MaxOutputTokens: 40})
+				if got := promptOf(cluster, name); !answer.Complete() || got != history+input {
+					t.Fatalf("%s: %d %v; a runner got %q, want %q", name, answer.Status, answer.Err, got, history+input)
+				}
+				history += input + answer.Text()
+			}
+			label := fmt.Sprintf("-%v", hasBudget)
+			turn(0, "/talk/kept/1", "first"+label, "", "p")
+			turn(1, "/talk/chat/1", "second"+label, "first"+label, "p")
+			turn(0, "/talk/chat/1", "third"+label, "second"+label, "another")
+			turn(1, "/talk/kept/1", "fourth"+label, "third"+label, "")
+			unknown := cluster.Forward(cluster.Fronts[0], forwarding.Request{ID: "fifth" + label, Path: "/talk/chat/1", Follows: "never", Body: []byte("x"), Program: "p", HasOutputBudget: hasBudget, OutputBudget: 10000, MaxOutputTokens: 40})
+			if !apierror.Is(unknown.Err, apierror.NotFound) || executionsOf(cluster, "fifth"+label) != 0 {
+				t.Errorf("a turn that follows an unknown turn got %d %v", unknown.Status, unknown.Err)
+			}
+		}
+		// A front of an earlier version requests no history there, but uses the one that it gets.
+		front := cluster.newEarlierFront(t, "10.8.0.9")
+		defer front.caller.Close()
+		front.takeTurn("saved", "", true)
+		reply := front.commit(sessionlog.Command{Kind: sessionlog.BeginTurn, Session: "program/p", Producer: "sixth", ProducerSeq: 1, Follows: "saved", Dispatch: "earlier/sixth", Retention: time.Minute, Lifetime: time.Minute})
+		if got := string(reply.History); reply.Results[0].Status != sessionlog.Done || got != completeTurnText("saved") {
+			t.Errorf("status %d, history %q", reply.Results[0].Status, got)
+		}
+	})
+}
--- a/system/forwarding/turns.go
+++ b/system/forwarding/turns.go
@@ -35,11 +35,18 @@
 
 // isRecorded reports whether the request is a turn with an output budget or stored history.
 func (exchange *exchange) isRecorded() bool {
-	return exchange.route.Kind == config.Streaming && (exchange.HasOutputBudget || exchange.route.StoresHistory)
+	return exchange.route.Kind == config.Streaming && (exchange.HasOutputBudget || exchange.usesHistory())
+}
+
+// usesHistory reports whether the request contains only the new input of a turn, and the stores have
+// the conversation before it: on a route that stores history, and on every route if the request
+// continues a turn, as its client leaves the conversation to the stores.
+func (exchange *exchange) usesHistory() bool {
+	return exchange.route.StoresHistory || exchange.Follows != ""
 }
 
 // beginTurn is the filter that reserves the turn's maximum output and records its start, in
-// one commit. If the stores keep the history, they return that of the conversation, which
+// one commit. If the stores have the history, they return that of the conversation, which
 // is sent to the runner before the turn's own input.
 func beginTurn(ctx context.Context, forwarder *Forwarder, exchange *exchange) (bool, error) {
 	exchange.body = [][]byte{exchange.Body}
@@ -52,7 +59,7 @@
 	defer cancel()
 	begun, err := forwarder.settings.TurnStore.BeginTurn(ctx, storeclient.Turn{
 		SessionName: exchange.sessionName, Name: exchange.ID, Scope: exchange.tenantScope(), Follows: exchange.Follows, Conversation: exchange.Session, Input: exchange.Body,
-		KeepHistory: exchange.route.StoresHistory, Retention: time.Duration(exchange.route.Retention), PrefixScope: exchange.prefixScope(),
+		KeepHistory: exchange.usesHistory(), Retention: time.Duration(exchange.route.Retention), PrefixScope: exchange.prefixScope(),
 		HasTokenQuota: exchange.HasOutputBudget, MaxOutputTokens: exchange.MaxOutputTokens, TokenQuota: exchange.OutputBudget,
 		DispatchID: forwarder.settings.Node, Lifetime: lifetime,
 	})
@@ -106,7 +113,7 @@
 	if exchange.turn == nil {
 		return nil
 	}
-	if !exchange.route.StoresHistory {
+	if !exchange.usesHistory() {
 		forwarder.endTurnInBackground(exchange, sessionlog.OutcomeComplete)
 		return nil
 	}
@@ -145,7 +152,7 @@
 // endTurn makes one attempt to commit the end of the turn.
 func (forwarder *Forwarder) endTurn(ctx context.Context, exchange *exchange, outcome string) error {
 	return forwarder.settings.TurnStore.EndTurn(ctx, storeclient.TurnEnd{
-		SessionName: exchange.sessionName, Name: exchange.ID, Seq: exchange.turn.Seq, KeepHistory: exchange.route.StoresHistory,
+		SessionName: exchange.sessionName, Name: exchange.ID, Seq: exchange.turn.Seq, KeepHistory: exchange.usesHistory(),
 		Output: exchange.stream.output, Tokens: exchange.stream.tokens, Outcome: outcome,
 		Conversation: exchange.Session, Runner: exchange.stream.runner, CachedTokens: exchange.stream.cachedTokens(),
 	})
--- a/system/store/commands.go
+++ b/system/store/commands.go
@@ -34,7 +34,7 @@
 			}
 		}
 		reply.Results = append(reply.Results, result.commandResult)
-		if command.Kind == sessionlog.BeginTurn && command.KeepData && result.commandResult.Status == sessionlog.Done {
+		if command.Kind == sessionlog.BeginTurn && command.Follows != "" && result.commandResult.Status == sessionlog.Done {
 			if err := node.addHistory(ctx, group, command, result, reply); err != nil {
 				return nil, err
 			}
--- a/system/storeclient/turns.go
+++ b/system/storeclient/turns.go
@@ -46,8 +46,8 @@
 type BegunTurn struct {
 	// Seq is the sequence number of the begin event in the session.
 	Seq uint64
-	// History is, for a turn with KeepHistory, the data of the turns that it follows, oldest
-	// first: the input, then the output of each.
+	// History is the data of the turns that it follows, oldest first: the input, then the output
+	// of each.
 	History []byte
 	// Runner is the incarnation of the runner that last served the conversation, CachedTokens the
 	// number of its tokens that the runner had processed then; "" and 0 if unknown.
@@ -122,7 +122,7 @@
 		}
 		switch result.Status {
 		case sessionlog.Done:
-			if turn.KeepHistory && turn.Follows != "" && len(history) == 0 {
+			if turn.Follows != "" && len(history) == 0 {
 				// Stores of an earlier version let a turn continue one whose data was not saved.
 				go client.fenceTurn(turn)
 				return nil, unknownTurnError()
