A turn whose client had the stream resumed is not recorded with a part of its output

What callers would see: on a route with saves-history a client sends a request with Last-Event-Id, after an earlier one was cut. The answer begins after that event, and was recorded as the turn's whole output; the next turn's runner got a conversation without the events before it.

Cause: the output that is stored is what was relayed; the end counted as complete all the same. Change: the end of such a turn is recorded as "unsaved", so that a turn that continues it gets 404.

--- a/proof/simulator/unsavedturns_test.go
+++ b/proof/simulator/unsavedturns_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"yardrock.example/proof/standin"
 	"yardrock.example/system/apierror"
 	"yardrock.example/system/forwarding"
 	"yardrock.example/system/link"
@@ -201,3 +204,23 @@
 		}
 	})
 }
+
+// TestTurnWithPartOfItsOutputIsUnknown guards against histories that lack the events before the one
+// after which a client had its stream resumed.
+func TestTurnWithPartOfItsOutputIsUnknown(t *testing.T) {
+	resumableConfig := strings.NewReplacer("revision: 1", "revision: 2", `keeps_history: true, keep: "60s", sticky: true}`, `keeps_history: true, keep: "60s", sticky: true, resumable: true}`).Replace(RoutedConfig)
+	simulateRouted(t, func(t *testing.T, cluster *Cluster) {
+		for _, config := range []string{RoutedConfig, resumableConfig} {
+			if err := cluster.PutConfig(config); err != nil {
+				t.Fatal(err)
+			}
+			cluster.Sleep(3 * time.Second)
+			name := fmt.Sprintf("resumed-%v", config == resumableConfig)
+			resumed := cluster.ForwardWith(cluster.Fronts[0], forwarding.Request{ID: name, Path: "/talk/kept/1", Body: []byte("first input"), Program: "p", LastEventID: "2"}, http.Header{standin.HeaderNames.LastEventID: {"2"}})
+			if !resumed.Complete() || strings.Count(string(resumed.Body), "id: ") != 3 {
+				t.Fatalf("%d %v %q", resumed.Status, resumed.Err, resumed.Body)
+			}
+			cluster.expectUnknown(t, "resumed", name)
+		}
+	})
+}
--- a/system/forwarding/relay.go
+++ b/system/forwarding/relay.go
@@ -128,7 +128,7 @@
 	}
 	// Without events the number of generated tokens is unknown, so the maximum is counted.
 	exchange.stream.tokens = exchange.MaxOutputTokens
-	if exchange.usesHistory() {
+	if exchange.savesHistory() {
 		if err := forwarder.commitCompleteTurn(ctx, exchange); err != nil {
 			exchange.mayHaveRun = true
 			return "", err
@@ -202,7 +202,7 @@
 		// Tokens count as generated whether or not the client receives them.
 		if event.HasData {
 			exchange.stream.tokens += eventTokens
-			if exchange.usesHistory() {
+			if exchange.savesHistory() {
 				exchange.stream.output = append(append(exchange.stream.output, event.Data...), '\n')
 			}
 		}
--- a/system/forwarding/turns.go
+++ b/system/forwarding/turns.go
@@ -45,6 +45,12 @@
 	return exchange.route.StoresHistory || exchange.Follows != ""
 }
 
+// savesHistory reports whether the turn's data is stored, so that others may continue it. That of a
+// response which the client had resumed after an event isn't: the events before it are missing.
+func (exchange *exchange) savesHistory() bool {
+	return exchange.usesHistory() && exchange.LastEventID == ""
+}
+
 // beginTurn is the filter that reserves the turn's maximum output and records its start, in
 // one commit. If the stores have the history, they return that of the conversation, which
 // is sent to the runner before the turn's own input.
@@ -113,7 +119,7 @@
 	if exchange.turn == nil {
 		return nil
 	}
-	if !exchange.usesHistory() {
+	if !exchange.savesHistory() {
 		forwarder.endTurnInBackground(exchange, sessionlog.OutcomeComplete)
 		return nil
 	}
@@ -152,7 +158,7 @@
 // endTurn makes one attempt to commit the end of the turn.
 func (forwarder *Forwarder) endTurn(ctx context.Context, exchange *exchange, outcome string) error {
 	return forwarder.settings.TurnStore.EndTurn(ctx, storeclient.TurnEnd{
-		SessionName: exchange.sessionName, Name: exchange.ID, Seq: exchange.turn.Seq, KeepHistory: exchange.usesHistory(),
+		SessionName: exchange.sessionName, Name: exchange.ID, Seq: exchange.turn.Seq, KeepHistory: exchange.savesHistory(),
 		Output: exchange.stream.output, Tokens: exchange.stream.tokens, Outcome: outcome,
 		Conversation: exchange.Session, Runner: exchange.stream.runner, CachedTokens: exchange.stream.cachedTokens(),
 	})
