--- a/proof/simulator/tenants_test.go
+++ b/proof/simulator/tenants_test.go
@@ -18,9 +18,11 @@
 const (
 	harborKey = "harbor-key"
 	hillKey   = "hill-key"
+	dockKey   = "dock-key"
 )
 
-// tenantsConfig returns RoutedConfig with tenants: "harbor" has the given limit, "hill" none. The
+// tenantsConfig returns RoutedConfig with tenants: "harbor" has the given limit, "hill" and
+// "harbor/dock" have none. Turns on the route "open" need no key. The
 // fronts record the operations of the keyed route "booking", the runners those of "receipt".
 func tenantsConfig(revision int, rate, burst float64, harborKeys ...string) string {
 	hashes := []string{}
@@ -31,11 +33,13 @@
 	tenants: [
 		{name: "harbor", key_hashes: [%s], rate: %v, burst: %v},
 		{name: "hill", key_hashes: [%q]},
+		{name: "harbor/dock", key_hashes: [%q]},
 	]
-`, strings.Join(hashes, ", "), rate, burst, config.HashToken(hillKey))
+`, strings.Join(hashes, ", "), rate, burst, config.HashToken(hillKey), config.HashToken(dockKey))
 	routes := `
 		{name: "booking", host: "talk.example", prefix: "/booking/", kind: "keyed", patience: "3s", target: "500ms", urgency: 2, shares: [{service: "tools", weight: 1}], tries: 2},
 		{name: "receipt", host: "talk.example", prefix: "/receipt/", kind: "keyed", patience: "3s", target: "500ms", urgency: 2, shares: [{service: "records", weight: 1}], tries: 2},
+		{name: "open", host: "talk.example", prefix: "/talk/open/", kind: "streaming", patience: "4s", target: "250ms", gap: "400ms", urgency: 0, shares: [{service: "engines", weight: 1}], tries: 2, keeps_history: true, keep: "60s", sticky: true, public: true},
 		{name: "status", host: "talk.example", prefix: "/status/", kind: "repeatable", patience: "2s", target: "150ms", urgency: 2, shares: [{service: "tools", weight: 1}], tries: 3, public: true},
 	]
 	bounds:`
@@ -132,6 +136,56 @@
 	})
 }
 
+// TestTurnOfATenantIsUnknownWithoutAKey guards against clients without a key that get a tenant's
+// conversation by naming one of its turns on a public route.
+func TestTurnOfATenantIsUnknownWithoutAKey(t *testing.T) {
+	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
+		turn := func(front int, name, program, key, follows string) *ForwardedAnswer {
+			return cluster.Forward(cluster.Fronts[front], forwarding.Request{ID: name, Path: "/talk/open/" + name, Program: program, TenantKey: key, Follows: follows, Body: []byte("words of " + name)})
+		}
+		for name, key := range map[string]string{"of-harbor": harborKey, "of-nobody": ""} {
+			if answer := turn(0, name, "p", key, ""); !answer.Complete() {
+				t.Fatal(answer.Err)
+			}
+		}
+		for position, program := range []string{"p", "another", ""} {
+			if answer := turn(1, fmt.Sprint("stolen-", position), program, "", "of-harbor"); !apierror.Is(answer.Err, apierror.NotFound) || executionsOf(cluster, fmt.Sprint("stolen-", position)) != 0 {
+				t.Errorf("%q without a key: %d %v", program, answer.Status, answer.Err)
+			}
+			if answer := turn(1, fmt.Sprint("public-", position), program, harborKey, "of-nobody"); !apierror.Is(answer.Err, apierror.NotFound) {
+				t.Errorf("%q of a tenant after a turn without a key: %d %v", program, answer.Status, answer.Err)
+			}
+			for name, key := range map[string]string{"of-harbor": harborKey, "of-nobody": ""} {
+				own := fmt.Sprint("own-", name, position)
+				if answer := turn(1, own, program, key, name); !answer.Complete() || !strings.HasPrefix(promptOf(cluster, own), "words of "+name) {
+					t.Errorf("%q after its own turn: %d %v; a runner got %q", program, answer.Status, answer.Err, promptOf(cluster, own))
+				}
+			}
+		}
+	})
+}
+
+// TestTurnOfATenantWithALongerNameIsUnknown guards against tenants that get the conversations of those
+// whose names begin with theirs and a slash.
+func TestTurnOfATenantWithALongerNameIsUnknown(t *testing.T) {
+	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
+		turn := func(front int, name, program, key, follows string) *ForwardedAnswer {
+			return cluster.Forward(cluster.Fronts[front], forwarding.Request{ID: name, Path: "/talk/kept/" + name, Program: program, TenantKey: key, Follows: follows, Body: []byte("words of " + name)})
+		}
+		if answer := turn(0, "of-dock", "p", dockKey, ""); !answer.Complete() {
+			t.Fatal(answer.Err)
+		}
+		for _, program := range []string{"p", "another"} {
+			if answer := turn(1, "stolen-"+program, program, harborKey, "of-dock"); !apierror.Is(answer.Err, apierror.NotFound) {
+				t.Errorf("%s: %d %v", program, answer.Status, answer.Err)
+			}
+			if answer := turn(1, "own-"+program, program, dockKey, "of-dock"); !answer.Complete() {
+				t.Errorf("%s of the tenant itself: %d %v", program, answer.Status, answer.Err)
+			}
+		}
+	})
+}
+
 // TestRateLimitHoldsOverAllFrontsWhileStoresAreLost sends three times a tenant's limit through all
 // fronts while the stores that count for it are killed one after another. Another tenant is served.
 func TestRateLimitHoldsOverAllFrontsWhileStoresAreLost(t *testing.T) {
--- a/system/forwarding/turns.go
+++ b/system/forwarding/turns.go
@@ -105,11 +105,11 @@
 func sessionNameOf(request *Request) string {
 	switch {
 	case request.Program != "":
-		return "program/" + request.Program
+		return sessionlog.ProgramPrefix + request.Program
 	case request.Session != "":
-		return "session/" + request.Session
+		return sessionlog.ConversationPrefix + request.Session
 	}
-	return "query/" + request.ID
+	return sessionlog.RequestPrefix + request.ID
 }
 
 // commitCompleteTurn commits the complete end of the turn. The client waits for the commit
--- a/system/sessionlog/turns.go
+++ b/system/sessionlog/turns.go
@@ -1,9 +1,6 @@
 package sessionlog
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 // Turn is one turn of a program in a view. It is immutable once published. A turn that others
 // follow is complete and is never replaced.
@@ -72,14 +69,14 @@
 	return nil, false
 }
 
-// TurnInAnySession returns a turn by name from any session of the group that has it and whose name
-// begins with scope. It prefers a complete one.
+// TurnInAnySession returns a turn by name from any session of the group that has it and belongs to
+// scope (InScope). It prefers a complete one.
 //
 //	turn, found := machine.View().TurnInAnySession("tenant/depot/", "9c41d07b")
 func (view *View) TurnInAnySession(scope, name string) (turn *Turn, found bool) {
 	turns, _ := view.turns.Get(name)
 	for _, candidate := range turns {
-		if !strings.HasPrefix(candidate.Session, scope) {
+		if !InScope(candidate.Session, scope) {
 			continue
 		}
 		if candidate.Complete() {
--- a/system/storeclient/turns.go
+++ b/system/storeclient/turns.go
@@ -15,8 +15,8 @@
 	// fleet and makes its begin idempotent.
 	SessionName string
 	Name        string
-	// Scope is the beginning of the names of those sessions in which the turn to continue may be;
-	// "" means all.
+	// Scope identifies the sessions in which the turn to continue may be (sessionlog.InScope); ""
+	// means those without a tenant.
 	Scope string
 	// Follows is the name of the turn that this one continues; "" starts a conversation.
 	Follows string
--- a/system/wire/sessions.go
+++ b/system/wire/sessions.go
@@ -21,7 +21,7 @@
 
 // FindTurnQuery requests a turn from a store, which searches all groups that it leads.
 //
-// Scope restricts the search to sessions whose names begin with it.
+// Scope restricts the search to the sessions that belong to it (sessionlog.InScope).
 type FindTurnQuery struct {
 	Scope string `capnp:"scope"`
 	Name  string `capnp:"name"`
