--- a/system/balancer/balancer.go
+++ b/system/balancer/balancer.go
@@ -80,7 +80,7 @@
 }
 
 // randomStream is the second seed word of the PCG generator: 2^64 divided by the golden
-// ratio.
+// ratio. Any other constant would do.
 const randomStream = 0x9e3779b97f4a7c15
 
 // New returns a balancer for a front in a domain. The seed should differ between
--- a/system/balancer/cost_model.go
+++ b/system/balancer/cost_model.go
@@ -7,9 +7,11 @@
 
 // The weights of the cost model. Costs of model work are in milliseconds; those of plain
 // work, whose duration varies more between routes, are fractions of the expected duration.
+// docs/decisions.md (Ablation) has what a day is worth without each mechanism.
 const (
 	// crossDomainMilliseconds and crossDomainFraction are the cost of a runner in another
-	// domain: latency, the price of traffic between domains, and more connections.
+	// domain: latency, the price of traffic between domains, and more connections, as more
+	// runners are in use.
 	crossDomainMilliseconds = 10
 	crossDomainFraction     = 0.15
 	// newConnectionMilliseconds and newConnectionFraction are the cost of opening a
@@ -31,7 +33,8 @@
 	// same view from all choosing the same runner.
 	plainJitter = 0.05
 	// minAffinityMilliseconds and affinityFraction are the bonus of the preferred runner for
-	// model work: a constant plus a fraction of the prefill time of the whole prompt.
+	// model work: a constant plus a fraction of the prefill time of the whole prompt. It is the
+	// runner to which the other fronts send the same conversation.
 	minAffinityMilliseconds = 6
 	affinityFraction        = 0.25
 	// stickyFraction is the bonus of the runner to which this front sent the last plain
--- a/system/front/request.go
+++ b/system/front/request.go
@@ -56,7 +56,7 @@
 type filter func(ctx context.Context, node *Node, request *request) (any, error)
 
 // runChain passes a request through a chain, then runs the cleanups of the filters in reverse
-// order.
+// order, unless the last filter took over what they release.
 func (node *Node) runChain(ctx context.Context, request *request, chain []filter) (any, error) {
 	defer func() {
 		for position := len(request.cleanups) - 1; position >= 0; position-- {
