Tests of draining check what they had left out

In TestDrainedDomainGetsNothingAfterFiveSecondsAndIsRefilled the first of two drains was not checked.

--- a/proof/simulator/bounds_test.go
+++ b/proof/simulator/bounds_test.go
@@ -106,14 +106,11 @@
 		if late := arrivalsAfter(drained, drainedAt.Add(5*time.Second)); late > 0 {
 			t.Fatalf("%d requests arrived more than 5 s after the domain was drained", late)
 		}
-		for _, name := range []string{"east", "west"} {
-			answer, err = cluster.Administer(http.MethodPost, "/v1/domains/"+name, map[string]any{"state": "emptied"})
-			if err != nil {
-				t.Fatal(err)
-			}
+		if answer, err = cluster.Administer(http.MethodPost, "/v1/domains/east", map[string]any{"state": "emptied"}); err != nil || answer.Status != http.StatusOK {
+			t.Fatalf("%v %+v", err, answer)
 		}
-		if answer.Error.Kind != "conflict" {
-			t.Fatalf("the last domain was drained without force: %d %s", answer.Status, answer.Body)
+		if answer, err = cluster.Administer(http.MethodPost, "/v1/domains/west", map[string]any{"state": "emptied"}); err != nil || answer.Error.Kind != "conflict" {
+			t.Fatalf("the last domain was drained without force: %v %+v", err, answer)
 		}
 		for _, name := range []string{"east", "middle"} {
 			if answer, err = cluster.Administer(http.MethodPost, "/v1/domains/"+name, map[string]any{"state": "serving"}); err != nil || answer.Status != http.StatusOK {
--- a/proof/simulator/forwardbounds_test.go
+++ b/proof/simulator/forwardbounds_test.go
@@ -288,17 +288,23 @@
 }
 
 // TestDrainIsSafeWhileTurnsEnd guards against panics and deadlocks between Drain and turns that
-// end meanwhile.
+// end meanwhile, and against turns that Drain interrupts.
 func TestDrainIsSafeWhileTurnsEnd(t *testing.T) {
-	simulateRouted(t, func(_ *testing.T, cluster *Cluster) {
+	simulateRouted(t, func(t *testing.T, cluster *Cluster) {
+		const callers = 8
 		until := time.Now().Add(5 * time.Second)
-		done := make(chan bool)
-		for caller := range 8 {
+		completed := make(chan int)
+		for caller := range callers {
 			go func() {
-				for number := 0; time.Now().Before(until); number++ {
-					cluster.Forward(cluster.Fronts[0], forwarding.Request{ID: fmt.Sprintf("c%d-%d", caller, number), Path: "/talk/chat/1", Program: fmt.Sprint(caller), HasOutputBudget: true, OutputBudget: 1000000, MaxOutputTokens: 40})
+				number := 0
+				for ; time.Now().Before(until); number++ {
+					name := fmt.Sprintf("c%d-%d", caller, number)
+					answer := cluster.Forward(cluster.Fronts[0], forwarding.Request{ID: name, Path: "/talk/chat/1", Program: fmt.Sprint(caller), HasOutputBudget: true, OutputBudget: 1000000, MaxOutputTokens: 40})
+					if !answer.Complete() || executionsOf(cluster, name) != 1 {
+						t.Errorf("%s: %d %v, ran %d times", name, answer.Status, answer.Err, executionsOf(cluster, name))
+					}
 				}
-				done <- true
+				completed <- number
 			}()
 		}
 		for time.Now().Before(until) {
@@ -307,8 +313,10 @@
 			cancel()
 			cluster.Sleep(time.Millisecond)
 		}
-		for range 8 {
-			<-done
+		for range callers {
+			if <-completed == 0 {
+				t.Error("a caller had no turn")
+			}
 		}
 	})
 }
