--- a/review/fleet-2/turns.go
+++ b/review/fleet-2/turns.go
@@ -46,6 +46,12 @@
 	if !trouble && !got.whole || got.lastEvent == 0 {
 		return nil, fmt.Errorf("the first turn was not served: %s", got)
 	}
+	if trouble {
+		fleet.fronts[0].end()
+		if err := fleet.fronts[0].start(false); err != nil {
+			return nil, err
+		}
+	}
 	for attempt := 1; !got.whole; attempt++ {
 		if attempt > 3 {
 			return nil, fmt.Errorf("the stream could not be resumed")
@@ -63,48 +69,67 @@
 	return breaks, nil
 }
 
-// programCount is how many conversations are begun at once.
-const programCount = 24
+// programCount is how many conversations are begun at once, downTime how long all processes are down.
+const (
+	programCount = 24
+	downTime     = 700 * time.Millisecond
+)
 
-// sizedStream has runners answer turns with streams of known length. A store freezes, so that the ends
-// of some turns cannot be committed at once, and the front that took them is killed. Rule: LOST.
+// sizedStream has runners answer turns with streams of known length. All processes are killed right
+// after a client has a whole answer, and start again; the turns that were answered whole are then
+// continued. Rule: LOST.
 func sizedStream(fleet *fleet, trouble bool) (breaks []string, err error) {
 	if err := fleet.prepare(); err != nil {
 		return nil, err
 	}
 	answers := make([]answer, programCount)
+	firstWhole := make(chan struct{}, programCount)
 	var turns sync.WaitGroup
 	for number := range programCount {
 		turns.Go(func() {
 			program := fmt.Sprintf("p%d", number)
-			answers[number] = fleet.send(fleet.fronts[0], sizedPath, "turn-"+program, "first input\n", turnHeaders(program, "", 0), nil)
+			answers[number] = fleet.send(fleet.fronts[number%frontCount], sizedPath, "turn-"+program, "first input\n", turnHeaders(program, "", 0), func(event int) {
+				if event == streamEvents {
+					firstWhole <- struct{}{}
+				}
+			})
 		})
 	}
-	frozen := fleet.stores[0]
-	time.Sleep(streamEvents * eventPause * 3 / 4)
 	if trouble {
-		frozen.signal(syscall.SIGSTOP)
+		select {
+		case <-firstWhole:
+		case <-time.After(timeLeft):
+			return nil, fmt.Errorf("no turn was answered whole in calm")
+		}
+		for _, machine := range fleet.machines() {
+			machine.signal(syscall.SIGKILL)
+		}
 	}
 	turns.Wait()
-	endedAt := time.Now()
 	if trouble {
-		fleet.fronts[0].kill()
-		time.Sleep(3 * time.Second)
-		frozen.signal(syscall.SIGCONT)
-		if err := fleet.fronts[0].start(false); err != nil {
+		for _, machine := range fleet.machines() {
+			machine.end()
+		}
+		time.Sleep(downTime)
+		for _, machine := range fleet.machines() {
+			if err := machine.start(false); err != nil {
+				return nil, err
+			}
+		}
+		if err := fleet.awaitReady(fleet.fronts...); err != nil {
 			return nil, err
 		}
-		time.Sleep(5 * time.Second)
 	}
-	var results sync.WaitGroup
 	next := make([]answer, programCount)
-	for number := range programCount {
-		if !answers[number].whole || answers[number].status != 200 {
+	until := time.Now().Add(30 * time.Second)
+	var results sync.WaitGroup
+	for number, first := range answers {
+		if !first.whole || first.status != 200 || first.lastEvent != streamEvents {
 			continue
 		}
 		results.Go(func() {
 			program := fmt.Sprintf("p%d", number)
-			next[number] = fleet.continueTurn(fleet.fronts[1], sizedPath, program, "turn-"+program, "next", endedAt.Add(40*time.Second))
+			next[number] = fleet.continueTurn(fleet.fronts[(number+1)%frontCount], sizedPath, program, "turn-"+program, "next", until)
 		})
 	}
 	results.Wait()
