--- a/review/fleet-2/client.go
+++ b/review/fleet-2/client.go
@@ -20,12 +20,10 @@
 	customerName = "depot"
 )
 
-// The paths of the routes.
+// The paths of requests on the two routes.
 const (
-	plainKeyedPath = "/book/1"  // with_key, first at plainService
-	dedupKeyedPath = "/pay/1"   // with_key, first at dedupService
-	talkPath       = "/talk/1"  // streaming, saves-history and resumable
-	sizedPath      = "/brief/1" // streaming, saves-history
+	lookupPath = "/lookup/1" // repeatable
+	sizedPath  = "/brief/1"  // streaming, saves-history
 )
 
 // timeLeft is how long clients wait for an answer.
@@ -46,6 +44,11 @@
 	lastEvent int
 }
 
+// isWholeStream reports whether a client has all of a stream.
+func (answer answer) isWholeStream() bool {
+	return answer.status == http.StatusOK && answer.whole && answer.lastEvent == streamEvents
+}
+
 func (answer answer) String() string {
 	if answer.status == 0 {
 		return "no answer"
@@ -98,10 +101,10 @@
 }
 
 // route returns a route of the configuration.
-func route(path, kind, service string, more map[string]any) map[string]any {
+func route(path, kind string, more map[string]any) map[string]any {
 	name, _, _ := strings.Cut(strings.Trim(path, "/"), "/")
 	item := map[string]any{
-		"name": "r-" + name, "hostname": hostName, "path-start": "/" + name + "/", "type": kind, "timeout-ms": 4000, "target-ms": 300, "urgency": 1, "backend": service, "tries": 1,
+		"name": "r-" + name, "hostname": hostName, "path-start": "/" + name + "/", "type": kind, "timeout-ms": 4000, "target-ms": 300, "urgency": 1, "backend": serviceName, "tries": 1,
 	}
 	for field, value := range more {
 		item[field] = value
@@ -111,19 +114,11 @@
 
 // configuration returns the first configuration.
 func configuration(revision int) map[string]any {
-	turns := func(resumable bool) map[string]any {
-		return map[string]any{"saves-history": true, "keep-for-s": 60.0, "sticky": true, "resumable": resumable, "target-gap-ms": 400}
-	}
+	turns := map[string]any{"saves-history": true, "keep-for-s": 60.0, "sticky": true, "resumable": false, "target-gap-ms": 400}
 	return map[string]any{
-		"revision": revision,
-		"routing": []map[string]any{
-			route(plainKeyedPath, "with_key", plainService, nil), route(dedupKeyedPath, "with_key", dedupService, nil),
-			route(talkPath, "streaming", plainService, turns(true)), route(sizedPath, "streaming", plainService, turns(false)),
-		},
-		"backends": []map[string]any{
-			{"name": plainService, "health-path": "/health", "max-conns": 360, "protocol": "h1", "tls": false},
-			{"name": dedupService, "health-path": "/health", "max-conns": 360, "protocol": "h1", "tls": false, "dedupes-itself": true},
-		},
+		"revision":  revision,
+		"routing":   []map[string]any{route(lookupPath, "repeatable", nil), route(sizedPath, "streaming", turns)},
+		"backends":  []map[string]any{{"name": serviceName, "health-path": "/health", "max-conns": 360, "protocol": "h1", "tls": false}},
 		"limits":    map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-wait-ms": 3000, "idle-ms": 15000},
 		"customers": []map[string]any{{"name": customerName, "api-keys": []string{clientKey}}},
 	}
--- a/review/fleet-2/fleet.go
+++ b/review/fleet-2/fleet.go
@@ -227,7 +227,7 @@
 apply-within-ms = %d
 downgrade-slack-ms = 250
 stretch-max-ms = 5000
-key-window-s = %d
+key-window-s = 60
 cold-excess = 1.5
 cold-slack = 5
 evacuate-ms = 5000
@@ -241,14 +241,11 @@
 duties = []
 lag-ms = 800
 `, machine.name, machine.serves, machine.class, machine.serves, machine.ip, machine.zone, fleet.ports.inner, fleet.ports.inner+innerPorts-1, strings.Join(seeds, ","),
-		first, machine.serves != "edge", dataDir, zones, listen, applyWithin.Milliseconds(), int(keyWindow.Seconds()), fleet.platform.ip, fleet.ports.cloud)
+		first, machine.serves != "edge", dataDir, zones, listen, applyWithin.Milliseconds(), fleet.platform.ip, fleet.ports.cloud)
 }
 
-// The bounds that the checks use.
-const (
-	applyWithin = 2 * time.Second
-	keyWindow   = 60 * time.Second
-)
+// applyWithin is until when a configuration is in force after its acknowledgement.
+const applyWithin = 2 * time.Second
 
 // start starts the machine's process with the command of its role.
 func (machine *machine) start(first bool) error {
@@ -280,21 +277,13 @@
 	return nil
 }
 
-// signal sends a signal to the machine's process.
-func (machine *machine) signal(sent syscall.Signal) {
-	machine.mutex.Lock()
-	defer machine.mutex.Unlock()
-	if machine.process == nil {
-		return
+// killAll is the disruption that ends all processes at once. It writes its record afterwards, so that
+// they end at the same moment.
+func (fleet *fleet) killAll() {
+	for _, machine := range fleet.machines() {
+		_ = machine.process.Signal(syscall.SIGKILL) // fails only if the process has ended
 	}
-	machine.fleet.record.line("%s gets %s", machine.name, sent)
-	_ = machine.process.Signal(sent) // fails only if the process has ended
-}
-
-// kill is the disruption that ends the machine's process at once.
-func (machine *machine) kill() {
-	machine.signal(syscall.SIGKILL)
-	machine.end()
+	fleet.record.line("all processes have got SIGKILL")
 }
 
 // end ends the machine's process, also a stopped one, and waits for its end.
--- a/review/fleet-2/main.go
+++ b/review/fleet-2/main.go
@@ -32,9 +32,8 @@
 type scenario func(fleet *fleet, trouble bool) (breaks []string, err error)
 
 var scenarios = map[string]scenario{
-	"keyed-move":   keyedMove,
-	"resumed-turn": resumedTurn,
-	"sized-stream": sizedStream,
+	"sized-stream":  sizedStream,
+	"stranger-turn": strangerTurn,
 }
 
 func main() {
--- a/review/fleet-2/platform.go
+++ b/review/fleet-2/platform.go
@@ -11,15 +11,12 @@
 	"time"
 )
 
-// The services of the deployment. The runners of dedupService keep one shared table of keys.
+// serviceName is the only service, runnerCount the number of its runners.
 const (
-	plainService = "books"
-	dedupService = "ledger"
+	serviceName = "books"
+	runnerCount = 2
 )
 
-// runnersPerService is the number of runners of each service.
-const runnersPerService = 2
-
 // platform is the stand-in of the platform, which keeps the list of runners, and of the runners.
 type platform struct {
 	fleet   *fleet
@@ -28,48 +25,33 @@
 
 	mutex sync.Mutex
 	runs  []runnerRun
-	// operations is the shared table of keys of each service that keeps one.
-	operations map[string]*operation
 }
 
 // runner is one stand-in runner.
 type runner struct {
 	platform *platform
 	id       string
-	service  string
 	zone     string
 	address  string
 }
 
 // runnerRun is a request that a runner has begun to work on.
 type runnerRun struct {
-	at                                    time.Time
-	runner, service, tryID, key, customer string
-	path, body, continues, afterEvent     string
-}
-
-// operation is an entry of a table of keys.
-type operation struct {
-	done         bool
-	answer, seal string
+	runner, tryID, customer, path, body, continues string
 }
 
 // startPlatform starts the list and the runners.
 func startPlatform(fleet *fleet) (*platform, error) {
-	platform := &platform{fleet: fleet, ip: fmt.Sprintf("127.%d.0.1", fleet.network), operations: map[string]*operation{}}
-	number := 0
-	for _, service := range []string{plainService, dedupService} {
-		for index := range runnersPerService {
-			number++
-			added := &runner{
-				platform: platform, id: fmt.Sprintf("i-%s-%d", service, index+1), service: service, zone: zoneName(index),
-				address: fmt.Sprintf("127.%d.10.%d:%d", fleet.network, number, fleet.ports.runner),
-			}
-			if err := serve(added.address, added); err != nil {
-				return nil, err
-			}
-			platform.runners = append(platform.runners, added)
+	platform := &platform{fleet: fleet, ip: fmt.Sprintf("127.%d.0.1", fleet.network)}
+	for index := range runnerCount {
+		added := &runner{
+			platform: platform, id: fmt.Sprintf("i-%s-%d", serviceName, index+1), zone: zoneName(index),
+			address: fmt.Sprintf("127.%d.10.%d:%d", fleet.network, index+1, fleet.ports.runner),
+		}
+		if err := serve(added.address, added); err != nil {
+			return nil, err
 		}
+		platform.runners = append(platform.runners, added)
 	}
 	return platform, serve(fmt.Sprintf("%s:%d", platform.ip, fleet.ports.cloud), http.HandlerFunc(platform.serveList))
 }
@@ -89,7 +71,7 @@
 	servers := []map[string]any{}
 	for _, runner := range platform.runners {
 		servers = append(servers, map[string]any{
-			"id": runner.id, "backend": runner.service, "address": runner.address, "zone": runner.zone, "revision": "v1", "slots": 32, "condition": "up", "cold-left-ms": 0,
+			"id": runner.id, "backend": serviceName, "address": runner.address, "zone": runner.zone, "revision": "v1", "slots": 32, "condition": "up", "cold-left-ms": 0,
 		})
 	}
 	writer.Header().Set("Content-Type", "application/json")
@@ -115,115 +97,41 @@
 		return
 	}
 	run := runnerRun{
-		at: time.Now(), runner: runner.id, service: runner.service, tryID: tryID, key: request.Header.Get("Operation-Key"), customer: request.Header.Get("Customer"),
-		path: request.URL.Path, body: string(body), continues: request.Header.Get("Continues"), afterEvent: request.Header.Get("Last-Event-Id"),
+		runner: runner.id, tryID: tryID, customer: request.Header.Get("Customer"), path: request.URL.Path, body: string(body), continues: request.Header.Get("Continues"),
 	}
-	switch {
-	case run.path == talkPath || run.path == sizedPath:
-		runner.begin(run)
-		runner.stream(writer, request, run)
-	case runner.service == dedupService && run.key != "":
-		runner.answerOperation(writer, run)
-	default:
-		runner.begin(run)
-		time.Sleep(workTime)
-		answer := runner.answerTo(run)
-		header.Set("Server-Seal", sealOf(run))
-		_, _ = io.WriteString(writer, answer)
+	runner.begin(run)
+	time.Sleep(workTime)
+	header.Set("Server-Seal", "seal."+run.runner+"."+run.tryID)
+	answer := fmt.Sprintf("%s did %q", run.runner, run.body)
+	if run.path == sizedPath {
+		answer = streamText()
+		header.Set("Content-Type", "text/event-stream")
 	}
+	header.Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = io.WriteString(writer, answer) // an error means that the front has gone
 }
 
-// workTime is how long a runner works on a plain request.
-const workTime = 50 * time.Millisecond
+// workTime is how long a runner works on a request.
+const workTime = 800 * time.Millisecond
 
 // begin notes that a runner has begun to work on a request.
 func (runner *runner) begin(run runnerRun) {
 	runner.platform.mutex.Lock()
 	runner.platform.runs = append(runner.platform.runs, run)
 	runner.platform.mutex.Unlock()
-	runner.platform.fleet.record.line("run: %s (%s) runs %s of try %s, key %q, customer %q, continues %q, after event %q, body of %d bytes",
-		run.runner, run.service, run.path, run.tryID, run.key, run.customer, run.continues, run.afterEvent, len(run.body))
-}
-
-func (runner *runner) answerTo(run runnerRun) string {
-	return fmt.Sprintf("%s did %q for try %s", run.runner, run.body, run.tryID)
-}
-
-func sealOf(run runnerRun) string { return "seal." + run.runner + "." + run.tryID }
-
-// answerOperation answers a request with a key by the service's shared table: a repeat gets the first
-// answer, or 409 and Not-Run while the first still runs.
-func (runner *runner) answerOperation(writer http.ResponseWriter, run runnerRun) {
-	platform := runner.platform
-	name := runner.service + "/" + run.customer + "/" + run.key
-	platform.mutex.Lock()
-	known, found := platform.operations[name]
-	if !found {
-		platform.operations[name] = &operation{}
-	}
-	working, answered := found && !known.done, found && known.done
-	platform.mutex.Unlock()
-	switch {
-	case working:
-		writer.Header().Set("Not-Run", "1")
-		writer.WriteHeader(http.StatusConflict)
-		return
-	case answered:
-		writer.Header().Set("Server-Seal", known.seal)
-		_, _ = io.WriteString(writer, known.answer)
-		return
-	}
-	runner.begin(run)
-	time.Sleep(workTime)
-	answer := runner.answerTo(run)
-	platform.mutex.Lock()
-	*platform.operations[name] = operation{done: true, answer: answer, seal: sealOf(run)}
-	platform.mutex.Unlock()
-	writer.Header().Set("Server-Seal", sealOf(run))
-	_, _ = io.WriteString(writer, answer)
+	runner.platform.fleet.record.line("run: %s runs %s of try %s, customer %q, continues %q, body of %d bytes", run.runner, run.path, run.tryID, run.customer, run.continues, len(run.body))
 }
 
-// The streams: their number of events and the pause between two.
-const (
-	streamEvents = 8
-	eventPause   = 100 * time.Millisecond
-)
+// streamEvents is the number of events of a stream.
+const streamEvents = 8
 
-// eventData returns the data of an event.
-func eventData(number int) string { return fmt.Sprintf("piece %d", number) }
-
-// stream answers with events, from the one after Last-Event-Id on. On sizedPath the whole answer is made
-// first and sent with its length.
-func (runner *runner) stream(writer http.ResponseWriter, request *http.Request, run runnerRun) {
-	header := writer.Header()
-	header.Set("Content-Type", "text/event-stream")
-	header.Set("Server-Seal", sealOf(run))
-	after, _ := strconv.Atoi(run.afterEvent) // 0 without Last-Event-Id
-	if run.path == sizedPath {
-		time.Sleep(streamEvents * eventPause)
-		text := ""
-		for number := after + 1; number <= streamEvents; number++ {
-			text += eventText(number)
-		}
-		header.Set("Content-Length", strconv.Itoa(len(text)))
-		_, _ = io.WriteString(writer, text)
-		return
-	}
-	for number := after + 1; number <= streamEvents; number++ {
-		if _, err := io.WriteString(writer, eventText(number)); err != nil {
-			return
-		}
-		writer.(http.Flusher).Flush()
-		select {
-		case <-time.After(eventPause):
-		case <-request.Context().Done():
-			return
-		}
+// streamText returns the events of an answer, which the runner makes as a whole before it writes.
+func streamText() string {
+	text := ""
+	for number := 1; number <= streamEvents; number++ {
+		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number)
 	}
-}
-
-func eventText(number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, eventData(number))
+	return text
 }
 
 // runsOf returns the runs that a predicate selects.
