--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-2 ] || { echo "run the build of deploy/system.toml and review/build-2.sh first"; exit 2; }
-exec target/review-2 sized-stream "$folder"
+exec target/review-2 stranger-turn "$folder"
