--- a/proof/simulator/forward.go
+++ b/proof/simulator/forward.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -45,6 +46,10 @@
 	Header http.Header
 	Body   []byte
 	Err    error
+	// method is that of the request: the length of an answer to HEAD is that of no body.
+	method string
+	// onComplete, if set, is called once: as soon as the answer looks complete to its client.
+	onComplete func()
 }
 
 // Begin records the status and the header of the answer.
@@ -59,9 +64,29 @@
 // Write records a part of the body.
 func (answer *ForwardedAnswer) Write(data []byte) error {
 	answer.Body = append(answer.Body, data...)
+	if length, found := answer.length(); found && len(answer.Body) == length {
+		answer.notify()
+	}
 	return nil
 }
 
+// length returns the length of the body, if the answer has one by which its client knows the end.
+func (answer *ForwardedAnswer) length() (length int, found bool) {
+	if answer.method == http.MethodHead {
+		return 0, false
+	}
+	length, err := strconv.Atoi(answer.Header.Get("Content-Length"))
+	return length, err == nil
+}
+
+// notify calls onComplete, at most once, if the answer looks complete.
+func (answer *ForwardedAnswer) notify() {
+	if answer.onComplete != nil && answer.Complete() {
+		answer.onComplete()
+		answer.onComplete = nil
+	}
+}
+
 // Rejected reports whether the answer guarantees that the request did not run.
 //
 //	if answer.Rejected() { ... }
@@ -69,11 +94,18 @@
 	return answer.Status == 0 && apierror.Is(answer.Err, apierror.NotRun)
 }
 
-// Complete reports whether the answer is a 200 OK that arrived in full.
+// Complete reports whether the answer is a 200 OK that looks complete to its client: one with a
+// length once it has all bytes, whatever the front does after that, and any other at its end.
 //
 //	if answer.Complete() { ... }
 func (answer *ForwardedAnswer) Complete() bool {
-	return answer.Err == nil && answer.Status == http.StatusOK
+	if answer.Status != http.StatusOK {
+		return false
+	}
+	if length, found := answer.length(); found {
+		return len(answer.Body) == length
+	}
+	return answer.Err == nil
 }
 
 // Text returns the joined data of a stream's events, which is part of the prompt of the next turn.
@@ -100,29 +132,36 @@
 // ForwardWith is Forward for a client that sends further headers.
 //
 //	answer := cluster.ForwardWith(front, request, http.Header{"Authorization": {"Bearer key"}})
-func (*Cluster) ForwardWith(machine *Machine, request forwarding.Request, header http.Header) *ForwardedAnswer {
+func (cluster *Cluster) ForwardWith(machine *Machine, request forwarding.Request, header http.Header) *ForwardedAnswer {
+	answer := &ForwardedAnswer{}
+	cluster.forwardTo(machine, request, header, answer)
+	return answer
+}
+
+// forwardTo is ForwardWith with an answer that the caller has made.
+func (*Cluster) forwardTo(machine *Machine, request forwarding.Request, header http.Header, answer *ForwardedAnswer) {
 	if request.Method == "" {
 		request.Method = http.MethodPost
 	}
 	if request.Deadline.IsZero() {
 		request.Deadline = time.Now().Add(4 * time.Second)
 	}
+	answer.method = request.Method
 	request.Host, request.Target, request.ReceivedAt = RoutedHost, request.Path, time.Now()
 	request.Header = http.Header{standin.HeaderNames.RequestID: {request.ID}}
 	if request.OperationKey != "" {
 		request.Header.Set(operationHeader, request.OperationKey)
 	}
 	maps.Copy(request.Header, header)
-	answer := &ForwardedAnswer{}
 	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
 	defer cancel()
 	node := machine.Front
 	if node == nil {
 		answer.Err = apierror.New(apierror.Unavailable, "the front is not running", "retry at another front")
-		return answer
+		return
 	}
 	answer.Err = node.Forward(ctx, &request, answer)
-	return answer
+	answer.notify()
 }
 
 // AwaitForwarding waits until every running front has forwarded a lookup and a streamed turn.
--- a/proof/standin/engine.go
+++ b/proof/standin/engine.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -76,6 +75,8 @@
 	Latencies   Latencies
 	// Events is the number of events of a stream.
 	Events int
+	// Framing is how the streams show their end; FramingMixed by default.
+	Framing Framing
 
 	mutex        sync.Mutex
 	draining     bool
@@ -302,27 +303,3 @@
 		_, _ = io.WriteString(connection, response)
 	}
 }
-
-// stream writes the events of a stream that follow the Last-Event-ID.
-func (engine *Engine) stream(writer http.ResponseWriter, request *http.Request, prompt string, fault Fault) {
-	lastEventID, _ := strconv.Atoi(request.Header.Get(HeaderNames.LastEventID))
-	breakStream := fault == FaultBreakStream || fault == FaultRestartStream && lastEventID == 0
-	if fault == FaultRestartStream {
-		lastEventID = 0
-	}
-	writer.Header().Set("Content-Type", "text/event-stream")
-	controller := http.NewResponseController(writer)
-	time.Sleep(engine.Latencies.FirstPiece)
-	for number := lastEventID + 1; number <= engine.Events; number++ {
-		if breakStream && number > lastEventID+2 {
-			panic(http.ErrAbortHandler)
-		}
-		fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, EventData(prompt, number))
-		_ = controller.Flush()
-		select {
-		case <-time.After(engine.Latencies.NextPiece):
-		case <-request.Context().Done():
-			return
-		}
-	}
-}
--- a/system/forwarding/relay.go
+++ b/system/forwarding/relay.go
@@ -169,9 +169,9 @@
 }
 
 // relayStream relays events as they arrive. If the history is stored, the stream ends for the
-// client only after the turn end is committed. On a resumed stream, events that the client
-// already received are skipped. onFirstEvent is called on the runner's first event;
-// eventTokens is the number of tokens per event.
+// client only after the turn end is committed, however the runner frames it. On a resumed stream,
+// events that the client already received are skipped. onFirstEvent is called on the runner's first
+// event; eventTokens is the number of tokens per event.
 func (forwarder *Forwarder) relayStream(ctx context.Context, exchange *exchange, response *runnerpool.Response, eventTokens uint64, onFirstEvent func()) (balancer.Outcome, error) {
 	exchange.mayHaveRun = true
 	events := runnerpool.NewEventReader(response)
@@ -216,14 +216,14 @@
 }
 
 // beginStream writes the response head of a stream to the client, unless an earlier attempt
-// did.
+// did. The stream has no length, so that only its end shows that it is complete.
 func (exchange *exchange) beginStream(response *runnerpool.Response) error {
 	if exchange.stream.started {
 		return nil
 	}
-	if exchange.idempotent() {
-		delete(response.Header, "Content-Length") // another runner may continue the stream
-	}
+	// With a length the client would have the whole answer with its last event: before the end of the
+	// turn is committed, and even if the stream is broken off and another runner continues it.
+	delete(response.Header, "Content-Length")
 	if err := exchange.writer.Begin(response.Status, response.Header); err != nil {
 		return errors.Join(errNoRetry, err)
 	}
