An operation is answered only once its response is recorded

What callers saw: a response that could not be recorded within 1 s was passed on before.

Change: the client waits for the commit until the request's deadline; after that it gets 502, and the commit goes on in the background, so that a repeat gets the recorded response. An end that the stores reject counts as not recorded.

Weighed: passing the response on but holding its end back (a client that has all but the end can not use it, and may retry sooner); 502 after 1 s as before (the answer is lost although the stores may take it a moment later).

--- a/proof/simulator/completeanswers_test.go
+++ b/proof/simulator/completeanswers_test.go
@@ -91,6 +91,9 @@
 			requests.Wait()
 			<-stopped
 			cluster.startAll(t)
+			if err := cluster.AwaitForwarding(12 * time.Second); err != nil {
+				t.Fatal(err)
+			}
 			for number, answer := range answers {
 				if answer.Complete() {
 					cluster.expectKnown(t, fmt.Sprintf("turn-%d-%d", round, number))
@@ -105,7 +108,7 @@
 	return forwarding.Request{ID: name, Path: "/talk/kept/1", Follows: follows, Body: []byte(input), Program: "p-" + name, HasOutputBudget: true, OutputBudget: 100000, MaxOutputTokens: 40}
 }
 
-// startAll starts all machines and waits until the fronts serve.
+// startAll starts all machines after a short time.
 func (cluster *Cluster) startAll(t *testing.T) {
 	t.Helper()
 	cluster.Sleep(700 * time.Millisecond)
@@ -114,9 +117,6 @@
 			t.Fatal(err)
 		}
 	}
-	if err := cluster.AwaitForwarding(12 * time.Second); err != nil {
-		t.Fatal(err)
-	}
 }
 
 // expectKnown checks that a turn can be continued, with retries while that is not certain.
@@ -136,3 +136,130 @@
 		cluster.Sleep(200 * time.Millisecond)
 	}
 }
+
+// TestOperationIsAnsweredOnlyOnceItsResponseIsRecorded guards against answers that a client has, and
+// that a repeat does not get since they were never committed.
+func TestOperationIsAnsweredOnlyOnceItsResponseIsRecorded(t *testing.T) {
+	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
+		for _, machine := range cluster.Engines {
+			machine.Engine.Latencies.PlainAnswer = 100 * time.Millisecond
+		}
+		answers := make(chan *ForwardedAnswer, 1)
+		go func() { answers <- sendBooking(cluster, cluster.Fronts[0], "first", harborKey, "op-1") }()
+		for executionsOf(cluster, "first") == 0 {
+			cluster.Sleep(time.Millisecond)
+		}
+		for _, store := range cluster.Stores {
+			cluster.Network.Isolate(store.Host)
+		}
+		if first := <-answers; first.Complete() || first.Rejected() || !apierror.Is(first.Err, apierror.Unknown) {
+			t.Errorf("without stores the operation was answered with %d %q %v", first.Status, first.Body, first.Err)
+		}
+		for _, store := range cluster.Stores {
+			cluster.Network.Rejoin(store.Host)
+		}
+		if err := cluster.Await(20*time.Second, "response of the first request", func() error {
+			id := fmt.Sprintf("repeat-%d", time.Now().UnixNano())
+			repeat := sendBooking(cluster, cluster.Fronts[1], id, harborKey, "op-1")
+			if !repeat.Complete() || string(repeat.Body) != "done first" || executionsOf(cluster, id) != 0 {
+				return fmt.Errorf("%d %q %w", repeat.Status, repeat.Body, repeat.Err)
+			}
+			return nil
+		}); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestOperationsAnsweredBeforeLossOfAllMachinesKeepTheirAnswers delays what the stores send each other,
+// and kills all machines, or has them lose power, when some of the operations are answered. Each repeat of those must get the same answer afterwards.
+func TestOperationsAnsweredBeforeLossOfAllMachinesKeepTheirAnswers(t *testing.T) {
+	const operations, rounds, maxDelay = 20, 6, 2 * time.Second
+	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
+		random := cluster.Random(32)
+		for _, machine := range cluster.Engines {
+			machine.Engine.Latencies.PlainAnswer = 100 * time.Millisecond
+		}
+		for round := range rounds {
+			cluster.awaitBookings(t)
+			answeredBeforeLoss := 1 + random.IntN(operations/2)
+			answers := make([]*ForwardedAnswer, operations)
+			var requests sync.WaitGroup
+			var mutex sync.Mutex
+			answered, stopped := 0, make(chan struct{})
+			stop := sync.OnceFunc(func() {
+				defer close(stopped)
+				cluster.stopAll(round%2, "")
+			})
+			for number := range operations {
+				requests.Go(func() {
+					answers[number] = &ForwardedAnswer{onComplete: func() {
+						mutex.Lock()
+						defer mutex.Unlock()
+						if answered++; answered == answeredBeforeLoss {
+							go stop()
+						}
+					}}
+					key := fmt.Sprintf("op-%d-%d", round, number)
+					cluster.forwardTo(cluster.Fronts[number%len(cluster.Fronts)], booking("first-"+key, key), nil, answers[number])
+				})
+			}
+			cluster.Sleep(50 * time.Millisecond) // until the operations have begun
+			slowStores(cluster, time.Duration(random.Int64N(int64(maxDelay))))
+			requests.Wait()
+			stop()
+			<-stopped
+			slowStores(cluster, 0)
+			cluster.startAll(t)
+			for number, answer := range answers {
+				if answer.Complete() {
+					cluster.expectRecorded(t, fmt.Sprintf("op-%d-%d", round, number), string(answer.Body))
+				}
+			}
+		}
+	})
+}
+
+// booking returns a request of an operation that the fronts record.
+func booking(id, operation string) forwarding.Request {
+	return forwarding.Request{ID: id, Path: "/booking/1", TenantKey: harborKey, OperationKey: operation, Deadline: time.Now().Add(3 * time.Second)}
+}
+
+// awaitBookings waits until all fronts answer operations.
+func (cluster *Cluster) awaitBookings(t *testing.T) {
+	t.Helper()
+	for _, front := range cluster.Fronts {
+		if err := cluster.Await(12*time.Second, "operation at "+front.Host, func() error {
+			id := fmt.Sprintf("probe-%s-%d", front.Host, time.Now().UnixNano())
+			return cluster.Forward(front, booking(id, id)).Err
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// slowStores delays all that stores send each other, so that each commit takes twice as long.
+func slowStores(cluster *Cluster, delay time.Duration) {
+	for _, from := range cluster.Stores {
+		for _, to := range cluster.Stores {
+			if from != to {
+				cluster.Network.Slow(from.Host, to.Host, delay)
+			}
+		}
+	}
+}
+
+// expectRecorded checks that a repeat of an operation gets the given answer.
+func (cluster *Cluster) expectRecorded(t *testing.T, operation, want string) {
+	t.Helper()
+	var repeat *ForwardedAnswer
+	if err := cluster.Await(20*time.Second, "recorded answer to "+operation, func() error {
+		repeat = cluster.Forward(cluster.Fronts[1], booking(fmt.Sprintf("%s-%d", operation, time.Now().UnixNano()), operation))
+		if apierror.Is(repeat.Err, apierror.NotRun) {
+			return repeat.Err
+		}
+		return nil
+	}); err != nil || !repeat.Complete() || string(repeat.Body) != want {
+		t.Errorf("%s was answered %q, a repeat got %d %q %v", operation, want, repeat.Status, repeat.Body, repeat.Err)
+	}
+}
--- a/system/forwarding/forwarder.go
+++ b/system/forwarding/forwarder.go
@@ -17,7 +17,7 @@
 //   - No byte is sent to a runner under a revoked configuration or lease; both are checked
 //     again just before the first byte is sent.
 //   - A turn with stored history looks complete to the client only after the stores have
-//     committed its end.
+//     committed its end, and a recorded response to an operation after they have committed that.
 //
 // Between requests the package keeps only the number of buffered bytes and the background
 // tasks that commit turn ends. Durable state is in the session logs.
--- a/system/forwarding/operations.go
+++ b/system/forwarding/operations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,8 +19,6 @@
 const DefaultOperationRetention = 10 * time.Minute
 
 const (
-	// operationEndTimeout is how long a client waits until the answer to its operation is recorded.
-	operationEndTimeout = time.Second
 	// maxOperationAttempts bounds the attempts at an operation that provably did not run.
 	maxOperationAttempts = 64
 	// operationStartSeq and operationEndSeq are the producer sequence numbers of an attempt's start,
@@ -173,13 +172,14 @@
 	return attempt.route.Kind == config.Keyed && attempt.response != nil && attempt.response.Status == http.StatusConflict && apierror.Is(attempt.err, apierror.NotRun)
 }
 
-// recordResponse records the response of an operation before it is sent to the client. It waits for
-// operationEndTimeout at most and goes on in the background after that. A response that was not read
-// to its end is not recorded, so that a repeat gets the answer that the outcome is unknown.
-func (forwarder *Forwarder) recordResponse(ctx context.Context, exchange *exchange, status int, header http.Header, body []byte, complete bool) {
+// recordResponse commits the response of an operation, which is sent to the client only after that:
+// each repeat gets the same one. An error means that the client gets no response; the commit goes on
+// in the background, so that a repeat may get it. A response that was not read to its end is not
+// recorded and a repeat gets the answer that the outcome is unknown, so nothing waits for that.
+func (forwarder *Forwarder) recordResponse(ctx context.Context, exchange *exchange, status int, header http.Header, body []byte, complete bool) error {
 	record := exchange.operation
 	if record == nil {
-		return
+		return nil
 	}
 	event := sessionlog.Event{Kind: sessionlog.TurnEnded, Run: record.startSeq, Outcome: sessionlog.OutcomeComplete}
 	if complete {
@@ -190,18 +190,24 @@
 		event.Data = data
 	}
 	exchange.operation = nil // its end is being recorded
-	done := make(chan struct{})
-	forwarder.turnCommits.Go(func() {
-		defer close(done)
-		forwarder.endOperation(record, event)
-	})
-	timer := time.NewTimer(operationEndTimeout)
-	defer timer.Stop()
+	ended := make(chan error, 1)
+	forwarder.turnCommits.Go(func() { ended <- forwarder.endOperation(record, event) })
+	if !complete {
+		return nil
+	}
+	defer exchange.timer.end(StageEndTurn)
+	var err error
 	select {
-	case <-done:
-	case <-timer.C:
+	case err = <-ended:
 	case <-ctx.Done():
+		err = ctx.Err()
 	}
+	if err == nil {
+		return nil
+	}
+	exchange.mayHaveRun = true
+	log.WithFields(log.Fields{"node": forwarder.settings.Node, "session": record.sessionName, "request": exchange.ID, "error": err.Error()}).Warn("could not record the response of an operation; the client gets none")
+	return errors.Join(errNoRetry, &apierror.Error{Kind: apierror.Unknown, Message: "the operation ran, but its response could not be recorded", Remedy: "repeat the request with the same key, which does not run the operation again", Cause: err})
 }
 
 // recordUnansweredOperation records the end of an operation whose client gets no response.
@@ -215,22 +221,35 @@
 	if apierror.Is(cause, apierror.NotRun) || apierror.Is(cause, apierror.RateLimited) {
 		event.Outcome = sessionlog.OutcomeNotRun
 	}
-	forwarder.turnCommits.Go(func() { forwarder.endOperation(record, event) })
+	// If this fails, repeats learn that the outcome is unknown once the attempt is overdue.
+	forwarder.turnCommits.Go(func() { _ = forwarder.endOperation(record, event) })
 }
 
+// errOperationEndRejected means that the stores did not accept the end of an attempt.
+var errOperationEndRejected = errors.New("the record of the operation does not accept its end")
+
 // endOperation commits the end of an attempt. It retries until the result is final,
-// backgroundEndTurnTimeout passes or Close is called.
-func (forwarder *Forwarder) endOperation(record *operationRecord, event sessionlog.Event) {
-	forwarder.retryCommit(func(ctx context.Context) error {
-		_, err := forwarder.settings.TurnStore.Command(ctx, record.sessionName, record.appendCommand(operationEndSeq, event))
+// backgroundEndTurnTimeout passes or Close is called. An error means that the end may not be recorded.
+func (forwarder *Forwarder) endOperation(record *operationRecord, event sessionlog.Event) error {
+	status := sessionlog.Done
+	err := forwarder.retryCommit(func(ctx context.Context) error {
+		results, err := forwarder.settings.TurnStore.Command(ctx, record.sessionName, record.appendCommand(operationEndSeq, event))
+		if err == nil {
+			status = results[0].Status
+		}
 		return err
 	})
+	if err == nil && status != sessionlog.Done {
+		return errOperationEndRejected
+	}
+	return err
 }
 
 // fenceOperation settles a start whose commit has an unknown outcome, of a request that sends
 // nothing: either the fence takes its place, or the start is ended as not run.
 func (forwarder *Forwarder) fenceOperation(record *operationRecord) {
-	forwarder.retryCommit(func(ctx context.Context) error {
+	// If this fails, repeats learn that the outcome is unknown once the attempt is overdue.
+	_ = forwarder.retryCommit(func(ctx context.Context) error {
 		results, err := forwarder.settings.TurnStore.Command(ctx, record.sessionName,
 			sessionlog.Command{Kind: sessionlog.CreateSession, Retention: forwarder.settings.OperationRetention},
 			record.appendCommand(operationStartSeq, sessionlog.Event{Kind: sessionlog.Fenced}))
@@ -248,14 +267,19 @@
 }
 
 // retryCommit calls a function until it returns no error, backgroundEndTurnTimeout passes or Close
-// is called.
-func (forwarder *Forwarder) retryCommit(commit func(ctx context.Context) error) {
+// is called. It returns the function's last error.
+func (forwarder *Forwarder) retryCommit(commit func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(forwarder.context, backgroundEndTurnTimeout)
 	defer cancel()
-	for ctx.Err() == nil && commit(ctx) != nil {
+	for {
+		err := commit(ctx)
+		if err == nil {
+			return nil
+		}
 		select {
 		case <-time.After(backgroundEndTurnRetryInterval):
 		case <-ctx.Done():
+			return err
 		}
 	}
 }
--- a/system/forwarding/relay.go
+++ b/system/forwarding/relay.go
@@ -107,7 +107,9 @@
 	if err != nil {
 		return outcome, err
 	}
-	forwarder.recordResponse(ctx, exchange, response.Status, response.Header, data, len(data) < maxBufferedResponseBytes)
+	if err := forwarder.recordResponse(ctx, exchange, response.Status, response.Header, data, len(data) < maxBufferedResponseBytes); err != nil {
+		return outcome, err
+	}
 	if writeOutcome, err := exchange.writeBuffered(response, data); err != nil {
 		return writeOutcome, err
 	}
