The events of every successful stream are saved, whatever its status and parameters

What callers saw: on a route with saves-history a stream with another status of success than 200, or with a malformed parameter of its type ("text/event-stream;x"), was relayed as a plain response: the client had its whole answer, the turn counted as complete, and its output was never committed.

Cause: isEventStream asked for 200 and for a type without a parse error.

Change: any success, and the media type alone.

--- a/proof/standin/engine.go
+++ b/proof/standin/engine.go
@@ -77,6 +77,10 @@
 	Events int
 	// Framing is how the streams show their end; FramingMixed by default.
 	Framing Framing
+	// StreamStatus and StreamType are the status and the Content-Type of the streams; 200 and
+	// text/event-stream by default.
+	StreamStatus int
+	StreamType   string
 
 	mutex        sync.Mutex
 	draining     bool
--- a/proof/standin/stream.go
+++ b/proof/standin/stream.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"net/http"
@@ -98,8 +99,9 @@
 		events, length = append(events, event), length+len(event)
 	}
 	framing := engine.framingOf(request.Header.Get(HeaderNames.RequestID))
-	writer.Header().Set("Content-Type", "text/event-stream")
+	writer.Header().Set("Content-Type", cmp.Or(engine.StreamType, "text/event-stream"))
 	framing.SetHeader(writer.Header(), length)
+	writer.WriteHeader(cmp.Or(engine.StreamStatus, http.StatusOK))
 	if breakStream {
 		events = events[:min(eventsBeforeBreak, len(events))]
 	}
--- a/system/forwarding/relay.go
+++ b/system/forwarding/relay.go
@@ -66,16 +66,19 @@
 	return attempts.forwarder.relayBuffered(attempts.context, attempts, attempt)
 }
 
-// isEventStream reports whether the route is a streaming one and the response a stream of
-// server-sent events.
+// isEventStream reports whether the route is a streaming one and the response a successful stream of
+// server-sent events. Malformed parameters of its type do not matter.
 func (exchange *exchange) isEventStream(response *runnerpool.Response) bool {
-	if exchange.route.Kind != config.Streaming || response.Status != http.StatusOK {
+	if exchange.route.Kind != config.Streaming || !isSuccess(response.Status) {
 		return false
 	}
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream"
+	return mediaType == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
 
+// isSuccess reports whether a final status is one of success.
+func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
+
 // relayBuffered relays a non-streaming response. The first maxBufferedResponseBytes are read
 // before any of it is sent to the client; the rest is copied as it arrives.
 func (forwarder *Forwarder) relayBuffered(ctx context.Context, attempts *attemptSet, attempt *attempt) (balancer.Outcome, error) {
@@ -125,7 +128,7 @@
 // commitBufferedTurn commits the end of a turn with a non-streaming response if the client
 // must wait for the commit. It returns the outcome to record.
 func (forwarder *Forwarder) commitBufferedTurn(ctx context.Context, exchange *exchange, status int) (string, error) {
-	if status >= http.StatusMultipleChoices {
+	if !isSuccess(status) {
 		return sessionlog.OutcomeInterrupted, nil
 	}
 	// Without events the number of generated tokens is unknown, so the maximum is counted.
