--- a/proof/simulator/completeanswers_test.go
+++ b/proof/simulator/completeanswers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,22 +35,11 @@
 	for kind, config := range keptRouteConfigs {
 		for _, framing := range allFramings {
 			t.Run(kind+", "+string(framing), func(t *testing.T) {
-				simulate(t, routedShape, func(t *testing.T, cluster *Cluster) {
-					if err := cluster.PutConfig(config); err != nil {
-						t.Fatal(err)
-					}
-					if err := cluster.AwaitForwarding(10 * time.Second); err != nil {
-						t.Fatal(err)
-					}
+				simulateConfig(t, config, func(t *testing.T, cluster *Cluster) {
 					setFraming(cluster, framing)
 					answers := make(chan *ForwardedAnswer, 1)
 					go func() { answers <- cluster.forwardKeptTurn(0, "turn", "", "one ") }()
-					for executionsOf(cluster, "turn") == 0 {
-						cluster.Sleep(time.Millisecond)
-					}
-					for _, store := range cluster.Stores {
-						cluster.Network.Isolate(store.Host)
-					}
+					cluster.isolateStoresDuring("turn")
 					if turn := <-answers; turn.Complete() || turn.Rejected() || turn.Status != 200 || len(turn.Body) == 0 {
 						t.Errorf("the turn got %d, %d bytes, length %q, %v", turn.Status, len(turn.Body), turn.Header.Get("Content-Length"), turn.Err)
 					}
@@ -59,44 +49,53 @@
 	}
 }
 
+// loseAllOnceAnswered sends requests at once, to all fronts in turn. Once some are answered completely it
+// kills all machines, or has them lose power. It returns the answers, with all machines stopped.
+func (cluster *Cluster) loseAllOnceAnswered(round, answered int, requests []forwarding.Request) []*ForwardedAnswer {
+	answers := make([]*ForwardedAnswer, len(requests))
+	stopped := make(chan struct{})
+	stop := sync.OnceFunc(func() {
+		defer close(stopped)
+		cluster.stopAll(round%2, "")
+	})
+	var running sync.WaitGroup
+	var complete atomic.Int32
+	for number, request := range requests {
+		answers[number] = &ForwardedAnswer{onComplete: func() {
+			if complete.Add(1) == int32(answered) {
+				go stop()
+			}
+		}}
+		running.Go(func() {
+			cluster.forwardTo(cluster.Fronts[number%len(cluster.Fronts)], request, nil, answers[number])
+		})
+	}
+	running.Wait()
+	stop()
+	<-stopped
+	return answers
+}
+
 // TestTurnsCompleteBeforeLossOfAllMachinesStayKnown kills all machines, or has them lose power, right
-// after a client has its whole answer, while the ends of further turns are being committed. Each turn that was
-// answered whole must be known afterwards.
+// after a client has its whole answer, while the ends of further turns are being committed. Each turn that
+// was answered whole must be known afterwards.
 func TestTurnsCompleteBeforeLossOfAllMachinesStayKnown(t *testing.T) {
 	const turns, rounds = 30, 4
 	simulateRouted(t, func(t *testing.T, cluster *Cluster) {
 		random := cluster.Random(31)
 		for round := range rounds {
-			completeBeforeLoss := 1 + random.IntN(turns/2)
-			answers := make([]*ForwardedAnswer, turns)
-			var requests sync.WaitGroup
-			var mutex sync.Mutex
-			complete, stopped := 0, make(chan struct{})
+			requests := []forwarding.Request{}
 			for number := range turns {
-				requests.Go(func() {
-					answers[number] = &ForwardedAnswer{onComplete: func() {
-						mutex.Lock()
-						defer mutex.Unlock()
-						if complete++; complete == completeBeforeLoss {
-							go func() {
-								defer close(stopped)
-								cluster.stopAll(round%2, "")
-							}()
-						}
-					}}
-					name := fmt.Sprintf("turn-%d-%d", round, number)
-					cluster.forwardTo(cluster.Fronts[number%len(cluster.Fronts)], keptTurn(name, "", "first "), nil, answers[number])
-				})
+				requests = append(requests, keptTurn(fmt.Sprintf("turn-%d-%d", round, number), "", "first "))
 			}
-			requests.Wait()
-			<-stopped
+			answers := cluster.loseAllOnceAnswered(round, 1+random.IntN(turns/2), requests)
 			cluster.startAll(t)
 			if err := cluster.AwaitForwarding(12 * time.Second); err != nil {
 				t.Fatal(err)
 			}
 			for number, answer := range answers {
 				if answer.Complete() {
-					cluster.expectKnown(t, fmt.Sprintf("turn-%d-%d", round, number))
+					cluster.expectKnown(t, requests[number].ID)
 				}
 			}
 		}
@@ -146,12 +145,7 @@
 		}
 		answers := make(chan *ForwardedAnswer, 1)
 		go func() { answers <- sendBooking(cluster, cluster.Fronts[0], "first", harborKey, "op-1") }()
-		for executionsOf(cluster, "first") == 0 {
-			cluster.Sleep(time.Millisecond)
-		}
-		for _, store := range cluster.Stores {
-			cluster.Network.Isolate(store.Host)
-		}
+		cluster.isolateStoresDuring("first")
 		if first := <-answers; first.Complete() || first.Rejected() || !apierror.Is(first.Err, apierror.Unknown) {
 			t.Errorf("without stores the operation was answered with %d %q %v", first.Status, first.Body, first.Err)
 		}
@@ -172,7 +166,8 @@
 }
 
 // TestOperationsAnsweredBeforeLossOfAllMachinesKeepTheirAnswers delays what the stores send each other,
-// and kills all machines, or has them lose power, when some of the operations are answered. Each repeat of those must get the same answer afterwards.
+// and kills all machines, or has them lose power, when some of the operations are answered. Each repeat of
+// those must get the same answer afterwards.
 func TestOperationsAnsweredBeforeLossOfAllMachinesKeepTheirAnswers(t *testing.T) {
 	const operations, rounds, maxDelay = 20, 6, 2 * time.Second
 	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
@@ -182,38 +177,19 @@
 		}
 		for round := range rounds {
 			cluster.awaitBookings(t)
-			answeredBeforeLoss := 1 + random.IntN(operations/2)
-			answers := make([]*ForwardedAnswer, operations)
-			var requests sync.WaitGroup
-			var mutex sync.Mutex
-			answered, stopped := 0, make(chan struct{})
-			stop := sync.OnceFunc(func() {
-				defer close(stopped)
-				cluster.stopAll(round%2, "")
-			})
+			requests := []forwarding.Request{}
 			for number := range operations {
-				requests.Go(func() {
-					answers[number] = &ForwardedAnswer{onComplete: func() {
-						mutex.Lock()
-						defer mutex.Unlock()
-						if answered++; answered == answeredBeforeLoss {
-							go stop()
-						}
-					}}
-					key := fmt.Sprintf("op-%d-%d", round, number)
-					cluster.forwardTo(cluster.Fronts[number%len(cluster.Fronts)], booking("first-"+key, key), nil, answers[number])
-				})
+				operation := fmt.Sprintf("op-%d-%d", round, number)
+				requests = append(requests, booking("first-"+operation, operation))
 			}
-			cluster.Sleep(50 * time.Millisecond) // until the operations have begun
-			slowStores(cluster, time.Duration(random.Int64N(int64(maxDelay))))
-			requests.Wait()
-			stop()
-			<-stopped
+			// Only the ends of the operations are delayed.
+			time.AfterFunc(50*time.Millisecond, func() { slowStores(cluster, time.Duration(random.Int64N(int64(maxDelay)))) })
+			answers := cluster.loseAllOnceAnswered(round, 1+random.IntN(operations/2), requests)
 			slowStores(cluster, 0)
 			cluster.startAll(t)
 			for number, answer := range answers {
 				if answer.Complete() {
-					cluster.expectRecorded(t, fmt.Sprintf("op-%d-%d", round, number), string(answer.Body))
+					cluster.expectRecorded(t, requests[number].OperationKey, string(answer.Body))
 				}
 			}
 		}
--- a/proof/simulator/forward_test.go
+++ b/proof/simulator/forward_test.go
@@ -17,9 +17,15 @@
 
 // simulateRouted runs a test on a cluster with the routed config in force.
 func simulateRouted(t *testing.T, body func(t *testing.T, cluster *Cluster)) {
+	t.Helper()
+	simulateConfig(t, RoutedConfig, body)
+}
+
+// simulateConfig runs a test on a cluster with a config in force that has the routes of the routed one.
+func simulateConfig(t *testing.T, config string, body func(t *testing.T, cluster *Cluster)) {
 	t.Helper()
 	simulate(t, routedShape, func(t *testing.T, cluster *Cluster) {
-		if err := cluster.PutConfig(RoutedConfig); err != nil {
+		if err := cluster.PutConfig(config); err != nil {
 			t.Fatal(err)
 		}
 		if err := cluster.AwaitForwarding(10 * time.Second); err != nil {
--- a/proof/simulator/forwardbounds_test.go
+++ b/proof/simulator/forwardbounds_test.go
@@ -204,6 +204,16 @@
 	})
 }
 
+// isolateStoresDuring waits until a request runs, and cuts all stores off from the other machines.
+func (cluster *Cluster) isolateStoresDuring(requestID string) {
+	for executionsOf(cluster, requestID) == 0 {
+		cluster.Sleep(time.Millisecond)
+	}
+	for _, store := range cluster.Stores {
+		cluster.Network.Isolate(store.Host)
+	}
+}
+
 func TestKeptTurnIsCompleteOnlyIfItsEndWasCommitted(t *testing.T) {
 	simulateRouted(t, func(t *testing.T, cluster *Cluster) {
 		first := cluster.forwardKeptTurn(0, "first", "", "one ")
@@ -213,12 +223,7 @@
 		// The stores are unreachable while the turn runs and return before its timeout.
 		answers := make(chan *ForwardedAnswer, 1)
 		go func() { answers <- cluster.forwardKeptTurn(0, "second", "first", "two ") }()
-		for executionsOf(cluster, "second") == 0 {
-			cluster.Sleep(time.Millisecond)
-		}
-		for _, store := range cluster.Stores {
-			cluster.Network.Isolate(store.Host)
-		}
+		cluster.isolateStoresDuring("second")
 		cluster.Sleep(1500 * time.Millisecond)
 		for _, store := range cluster.Stores {
 			cluster.Network.Rejoin(store.Host)
@@ -242,12 +247,7 @@
 	simulateRouted(t, func(t *testing.T, cluster *Cluster) {
 		answers := make(chan *ForwardedAnswer, 1)
 		go func() { answers <- cluster.forwardKeptTurn(0, "turn", "", "one ") }()
-		for executionsOf(cluster, "turn") == 0 {
-			cluster.Sleep(time.Millisecond)
-		}
-		for _, store := range cluster.Stores {
-			cluster.Network.Isolate(store.Host)
-		}
+		cluster.isolateStoresDuring("turn")
 		turn := <-answers
 		if turn.Err == nil || turn.Rejected() {
 			t.Fatalf("the turn ended with %d %v", turn.Status, turn.Err)
--- a/system/forwarding/request_log.go
+++ b/system/forwarding/request_log.go
@@ -33,7 +33,8 @@
 	StageFirstEvent
 	// StageStream is from the first event to the last.
 	StageStream
-	// StageEndTurn is the commit of the turn end that the client waits for.
+	// StageEndTurn is the commit of the turn end, or of the response to an operation, that the client
+	// waits for.
 	StageEndTurn
 
 	stageCount
