--- a/proof/simulator/cluster.go
+++ b/proof/simulator/cluster.go
@@ -29,8 +29,9 @@
 	// Engines and Tools count the runners of forwarded requests. If there are any, the control
 	// nodes discover runners through Cluster.RunnerList, else through the stand-in platform.
 	Engines, Tools int
-	// Records counts the runners of the group "records".
-	Records int
+	// Records and OtherRecords count the runners of the groups "records" and "other-records". The
+	// runners of each group share a table of operations.
+	Records, OtherRecords int
 	// AutoEnrol lets the control nodes enrol stores by themselves.
 	AutoEnrol bool
 	// Adjust changes the settings of each control node that starts.
@@ -98,7 +99,7 @@
 // assemble creates a cluster with empty disks. It starts the runners but not the nodes.
 func assemble(seed uint64, shape Shape) (*Cluster, error) {
 	cluster := &Cluster{Network: NewNetwork(seed), Seed: seed, groups: max(shape.Groups, 8), replicas: shape.Replicas, autoEnrol: shape.AutoEnrol, Platform: &standin.Platform{}, adjust: shape.Adjust, bufferBytes: shape.BufferBytes}
-	if shape.Engines+shape.Tools+shape.Records > 0 {
+	if shape.Engines+shape.Tools+shape.Records+shape.OtherRecords > 0 {
 		cluster.RunnerList = &RunnerList{}
 	}
 	cluster.caller = cluster.Network.At("10.9.9.9")
--- a/proof/simulator/forward.go
+++ b/proof/simulator/forward.go
@@ -37,9 +37,6 @@
 }
 `
 
-// operationHeader is the header in which clients send the key of an operation.
-const operationHeader = "Operation"
-
 // ForwardedAnswer records the answer to a forwarded request.
 type ForwardedAnswer struct {
 	Status int
@@ -150,7 +147,7 @@
 	request.Host, request.Target, request.ReceivedAt = RoutedHost, request.Path, time.Now()
 	request.Header = http.Header{standin.HeaderNames.RequestID: {request.ID}}
 	if request.OperationKey != "" {
-		request.Header.Set(operationHeader, request.OperationKey)
+		request.Header.Set(standin.OperationHeader, request.OperationKey)
 	}
 	maps.Copy(request.Header, header)
 	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
--- a/proof/simulator/operations_test.go
+++ b/proof/simulator/operations_test.go
@@ -172,7 +172,7 @@
 	for _, machine := range cluster.Engines {
 		for _, execution := range machine.Engine.Executions() {
 			if execution.Target == "/booking/1" {
-				key := execution.Header.Get(operationHeader)
+				key := execution.Header.Get(standin.OperationHeader)
 				runs[key] = append(runs[key], execution.RequestID)
 			}
 		}
@@ -184,8 +184,8 @@
 	}
 }
 
-// TestRunnersDeduplicateOperations: a service that keeps a record of its own gets the key, may get a
-// request again after a lost answer, and says itself that an operation is in progress.
+// TestRunnersDeduplicateOperations: a service that keeps a record of its own gets the key, gets a request
+// again after a lost answer without running it again, and says itself that an operation is in progress.
 func TestRunnersDeduplicateOperations(t *testing.T) {
 	shape := routedShape
 	shape.Records = 2
@@ -199,17 +199,25 @@
 		for _, machine := range cluster.Engines {
 			machine.Engine.InjectFaults(standin.FaultLoseAnswer)
 		}
-		if answer := sendReceipt(cluster, "lost-once", "op-1"); answer.Complete() && executionsOf(cluster, "lost-once") != 2 {
-			t.Errorf("lost answer: %d %v, %d runs", answer.Status, answer.Err, executionsOf(cluster, "lost-once"))
+		first := sendReceipt(cluster, "lost-once", "op-1")
+		if !first.Complete() || executionsOf(cluster, "lost-once") != 1 {
+			t.Errorf("lost answer: %d %v, %d runs", first.Status, first.Err, executionsOf(cluster, "lost-once"))
 		}
 		setFault(cluster, standin.FaultInProgress)
-		if answer := sendReceipt(cluster, "repeat", "op-1"); !apierror.Is(answer.Err, apierror.Conflict) {
+		if answer := sendReceipt(cluster, "in-progress", "op-2"); !apierror.Is(answer.Err, apierror.Conflict) {
 			t.Errorf("in progress: %d %v", answer.Status, answer.Err)
 		}
+		setFault(cluster, standin.NoFault)
+		if answer := sendReceipt(cluster, "repeat", "op-1"); string(answer.Body) != string(first.Body) || executionsOf(cluster, "repeat") != 0 {
+			t.Errorf("repeat: %d %q %v, the first got %q", answer.Status, answer.Body, answer.Err, first.Body)
+		}
+		if answer := sendReceipt(cluster, "after-progress", "op-2"); !answer.Complete() {
+			t.Errorf("after the progress: %d %v", answer.Status, answer.Err)
+		}
 		for _, machine := range cluster.Engines {
 			for _, execution := range machine.Engine.Executions() {
-				if execution.RequestID == "lost-once" && execution.Header.Get(operationHeader) != "op-1" {
-					t.Errorf("the runner got the key %q", execution.Header.Get(operationHeader))
+				if execution.RequestID == "lost-once" && execution.Header.Get(standin.OperationHeader) != "op-1" {
+					t.Errorf("the runner got the key %q", execution.Header.Get(standin.OperationHeader))
 				}
 			}
 		}
--- a/proof/simulator/runnerlist.go
+++ b/proof/simulator/runnerlist.go
@@ -20,6 +20,8 @@
 	Group  string
 	Engine *standin.Engine
 	server *http.Server
+	// operations is the table that the engines of its group share; nil if they have none.
+	operations *standin.OperationTable
 }
 
 // RunnerList is a list of runners that control nodes poll. It is safe for concurrent use.
@@ -98,16 +100,26 @@
 		return err
 	}
 	machine.Engine = standin.NewEngine(incarnation, standin.Latencies{FirstPiece: 20 * time.Millisecond, NextPiece: 10 * time.Millisecond, PlainAnswer: 10 * time.Millisecond})
+	machine.Engine.Operations = machine.operations
 	machine.server = &http.Server{Handler: machine.Engine}
 	serve(machine.server, listener)
 	return nil
 }
 
+// operationTable returns the table that the engines of a group share; nil if they have none.
+func operationTable(group string) *standin.OperationTable {
+	if group == "records" || group == "other-records" {
+		return standin.NewOperationTable()
+	}
+	return nil
+}
+
 func (cluster *Cluster) startEngines(shape Shape) error {
 	var errs error
-	for group, count := range map[string]int{"engines": shape.Engines, "tools": shape.Tools, "records": shape.Records} {
+	for group, count := range map[string]int{"engines": shape.Engines, "tools": shape.Tools, "records": shape.Records, "other-records": shape.OtherRecords} {
+		operations := operationTable(group)
 		for index := range count {
-			machine := &EngineMachine{Host: fmt.Sprintf("10.0.6.%d", len(cluster.Engines)+1), Domain: domain(index), Group: group}
+			machine := &EngineMachine{Host: fmt.Sprintf("10.0.6.%d", len(cluster.Engines)+1), Domain: domain(index), Group: group, operations: operations}
 			errs = errors.Join(errs, machine.Start(cluster, fmt.Sprintf("life-%d", len(cluster.Engines)+1)))
 			cluster.Engines = append(cluster.Engines, machine)
 		}
--- a/proof/standin/engine.go
+++ b/proof/standin/engine.go
@@ -27,6 +27,8 @@
 	NoFault Fault = ""
 	// FaultNotRun answers 503 with the header that states that the request did not run.
 	FaultNotRun Fault = "refuses"
+	// FaultNotRunLate is FaultNotRun after the latency of a plain answer.
+	FaultNotRunLate Fault = "refuses late"
 	// FaultInProgress answers 409 with the header that states that the request did not run, as
 	// runners that deduplicate operations do while another request runs the operation.
 	FaultInProgress Fault = "in progress"
@@ -65,6 +67,8 @@
 	At        time.Time
 	Header    http.Header
 	Fault     Fault
+	// Ended is set once an operation of an engine with a table of operations ran to its end.
+	Ended bool
 }
 
 // Engine is a stand-in runner to which fronts forward requests unchanged. Its methods are safe for
@@ -81,6 +85,8 @@
 	// text/event-stream by default.
 	StreamStatus int
 	StreamType   string
+	// Operations is the table of operations that the engine shares with others; nil for none.
+	Operations *OperationTable
 
 	mutex        sync.Mutex
 	draining     bool
@@ -202,12 +208,27 @@
 	return fault
 }
 
-func (engine *Engine) recordExecution(request *http.Request, body string, fault Fault) {
+// recordExecution records that a request runs, and returns its position in Executions.
+func (engine *Engine) recordExecution(request *http.Request, body string, fault Fault) int {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	engine.executions = append(engine.executions, Execution{RequestID: request.Header.Get(HeaderNames.RequestID), Method: request.Method, Target: request.URL.RequestURI(), Body: body, At: time.Now(), Header: request.Header.Clone(), Fault: fault})
+	return len(engine.executions) - 1
 }
 
+// endExecution records that an operation ran to its end.
+func (engine *Engine) endExecution(position int) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.executions[position].Ended = true
+}
+
+// seal returns the mark by which a client knows which engine ran which request.
+func (engine *Engine) seal(requestID string) string { return engine.Incarnation + "/" + requestID }
+
+// plainAnswer returns the body of the plain answer to a request.
+func plainAnswer(requestID string) string { return "done " + requestID }
+
 // EventData returns the data of one event of a stream. It depends on the complete prompt, so that a
 // test detects any difference in what the engine received.
 //
@@ -244,7 +265,10 @@
 	}
 	fault := engine.nextFault()
 	switch fault {
-	case FaultNotRun:
+	case FaultNotRun, FaultNotRunLate:
+		if fault == FaultNotRunLate {
+			time.Sleep(engine.Latencies.PlainAnswer)
+		}
 		header.Set(HeaderNames.NotRun, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -258,8 +282,12 @@
 	case FaultWrongID:
 		header.Set(HeaderNames.RequestID, "another")
 	}
+	if name, keyed := nameOfOperation(request); keyed && engine.Operations != nil {
+		engine.runOperation(writer, request, name, string(body), fault)
+		return
+	}
 	engine.recordExecution(request, string(body), fault)
-	header.Set("Seal", engine.Incarnation+"/"+requestID)
+	header.Set("Seal", engine.seal(requestID))
 	engine.answer(writer, request, string(body), fault)
 }
 
@@ -283,7 +311,7 @@
 		engine.stream(writer, request, body, fault)
 	default:
 		engine.simulateWork(request)
-		fmt.Fprintf(writer, "done %s", requestID)
+		fmt.Fprint(writer, plainAnswer(requestID))
 	}
 }
 
@@ -299,7 +327,7 @@
 		_, _ = io.WriteString(connection, "\x16\x03\x01 this is no answer\r\n\r\n")
 		return
 	}
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nSeal: %s/%s\r\nContent-Length: %d\r\n\r\ndone %s", HeaderNames.RequestID, requestID, engine.Incarnation, requestID, len("done "+requestID), requestID)
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nSeal: %s\r\nContent-Length: %d\r\n\r\n%s", HeaderNames.RequestID, requestID, engine.seal(requestID), len(plainAnswer(requestID)), plainAnswer(requestID))
 	_, _ = io.WriteString(connection, response)
 	// The extra answer is sent on arrival of the next request on this connection, within 3 s.
 	connection.SetReadDeadline(time.Now().Add(3 * time.Second))
--- a/system/balancer/balancer.go
+++ b/system/balancer/balancer.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"yardrock.example/system/apierror"
+	"yardrock.example/system/config"
 	"yardrock.example/system/feed"
 	"yardrock.example/system/roundrobin"
 )
@@ -121,10 +122,10 @@
 func (balancer *Balancer) Acquire(ctx context.Context, request Request) (*Lease, error) {
 	balancer.mutex.Lock()
 	now := balancer.elapsed()
-	pool, found := balancer.pickService(request.Route)
+	pool, found := balancer.poolFor(&request)
 	if !found {
 		balancer.mutex.Unlock()
-		return nil, rejection("route "+request.Route.Name+" has no usable runner", noRunnerRetryAfter)
+		return nil, noUsableRunner(request.Route)
 	}
 	var delay time.Duration
 	if !balancer.hasEarlierWaiter(pool, request) {
@@ -136,7 +137,7 @@
 	}
 	timeout := max(queueTimeout(request, balancer.now()), balancer.listWait(pool, request, now))
 	if delay > timeout || len(balancer.queue) >= maxWaiters {
-		balancer.returnPick(request.Route, pool.service.Name)
+		balancer.returnPick(&request, pool.service.Name)
 		balancer.mutex.Unlock()
 		return nil, rejection("all runners of "+pool.service.Name+" are busy", min(delay, maxRetryAfter))
 	}
@@ -145,6 +146,25 @@
 	return balancer.await(ctx, waiting, timeout, delay)
 }
 
+// PickService picks the service that the next request of a route should be sent to, as Acquire does
+// for a request without Service. The error is that of Acquire if no service has a usable runner.
+//
+//	service, err := runners.PickService(route)
+func (balancer *Balancer) PickService(route *config.Route) (string, error) {
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	pool, found := balancer.pickService(route)
+	if !found {
+		return "", noUsableRunner(route)
+	}
+	return pool.service.Name, nil
+}
+
+// noUsableRunner is the error for a route of which no service has a candidate.
+func noUsableRunner(route *config.Route) error {
+	return rejection("route "+route.Name+" has no usable runner", noRunnerRetryAfter)
+}
+
 // rejection returns the error of Acquire, with at least minRetryAfter as its retry delay.
 func rejection(message string, retryDelay time.Duration) error {
 	return apierror.NewRetryable(apierror.NotRun, message, "retry later; operators: check the runner list and drained domains", max(retryDelay, minRetryAfter))
--- a/system/balancer/lease.go
+++ b/system/balancer/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"yardrock.example/system/config"
@@ -103,11 +102,7 @@
 //	if !lease.Valid() || !lease.Serves(route) {
 //		lease.Release(balancer.NotSent, nil)
 //	}
-func (lease *Lease) Serves(route *config.Route) bool {
-	return slices.ContainsFunc(route.Shares, func(share config.WeightedService) bool {
-		return share.Service == lease.Service.Name && share.Weight > 0
-	})
-}
+func (lease *Lease) Serves(route *config.Route) bool { return route.IsServedBy(lease.Service.Name) }
 
 // FirstEvent reports the time from sending the request to the first event of the
 // response. Only the first call counts.
--- a/system/balancer/selection_test.go
+++ b/system/balancer/selection_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"yardrock.example/system/apierror"
 	"yardrock.example/system/config"
 	"yardrock.example/system/runnerpool"
 )
@@ -41,6 +42,39 @@
 	}
 }
 
+// TestRequestBoundToAServiceIsSentNowhereElse guards against requests that are bound to a service and get
+// a runner of another one, and against shares that they distort.
+func TestRequestBoundToAServiceIsSentNowhereElse(t *testing.T) {
+	route := routeTo(config.WeightedService{Service: "plain", Weight: 1}, config.WeightedService{Service: "model", Weight: 1})
+	balancer := New("east", 1, newFakeClock().now)
+	services := []config.Service{plainService(), modelService(0)}
+	balancer.Update(stateOf(services, route, append(runnersOf("plain", 2, 1), runnersOf("model", 2, 32)...), 1))
+	picked := map[string]int{}
+	for range 10 {
+		service, err := balancer.PickService(&route)
+		if err != nil {
+			t.Fatal(err)
+		}
+		picked[service]++
+		lease := mustAcquire(t, balancer, Request{Route: &route, Service: service})
+		if lease.Service.Name != service {
+			t.Errorf("bound to %s, got %s", service, lease.Service.Name)
+		}
+		lease.Release(Answered, nil)
+	}
+	if picked["plain"] != 5 || picked["model"] != 5 {
+		t.Errorf("shares %v, want 5 each", picked)
+	}
+	balancer.Update(stateOf(services, route, runnersOf("model", 2, 32), 1))
+	if lease, err := balancer.Acquire(context.Background(), Request{Route: &route, Service: "plain"}); !apierror.Is(err, apierror.NotRun) {
+		t.Errorf("without a runner of the service: %v %v", lease, err)
+	}
+	balancer.Update(stateOf(services, route, nil, 1))
+	if service, err := balancer.PickService(&route); !apierror.Is(err, apierror.NotRun) {
+		t.Errorf("without a runner: %q %v", service, err)
+	}
+}
+
 func BenchmarkAcquire(b *testing.B) {
 	for _, test := range []struct {
 		name    string
--- a/system/balancer/types.go
+++ b/system/balancer/types.go
@@ -18,6 +18,9 @@
 type Request struct {
 	// Route is the matched route. Required.
 	Route *config.Route
+	// Service, if not empty, is the only service that may get the request. It must have a share
+	// of the route.
+	Service string
 	// Urgency, if not nil, replaces that of the route in the order of waiting requests.
 	Urgency *int
 	// PromptParts are the parts of the prompt of model work, in order. It is empty for plain
--- a/system/balancer/wait_queue.go
+++ b/system/balancer/wait_queue.go
@@ -147,6 +147,6 @@
 	default:
 	}
 	balancer.queue = slices.DeleteFunc(balancer.queue, func(other *waiter) bool { return other == waiting })
-	balancer.returnPick(waiting.request.Route, waiting.service)
+	balancer.returnPick(&waiting.request, waiting.service)
 	return nil, rejection("all runners of "+waiting.service+" are busy", timeoutRetryAfter)
 }
--- a/system/balancer/weighted_round_robin.go
+++ b/system/balancer/weighted_round_robin.go
@@ -43,9 +43,19 @@
 	return pools, shares
 }
 
-// returnPick reverts a pick that led to no lease.
-func (balancer *Balancer) returnPick(requested *config.Route, service string) {
-	if credits, known := balancer.roundRobin[requested.Name]; known {
+// poolFor returns the pool of the service that a request names or, if it names none, of one that it
+// picks. It returns false if there is none with candidates.
+func (balancer *Balancer) poolFor(request *Request) (*servicePool, bool) {
+	if request.Service == "" {
+		return balancer.pickService(request.Route)
+	}
+	pool := balancer.topology.Load().services[request.Service]
+	return pool, pool != nil && len(pool.candidates) > 0
+}
+
+// returnPick reverts the pick for a request that got no lease.
+func (balancer *Balancer) returnPick(request *Request, service string) {
+	if credits, known := balancer.roundRobin[request.Route.Name]; known && request.Service == "" {
 		credits.UndoPick(service)
 	}
 }
--- a/system/config/routing.go
+++ b/system/config/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 )
 
 // RouteKind determines how often a request of a route may be executed, and how it is answered.
@@ -62,6 +63,15 @@
 	Original json.RawMessage `json:"written,omitempty"`
 }
 
+// IsServedBy reports whether the named service has a share of the route.
+//
+//	if route.IsServedBy("chat-small") { ... }
+func (route *Route) IsServedBy(serviceName string) bool {
+	return slices.ContainsFunc(route.Shares, func(share WeightedService) bool {
+		return share.Service == serviceName && share.Weight > 0
+	})
+}
+
 // Engine is the capacity of each model runner of a service: the number of requests that it decodes
 // concurrently, the size of its prefix cache in tokens (0: unknown), and the tokens per event (0
 // counts as 1).
--- a/system/config/tenants.go
+++ b/system/config/tenants.go
@@ -93,15 +93,29 @@
 }
 
 // DeduplicatesOperations reports whether all services with a share of the route deduplicate
-// requests by their operation keys, so that a keyed request may be sent again.
+// operations by their keys. Each service has a record of its own, so a keyed request may be sent again
+// to the service that got it first, and to no other.
 //
 //	if routing.DeduplicatesOperations(route) { ... }
 func (routing *Routing) DeduplicatesOperations(route *Route) bool {
 	for _, share := range route.Shares {
-		service, found := routing.Service(share.Service)
-		if share.Weight > 0 && (!found || !service.Deduplicates) {
+		if share.Weight > 0 && !routing.deduplicates(share.Service) {
 			return false
 		}
 	}
 	return true
 }
+
+// DeduplicatesAt reports whether the named service has a share of the route and deduplicates
+// operations by their keys.
+//
+//	if routing.DeduplicatesAt(route, "ledger") { ... }
+func (routing *Routing) DeduplicatesAt(route *Route, serviceName string) bool {
+	return route.IsServedBy(serviceName) && routing.deduplicates(serviceName)
+}
+
+// deduplicates reports whether a service is defined and deduplicates operations by their keys.
+func (routing *Routing) deduplicates(serviceName string) bool {
+	service, found := routing.Service(serviceName)
+	return found && service.Deduplicates
+}
--- a/system/forwarding/attempt.go
+++ b/system/forwarding/attempt.go
@@ -32,8 +32,8 @@
 	// tenant and sendBy are those of the exchange when the attempt was made.
 	tenant *config.Tenant
 	sendBy time.Time
-	// unrecorded is set if the front keeps no record of the operation.
-	unrecorded bool
+	// operationService is the only service that may get the operation; "" if it is bound to none.
+	operationService string
 	// lastEventID is the ID of the last event that the client received.
 	lastEventID string
 	startedAt   time.Time
@@ -136,7 +136,7 @@
 	if tenant, err := tenantOf(current.Routing, route, exchange.TenantKey); err != nil || nameOf(tenant) != nameOf(attempt.tenant) {
 		return false
 	}
-	if route.Kind == config.Keyed && attempt.unrecorded && !current.Routing.DeduplicatesOperations(route) {
+	if attempt.operationService != "" && !current.Routing.DeduplicatesAt(route, attempt.operationService) {
 		return false
 	}
 	attempt.current, attempt.route = current, route
--- a/system/forwarding/dispatch.go
+++ b/system/forwarding/dispatch.go
@@ -57,9 +57,9 @@
 	return exchange.sendCount < max(exchange.route.MaxAttempts, 1) && time.Until(exchange.deadline) > minRetryTime
 }
 
-// idempotent reports whether the request may run more than once. This includes resumable
-// streams, which another runner continues after the last event that the client received, and
-// operations that the runners deduplicate.
+// idempotent reports whether the request may be sent again after it may have run. This includes
+// resumable streams, which another runner continues after the last event that the client received,
+// and operations that are bound to a service which deduplicates them.
 func (exchange *exchange) idempotent() bool {
 	switch exchange.route.Kind {
 	case config.Repeatable:
@@ -67,11 +67,20 @@
 	case config.Streaming:
 		return exchange.route.Resumable
 	case config.Keyed:
-		return exchange.operation == nil && exchange.current.Routing.DeduplicatesOperations(exchange.route)
+		return exchange.operationService() != ""
 	}
 	return false
 }
 
+// operationService returns the only service that may get the request, as its operation is bound to it;
+// "" if it is bound to none.
+func (exchange *exchange) operationService() string {
+	if exchange.operation == nil {
+		return ""
+	}
+	return exchange.operation.service
+}
+
 // mayRetry reports whether the request may be sent to another runner after a failed attempt.
 func (exchange *exchange) mayRetry(failure *apierror.Error) bool {
 	return failure.NeverSent || failure.Kind == apierror.NotRun || exchange.idempotent()
--- a/system/forwarding/hedging.go
+++ b/system/forwarding/hedging.go
@@ -84,7 +84,7 @@
 func (attempts *attemptSet) leaseRunner() (*attempt, error) {
 	exchange := attempts.exchange
 	lease, err := attempts.forwarder.settings.Balancer.Acquire(attempts.context, balancer.Request{
-		Route: exchange.route, Urgency: urgencyOf(exchange.tenant), PromptParts: exchange.PromptParts, Program: exchange.Program, Session: exchange.Session, AffinityKey: exchange.AffinityKey,
+		Route: exchange.route, Service: exchange.operationService(), Urgency: urgencyOf(exchange.tenant), PromptParts: exchange.PromptParts, Program: exchange.Program, Session: exchange.Session, AffinityKey: exchange.AffinityKey,
 		InputTokens: exchange.InputTokens, MaxOutputTokens: exchange.MaxOutputTokens, Deadline: exchange.deadline, FinishBy: exchange.FinishBy, Excluded: exchange.triedRunners,
 		CachedAt: exchange.cachedAt(),
 	})
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	return &attempt{
-		attempts: attempts, lease: lease, current: exchange.current, route: exchange.route, tenant: exchange.tenant, sendBy: exchange.sendBy, unrecorded: exchange.operation == nil, lastEventID: exchange.stream.lastEventID,
+		attempts: attempts, lease: lease, current: exchange.current, route: exchange.route, tenant: exchange.tenant, sendBy: exchange.sendBy, operationService: exchange.operationService(), lastEventID: exchange.stream.lastEventID,
 		context: attempts.context, cancel: func() {},
 	}, nil
 }
--- a/system/sessionlog/events.go
+++ b/system/sessionlog/events.go
@@ -24,6 +24,9 @@
 	// TurnAdopted is a complete turn that was copied from another session because a turn of
 	// this session continues it.
 	TurnAdopted
+	// RunJoined records that a request other than the one that began a run may have been sent to
+	// the service that the run is bound to. Versions without it append it and pass it on.
+	RunJoined
 )
 
 // The outcomes of a turn or tool call, as recorded by the event that ends it. The values are
