--- a/system/forwarding/operation_record.go
+++ b/system/forwarding/operation_record.go
@@ -40,7 +40,7 @@
 // attempt is not bound to a service.
 func (exchange *exchange) newOperationRecord(node string, number int, service string) *operationRecord {
 	return &operationRecord{
-		sessionName: exchange.tenantScope() + "operation/" + exchange.OperationKey,
+		sessionName: exchange.tenantScope() + sessionlog.OperationPrefix + exchange.OperationKey,
 		producer:    "attempt/" + strconv.Itoa(number), dispatch: node + "/" + exchange.ID, service: service,
 	}
 }
--- a/system/forwarding/tenants.go
+++ b/system/forwarding/tenants.go
@@ -7,6 +7,7 @@
 	"yardrock.example/system/apierror"
 	"yardrock.example/system/config"
 	"yardrock.example/system/ratelimit"
+	"yardrock.example/system/sessionlog"
 )
 
 // authenticate is the filter that finds the tenant of the request. Without tenants in the
@@ -47,10 +48,7 @@
 
 // tenantScope is the beginning of the names of the sessions that belong to the request's tenant.
 func (exchange *exchange) tenantScope() string {
-	if exchange.tenant == nil {
-		return ""
-	}
-	return "tenant/" + exchange.tenant.Name + "/"
+	return sessionlog.TenantScope(nameOf(exchange.tenant))
 }
 
 // limitRate is the filter that counts the request against its tenant's rate limit.
--- a/system/forwarding/turns.go
+++ b/system/forwarding/turns.go
@@ -97,7 +97,7 @@
 	if !exchange.current.SharedPrefixes.Enabled {
 		return ""
 	}
-	return exchange.tenantScope() + exchange.route.Name
+	return sessionlog.PrefixScope(nameOf(exchange.tenant), exchange.route.Name)
 }
 
 // sessionNameOf returns the name of the session log that records the turn: that of the
