A key makes an operation of a request on a route of any kind

What callers see: the second try comes after a change has given the route another type (with_key to one_shot, repeatable or streaming), or by another route: it runs again. On a repeatable route one try could run several times, by hedging and retries.

Cause: the record was kept for routes of one kind only. Change: whatever has a key is an operation, and is sent like a request of a keyed route.

--- a/system/config/routing.go
+++ b/system/config/routing.go
@@ -17,8 +17,9 @@
 	// Streaming requests are answered with a stream of events. They are executed at most once,
 	// unless the route is resumable.
 	Streaming RouteKind = "streaming"
-	// Keyed requests bear an operation key. All requests of a tenant with the same key are one
-	// operation, which is executed at most once; a repeat gets the answer of the first execution.
+	// Keyed requests must bear an operation key. All requests of a tenant with the same key, on routes
+	// of any kind, are one operation, which is executed at most once; a repeat gets the answer of the
+	// first execution.
 	Keyed RouteKind = "keyed"
 )
 
--- a/system/forwarding/dispatch.go
+++ b/system/forwarding/dispatch.go
@@ -36,6 +36,7 @@
 	for {
 		retry, err := attempts.tryNext()
 		if err == nil {
+			forwarder.recordUnansweredOperation(exchange, nil)
 			return true, nil
 		}
 		if apierror.Of(err).NeverSent {
@@ -46,8 +47,8 @@
 		}
 		if err = attempts.awaitInFlight(err); err != nil {
 			forwarder.recordUnansweredTurn(exchange, err)
-			forwarder.recordUnansweredOperation(exchange, err)
 		}
+		forwarder.recordUnansweredOperation(exchange, err)
 		return true, err
 	}
 }
@@ -61,13 +62,14 @@
 // resumable streams, which another runner continues after the last event that the client received,
 // and operations that are bound to a service which deduplicates them.
 func (exchange *exchange) idempotent() bool {
+	if exchange.isOperation() {
+		return exchange.operationService() != ""
+	}
 	switch exchange.route.Kind {
 	case config.Repeatable:
 		return true
 	case config.Streaming:
 		return exchange.route.Resumable
-	case config.Keyed:
-		return exchange.operationService() != ""
 	}
 	return false
 }
--- a/system/forwarding/hedging.go
+++ b/system/forwarding/hedging.go
@@ -24,7 +24,7 @@
 // sent to another one. 0 means no hedging: the route does not allow it, or only one more
 // attempt is left.
 func (exchange *exchange) hedgeDelay() time.Duration {
-	if exchange.route.Kind != config.Repeatable || exchange.sendCount+1 >= exchange.route.MaxAttempts {
+	if exchange.route.Kind != config.Repeatable || exchange.isOperation() || exchange.sendCount+1 >= exchange.route.MaxAttempts {
 		return 0
 	}
 	return max(minHedgeDelay, time.Duration(hedgeDelayFraction*float64(time.Until(exchange.deadline))))
--- a/system/forwarding/operations.go
+++ b/system/forwarding/operations.go
@@ -27,11 +27,17 @@
 	Body   []byte      `json:"body"`
 }
 
-// beginOperation is the filter for keyed routes. It records that this request runs the operation, or
+// isOperation reports whether the request belongs to an operation, which runs once: on keyed routes, and
+// on all others if it has a key, as its route may have been keyed at an earlier try.
+func (exchange *exchange) isOperation() bool {
+	return exchange.route.Kind == config.Keyed || exchange.OperationKey != ""
+}
+
+// beginOperation is the filter for operations. It records that this request runs the operation, or
 // finds the record of an earlier request that began it. That request's response is then the answer.
 // Without one, only the service to which the record binds the operation may be asked for it.
 func beginOperation(ctx context.Context, forwarder *Forwarder, exchange *exchange) (bool, error) {
-	if exchange.route.Kind != config.Keyed {
+	if !exchange.isOperation() {
 		return false, nil
 	}
 	if exchange.OperationKey == "" {
@@ -40,6 +46,16 @@
 	defer exchange.timer.end(StageBeginTurn)
 	ctx, cancel := context.WithTimeout(ctx, exchange.beginTurnTimeout())
 	defer cancel()
+	answered, err := forwarder.recordOperation(ctx, exchange)
+	if answered || err != nil {
+		forwarder.endTurnInBackground(exchange, sessionlog.OutcomeNotRun) // if the request is a turn too
+	}
+	return answered, err
+}
+
+// recordOperation commits that this request runs the operation, or joins the request that does. It
+// reports whether it has answered the request with the response of an earlier one.
+func (forwarder *Forwarder) recordOperation(ctx context.Context, exchange *exchange) (answered bool, err error) {
 	service, err := forwarder.bindOperation(exchange)
 	if err != nil {
 		return false, err
@@ -116,7 +132,7 @@
 // isInProgress reports whether a runner that deduplicates operations states that another request
 // runs the operation.
 func (attempt *attempt) isInProgress() bool {
-	return attempt.route.Kind == config.Keyed && attempt.response != nil && attempt.response.Status == http.StatusConflict && apierror.Is(attempt.err, apierror.NotRun)
+	return attempt.attempts.exchange.isOperation() && attempt.response != nil && attempt.response.Status == http.StatusConflict && apierror.Is(attempt.err, apierror.NotRun)
 }
 
 // recordResponse commits the response of an operation, so that each repeat gets the same one. The
@@ -163,9 +179,9 @@
 	return errors.Join(errNoRetry, &apierror.Error{Kind: apierror.Unknown, Message: "the operation ran, but its response could not be recorded", Remedy: "repeat the request with the same key, which does not run the operation again", Cause: err})
 }
 
-// recordUnansweredOperation records the end of an operation whose client gets no response. One that
-// is bound to a service ends only if it provably did not run: otherwise a repeat may still get the
-// response from the service.
+// recordUnansweredOperation records the end of an operation whose response is not recorded: its client
+// gets none, or a stream. cause is nil in the latter case. One that is bound to a service ends only if it
+// provably did not run: otherwise a repeat may still get the response from the service.
 func (forwarder *Forwarder) recordUnansweredOperation(exchange *exchange, cause error) {
 	record := exchange.operation
 	if record == nil {
--- a/system/forwarding/types.go
+++ b/system/forwarding/types.go
@@ -61,8 +61,8 @@
 	Follows string
 	// TenantKey is the key by which the tenant is known; empty if the client sent none.
 	TenantKey string
-	// OperationKey identifies the operation on a keyed route: a tenant's requests with the same
-	// key are one operation.
+	// OperationKey identifies the operation: a tenant's requests with the same key are one. Requests
+	// of keyed routes must have one, others may; "" means that the request is no operation.
 	OperationKey string
 	// LastEventID is the ID of the last event that the client received, as in the
 	// Last-Event-ID header of server-sent events; empty if none.
