Requests of one ID at one front have dispatches of their own

What callers see: the same bytes sent again on another connection to the same front, with the same Try-Id and Operation-Key, run again, as often as they are sent; so does a turn.

Cause: the record tells the requests apart by the front's name and the request's ID (a turn by the front's name alone). A second request of the same ID found "its own" start and ran. The ID is the client's, and nothing makes it unique. Change: each request that begins a turn or an operation has a number of its front in its dispatch. Dispatches are compared for equality only, so that older records are read as before.

--- a/proof/simulator/operations_test.go
+++ b/proof/simulator/operations_test.go
@@ -63,6 +63,32 @@
 	})
 }
 
+// TestRequestsOfOneIDRunOnce guards against a request that takes the record of another one with the same
+// ID, at the same front, for its own: a client may send the same bytes again on another connection.
+func TestRequestsOfOneIDRunOnce(t *testing.T) {
+	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
+		for number := range 5 {
+			key, turn := fmt.Sprintf("op-%d", number), fmt.Sprintf("turn-%d", number)
+			sendTurn := func() {
+				cluster.Forward(cluster.Fronts[0], forwarding.Request{ID: turn, Path: "/talk/kept/1", Program: "p", TenantKey: harborKey, Body: []byte("words")})
+			}
+			var requests sync.WaitGroup
+			for range 3 {
+				requests.Go(func() { sendBooking(cluster, cluster.Fronts[0], key, harborKey, key) })
+				requests.Go(sendTurn)
+			}
+			requests.Wait()
+			sendBooking(cluster, cluster.Fronts[0], key, harborKey, key)
+			sendTurn()
+			for _, id := range []string{key, turn} {
+				if runs := executionsOf(cluster, id); runs != 1 {
+					t.Errorf("TWICE: %s ran %d times", id, runs)
+				}
+			}
+		}
+	})
+}
+
 // TestOperationWithUnknownOutcomeIsNotRunAgain: after an answer was lost no repeat runs, after a
 // rejection that vouches that the request did not run the next one does.
 func TestOperationWithUnknownOutcomeIsNotRunAgain(t *testing.T) {
--- a/system/forwarding/forwarder.go
+++ b/system/forwarding/forwarder.go
@@ -25,6 +25,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,8 @@
 	// or abandoned.
 	discardedAttempts taskgroup.Group
 	bufferedBytes     atomic.Int64
+	// dispatchCount numbers the dispatches of turns and operations.
+	dispatchCount atomic.Uint64
 }
 
 // New returns a forwarder, which must be closed with Close.
@@ -110,6 +113,12 @@
 	return apierror.New(apierror.Unavailable, "no filter answered the request", "report this as a bug")
 }
 
+// newDispatch returns an identifier for a request that begins a turn or an operation. Clients may give two
+// requests the same ID: one must not take the other's record for its own.
+func (forwarder *Forwarder) newDispatch() string {
+	return forwarder.settings.Node + "/" + strconv.FormatUint(forwarder.dispatchCount.Add(1), 10)
+}
+
 // exchange is one request and its response while they pass through the filters. Only the
 // goroutine that called Serve modifies it; after Serve has returned, the background task
 // that commits the turn end reads it.
--- a/system/forwarding/operation_record.go
+++ b/system/forwarding/operation_record.go
@@ -36,12 +36,12 @@
 	joined bool
 }
 
-// newOperationRecord returns the record of an attempt, by its number from 0. service is "" if the
-// attempt is not bound to a service.
-func (exchange *exchange) newOperationRecord(node string, number int, service string) *operationRecord {
+// newOperationRecord returns the record of an attempt, by its number from 0. dispatch identifies the
+// request. service is "" if the attempt is not bound to a service.
+func (exchange *exchange) newOperationRecord(dispatch string, number int, service string) *operationRecord {
 	return &operationRecord{
 		sessionName: exchange.tenantScope() + sessionlog.OperationPrefix + exchange.OperationKey,
-		producer:    "attempt/" + strconv.Itoa(number), dispatch: node + "/" + exchange.ID, service: service,
+		producer:    "attempt/" + strconv.Itoa(number), dispatch: dispatch, service: service,
 	}
 }
 
--- a/system/forwarding/operations.go
+++ b/system/forwarding/operations.go
@@ -60,8 +60,9 @@
 	if err != nil {
 		return false, err
 	}
+	dispatch := forwarder.newDispatch()
 	for number := range maxOperationAttempts {
-		record := exchange.newOperationRecord(forwarder.settings.Node, number, service)
+		record := exchange.newOperationRecord(dispatch, number, service)
 		earlier, err := forwarder.startOperation(ctx, exchange, record)
 		if err == nil && earlier != nil && exchange.mayJoin(earlier) {
 			earlier, err = forwarder.joinOperation(ctx, record, earlier)
--- a/system/forwarding/turns.go
+++ b/system/forwarding/turns.go
@@ -67,7 +67,7 @@
 		SessionName: exchange.sessionName, Name: exchange.ID, Scope: exchange.tenantScope(), Follows: exchange.Follows, Conversation: exchange.Session, Input: exchange.Body,
 		KeepHistory: exchange.usesHistory(), Retention: time.Duration(exchange.route.Retention), PrefixScope: exchange.prefixScope(),
 		HasTokenQuota: exchange.HasOutputBudget, MaxOutputTokens: exchange.MaxOutputTokens, TokenQuota: exchange.OutputBudget,
-		DispatchID: forwarder.settings.Node, Lifetime: lifetime,
+		DispatchID: forwarder.newDispatch(), Lifetime: lifetime,
 	})
 	exchange.timer.end(StageBeginTurn)
 	if err != nil {
--- a/system/forwarding/types.go
+++ b/system/forwarding/types.go
@@ -108,8 +108,7 @@
 // Settings configures a Forwarder. MaxBufferedBytes, Observe and LogRequests are optional;
 // all other fields are required.
 type Settings struct {
-	// Node is the name of the front, which is new at each start. It is the dispatch ID of its
-	// turns.
+	// Node is the name of the front, which is new at each start.
 	Node string
 	// CheckViewFresh returns an error while the view is too old to be used.
 	CheckViewFresh func() error
