An empty list of tenants lets nobody in

What callers see: one change removes the last customer, and requests without a key, with a dropped key, or with one that no configuration has held, run.

Cause: whether a key is needed was derived from the length of the list. Change: the configuration says so itself. The wires of all sites were looked through: none sends an empty list.

Not kept while a fleet is upgraded: nodes of earlier versions take an empty list for none, and a change made by such a node loses the mark.

--- a/proof/simulator/tenants_test.go
+++ b/proof/simulator/tenants_test.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 	"yardrock.example/proof/standin"
 	"yardrock.example/system/apierror"
 	"yardrock.example/system/config"
+	"yardrock.example/system/controlplane"
 	"yardrock.example/system/forwarding"
 )
 
@@ -112,6 +114,33 @@
 	})
 }
 
+// TestNoKeyIsValidOnceTheLastTenantIsRemoved guards against a list of tenants that lets in all requests
+// once it is empty.
+func TestNoKeyIsValidOnceTheLastTenantIsRemoved(t *testing.T) {
+	simulateTenants(t, 0, 0, func(t *testing.T, cluster *Cluster) {
+		if first := sendBooking(cluster, cluster.Fronts[0], "before", harborKey, "op-1"); !first.Complete() {
+			t.Fatal(first.Err)
+		}
+		tenants := append([]string{"harbor", "hill", "harbor/dock"}, namedTenants...)
+		if err := cluster.requestChange(0, ackTimeout, func(ctx context.Context, node *controlplane.Node) error {
+			return node.PatchRouting(ctx, "root", 2, config.RoutingPatch{Revision: 3, RemoveTenants: tenants}, "remove all")
+		}); err != nil {
+			t.Fatal(err)
+		}
+		cluster.Sleep(2 * time.Second)
+		for number, key := range []string{harborKey, "never-held", ""} {
+			id := fmt.Sprintf("after-%d", number)
+			if answer := sendBooking(cluster, cluster.Fronts[number%2], id, key, "op-1"); !apierror.Is(answer.Err, apierror.Unauthorized) || executionsOf(cluster, id) != 0 {
+				t.Errorf("key %q: %d %v", key, answer.Status, answer.Err)
+			}
+		}
+		if answer := cluster.Forward(cluster.Fronts[0], forwarding.Request{ID: "public", Path: "/status/1"}); !answer.Complete() {
+			t.Errorf("public route: %d %v", answer.Status, answer.Err)
+		}
+		checkTenantHeaders(t, cluster, "public", "")
+	})
+}
+
 // checkTenantHeaders checks what the runner of a request learned of its client.
 func checkTenantHeaders(t *testing.T, cluster *Cluster, name, tenant string) {
 	t.Helper()
--- a/system/config/routing.go
+++ b/system/config/routing.go
@@ -115,10 +115,13 @@
 // Routing is the part of a config that defines how client requests are forwarded unchanged to
 // runners. Operators choose its revision, which increases with every change, by any amount.
 type Routing struct {
-	Revision         uint64            `json:"revision"`
-	Routes           []Route           `json:"routes"`
-	Services         []Service         `json:"services"`
-	Tenants          []Tenant          `json:"tenants,omitempty"`
+	Revision uint64    `json:"revision"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Tenants  []Tenant  `json:"tenants,omitempty"`
+	// TenantsOnly states that requests need the key of a tenant even if the list of tenants is empty:
+	// the operator has given a list, or has removed the last tenant of one.
+	TenantsOnly      bool              `json:"tenants_only,omitempty"`
 	Bounds           Bounds            `json:"bounds"`
 	AcceptedRequests []AcceptedRequest `json:"taken,omitempty"`
 	// UnknownFields preserves the fields that this version does not know, as they were written.
--- a/system/config/routing_revisions.go
+++ b/system/config/routing_revisions.go
@@ -64,8 +64,8 @@
 }
 
 // Patched returns the routing with a patch applied. The receiver may be nil and is not changed.
-// Removing an undefined name is not an error. The result has no accepted requests; WithRouting sets
-// them.
+// Removing an undefined name is not an error. Removing the last tenant leaves an empty list of them, under
+// which no key is valid. The result has no accepted requests; WithRouting sets them.
 //
 //	next, err := routing.Patched(config.RoutingPatch{Revision: 9, RemoveRoutes: []string{"old"}})
 func (routing *Routing) Patched(patch RoutingPatch) (Routing, error) {
@@ -74,7 +74,7 @@
 	}
 	next := Routing{}
 	if routing != nil {
-		next = Routing{Routes: routing.Routes, Services: routing.Services, Tenants: routing.Tenants, Bounds: routing.Bounds, UnknownFields: routing.UnknownFields}
+		next = Routing{Routes: routing.Routes, Services: routing.Services, Tenants: routing.Tenants, TenantsOnly: routing.HasTenants(), Bounds: routing.Bounds, UnknownFields: routing.UnknownFields}
 	}
 	next.Revision = patch.Revision
 	next.Routes = mergeByName(next.Routes, patch.RemoveRoutes, patch.Routes, routeName)
--- a/system/config/tenants.go
+++ b/system/config/tenants.go
@@ -64,10 +64,12 @@
 }
 
 // HasTenants reports whether requests need the key of a tenant, except on public routes. A nil
-// routing has no tenants.
+// routing has no tenants. One with an empty list of them has: no key is valid.
 //
 //	if routing.HasTenants() { ... }
-func (routing *Routing) HasTenants() bool { return routing != nil && len(routing.Tenants) > 0 }
+func (routing *Routing) HasTenants() bool {
+	return routing != nil && (routing.TenantsOnly || len(routing.Tenants) > 0)
+}
 
 // TenantByKey finds the tenant that a key belongs to. The lookup is by the key's hash, so that its
 // duration reveals nothing about other keys.
--- a/system/configsource/schema.cue
+++ b/system/configsource/schema.cue
@@ -59,6 +59,8 @@
 	routes: [...#Route]
 	services: [...#Service]
 	tenants?: [...#Tenant]
+	// requests need the key of a tenant even if there are no tenants
+	tenants_only?: bool
 	bounds: {
 		header_bytes: int & >=0 | *0
 		body_bytes:   int & >=0 | *0
