Failures of a service that deduplicates are not recorded; joining takes no second read

Found while reading the record of operations again. A failure of any other service stays the operation's answer, as that may have run.

A request that joins an attempt read its events twice; the second read is left for the case that another event has taken the number.

--- a/proof/simulator/operationroutes_test.go
+++ b/proof/simulator/operationroutes_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -340,6 +341,23 @@
 	})
 }
 
+// TestFailureOfADeduplicatingServiceIsNotRecorded guards against repeats that get a runner's failure although
+// their service would run the operation, or has its answer.
+func TestFailureOfADeduplicatingServiceIsNotRecorded(t *testing.T) {
+	simulateOperations(t, func(t *testing.T, cluster *Cluster, _ *operationRouting) {
+		setFault(cluster, standin.FaultServerErrorUnrun)
+		if first := sendKeyed(cluster, cluster.Fronts[0], "first", "receipt", "op-1"); first.Status != http.StatusInternalServerError {
+			t.Errorf("%d %v", first.Status, first.Err)
+		}
+		setFault(cluster, standin.NoFault)
+		cluster.Sleep(time.Second)
+		if repeat := sendKeyed(cluster, cluster.Fronts[1], "repeat", "receipt", "op-1"); !repeat.Complete() || executionsOf(cluster, "repeat") != 1 {
+			t.Errorf("%d %q %v", repeat.Status, repeat.Body, repeat.Err)
+		}
+		checkOperationsRanOnce(t, cluster)
+	})
+}
+
 // TestKeyRunsOnceOnRoutesOfAllKinds guards against a key that runs again as its second try comes on a route
 // of another kind, and against attempts that a repeatable route would allow beside each other.
 func TestKeyRunsOnceOnRoutesOfAllKinds(t *testing.T) {
--- a/proof/standin/engine.go
+++ b/proof/standin/engine.go
@@ -38,6 +38,8 @@
 	FaultBreakStream Fault = "breaks"
 	// FaultServerError answers 500.
 	FaultServerError Fault = "fails"
+	// FaultServerErrorUnrun answers 500 without running the request, and does not say so.
+	FaultServerErrorUnrun Fault = "fails before"
 	// FaultUnavailable answers 503 without the header that states that the request did not run.
 	FaultUnavailable Fault = "unvouched"
 	// FaultWrongID runs the request and answers under another request's ID.
@@ -279,6 +281,9 @@
 	case FaultUnavailable:
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case FaultServerErrorUnrun:
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
 	case FaultWrongID:
 		header.Set(HeaderNames.RequestID, "another")
 	}
--- a/system/forwarding/operation_record.go
+++ b/system/forwarding/operation_record.go
@@ -83,13 +83,16 @@
 // otherwise be sent to another service. It returns the earlier attempt, read again, if that has ended.
 func (forwarder *Forwarder) joinOperation(ctx context.Context, record *operationRecord, earlier *earlierAttempt) (*earlierAttempt, error) {
 	if !earlier.joined {
-		if _, err := forwarder.settings.TurnStore.Command(ctx, record.sessionName, record.appendCommand(operationEndSeq, sessionlog.Event{Kind: sessionlog.RunJoined, Run: earlier.startSeq})); err != nil {
+		results, err := forwarder.settings.TurnStore.Command(ctx, record.sessionName, record.appendCommand(operationEndSeq, sessionlog.Event{Kind: sessionlog.RunJoined, Run: earlier.startSeq}))
+		if err != nil {
 			return nil, operationNotBegunError(err, "the operation could not be joined in time")
 		}
-		// An earlier event may have taken the number.
-		again, err := forwarder.readEarlierAttempt(ctx, record)
-		if err != nil || again == nil || !again.joined || again.ended != nil {
-			return again, err
+		if results[0].Status != sessionlog.Done || results[0].Deduped {
+			// Another event has taken the number, or one with a higher number was appended before.
+			again, err := forwarder.readEarlierAttempt(ctx, record)
+			if err != nil || again == nil || !again.joined || again.ended != nil {
+				return again, err
+			}
 		}
 	}
 	record.service, record.startSeq, record.joined = earlier.service, earlier.startSeq, true
--- a/system/forwarding/operations.go
+++ b/system/forwarding/operations.go
@@ -139,7 +139,8 @@
 // recordResponse commits the response of an operation, so that each repeat gets the same one. The
 // client of an operation without a service to ask again gets it only after that, and none if the
 // function returns an error; the commit then goes on in the background, so that a repeat may get it. A
-// response that was not read to its end is not recorded.
+// response that was not read to its end is not recorded, and neither is a failure of a service that may be
+// asked again: its own record decides what a repeat gets.
 func (forwarder *Forwarder) recordResponse(ctx context.Context, exchange *exchange, status int, header http.Header, body []byte, complete bool) error {
 	record := exchange.operation
 	if record == nil {
@@ -155,7 +156,7 @@
 		event.Data = data
 	}
 	if record.service != "" {
-		if complete {
+		if complete && status < http.StatusInternalServerError {
 			forwarder.turnCommits.Go(func() { _ = forwarder.endOperation(record, event) }) // if this fails, the service has the response
 		}
 		return nil
