--- a/proof/simulator/adminrequests_test.go
+++ b/proof/simulator/adminrequests_test.go
@@ -77,6 +77,7 @@
 	startAll(t, machines)
 }
 
+// startAll starts machines in order.
 func startAll(t *testing.T, machines []*Machine) {
 	t.Helper()
 	for _, machine := range machines {
--- a/proof/simulator/cachelocation_test.go
+++ b/proof/simulator/cachelocation_test.go
@@ -67,19 +67,21 @@
 	})
 }
 
-// interruptPower cuts the power of all machines of the fleet for a second and waits until they
-// serve again.
-func (cluster *Cluster) interruptPower(t *testing.T) {
+// cyclePower cuts the power of all machines of the fleet for a second.
+func (cluster *Cluster) cyclePower(t *testing.T) {
 	t.Helper()
 	for _, machine := range cluster.Machines() {
 		machine.LosePower()
 	}
 	cluster.Sleep(time.Second)
-	for _, machine := range cluster.Machines() {
-		if err := machine.Start(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	startAll(t, cluster.Machines())
+}
+
+// interruptPower cuts the power of all machines of the fleet for a second and waits until they
+// serve again.
+func (cluster *Cluster) interruptPower(t *testing.T) {
+	t.Helper()
+	cluster.cyclePower(t)
 	if err := cluster.AwaitForwarding(12 * time.Second); err != nil {
 		t.Fatal(err)
 	}
--- a/proof/simulator/changes_test.go
+++ b/proof/simulator/changes_test.go
@@ -260,11 +260,7 @@
 		if err := cluster.PutConfig(BasicConfig + "// without a domain\n"); err != nil {
 			t.Fatal(err)
 		}
-		for _, machine := range lost {
-			if err := machine.Start(); err != nil {
-				t.Fatal(err)
-			}
-		}
+		startAll(t, lost)
 		stop()
 		cluster.Fronts = fronts
 		if err := cluster.AwaitServing(12 * time.Second); err != nil {
--- a/proof/simulator/completeanswers_test.go
+++ b/proof/simulator/completeanswers_test.go
@@ -111,11 +111,7 @@
 func (cluster *Cluster) startAll(t *testing.T) {
 	t.Helper()
 	cluster.Sleep(700 * time.Millisecond)
-	for _, machine := range cluster.Machines() {
-		if err := machine.Start(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	startAll(t, cluster.Machines())
 }
 
 // expectKnown checks that a turn can be continued, with retries while that is not certain.
--- a/proof/simulator/fleetsize_test.go
+++ b/proof/simulator/fleetsize_test.go
@@ -52,11 +52,7 @@
 			machine.LosePower()
 			machine.Wipe()
 		}
-		for _, machine := range cluster.Controls {
-			if err := machine.Start(); err != nil {
-				t.Fatal(err)
-			}
-		}
+		startAll(t, cluster.Controls)
 		<-time.After(20 * time.Second)
 		for _, machine := range cluster.Controls {
 			if view := machine.Control.View(); view.Number != 0 || machine.Control.Ready() {
--- a/proof/simulator/founding_test.go
+++ b/proof/simulator/founding_test.go
@@ -85,11 +85,7 @@
 	for _, machine := range cluster.Machines() {
 		machine.LosePower()
 	}
-	for _, machine := range slices.Concat(cluster.Controls, cluster.Stores) {
-		if err := machine.Start(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	startAll(t, slices.Concat(cluster.Controls, cluster.Stores))
 	if err := cluster.Await(12*time.Second, "control plane after the outage", func() error {
 		_, err := cluster.fleet()
 		return err
@@ -155,11 +151,7 @@
 				machine.Kill()
 			}
 		}()
-		for _, machine := range slices.Concat(other.Controls, other.Stores) {
-			if err := machine.Start(); err != nil {
-				t.Fatal(err)
-			}
-		}
+		startAll(t, slices.Concat(other.Controls, other.Stores))
 		<-time.After(15 * time.Second)
 		moved := cluster.Stores[0]
 		moved.Kill()
@@ -183,11 +175,7 @@
 			control.Wipe()
 		}
 		cluster.Stores[1].Kill()
-		for _, machine := range append(slices.Clone(cluster.Controls), cluster.Stores[1]) {
-			if err := machine.Start(); err != nil {
-				t.Fatal(err)
-			}
-		}
+		startAll(t, append(slices.Clone(cluster.Controls), cluster.Stores[1]))
 		select {
 		case err := <-cluster.Stores[1].Store.ForeignFleet():
 			t.Fatalf("a store was rejected while its fleet recovers: %v", err)
--- a/proof/simulator/operationroutes_test.go
+++ b/proof/simulator/operationroutes_test.go
@@ -239,15 +239,7 @@
 		}
 		work.Wait()
 		setFault(cluster, standin.NoFault)
-		for _, machine := range cluster.Machines() {
-			machine.LosePower()
-		}
-		cluster.Sleep(time.Second)
-		for _, machine := range cluster.Machines() {
-			if err := machine.Start(); err != nil {
-				t.Fatal(err)
-			}
-		}
+		cluster.cyclePower(t)
 		if err := cluster.Await(12*time.Second, "operation after the outage", func() error {
 			key := fmt.Sprintf("op-probe-%d", time.Now().UnixNano())
 			return sendBooking(cluster, cluster.Fronts[0], key, harborKey, key).Err
--- a/proof/simulator/operations_test.go
+++ b/proof/simulator/operations_test.go
@@ -133,15 +133,7 @@
 			}
 		}
 		work.Wait()
-		for _, machine := range cluster.Machines() {
-			machine.LosePower()
-		}
-		cluster.Sleep(time.Second)
-		for _, machine := range cluster.Machines() {
-			if err := machine.Start(); err != nil {
-				t.Fatal(err)
-			}
-		}
+		cluster.cyclePower(t)
 		if err := cluster.Await(12*time.Second, "operation after the outage", func() error {
 			return sendBooking(cluster, cluster.Fronts[0], fmt.Sprintf("probe-%d", time.Now().UnixNano()), harborKey, "op-probe").Err
 		}); err != nil {
@@ -151,7 +143,7 @@
 			key := fmt.Sprintf("op-%d", number)
 			answers.check(t, key, sendBooking(cluster, cluster.Fronts[number%len(cluster.Fronts)], key+"-after", harborKey, key))
 		}
-		checkOneExecutionEach(t, cluster)
+		checkOperationsRanOnce(t, cluster)
 		if len(answers.bodies) < operations/2 {
 			t.Errorf("only %d of %d operations were answered", len(answers.bodies), operations)
 		}
@@ -191,25 +183,6 @@
 	}
 }
 
-// checkOneExecutionEach checks that no operation ran more than once.
-func checkOneExecutionEach(t *testing.T, cluster *Cluster) {
-	t.Helper()
-	runs := map[string][]string{}
-	for _, machine := range cluster.Engines {
-		for _, execution := range machine.Engine.Executions() {
-			if execution.Target == "/booking/1" {
-				key := execution.Header.Get(standin.OperationHeader)
-				runs[key] = append(runs[key], execution.RequestID)
-			}
-		}
-	}
-	for key, requests := range runs {
-		if len(requests) > 1 {
-			t.Errorf("operation %s ran %d times: %v", key, len(requests), requests)
-		}
-	}
-}
-
 // TestRunnersDeduplicateOperations: a service that keeps a record of its own gets the key, gets a request
 // again after a lost answer without running it again, and says itself that an operation is in progress.
 func TestRunnersDeduplicateOperations(t *testing.T) {
--- a/proof/simulator/quota_test.go
+++ b/proof/simulator/quota_test.go
@@ -32,11 +32,7 @@
 				for _, store := range cluster.Stores {
 					store.LosePower()
 				}
-				for _, machine := range append(slices.Clone(cluster.Stores), cluster.Fronts[0]) {
-					if err := machine.Start(); err != nil {
-						t.Fatal(err)
-					}
-				}
+				startAll(t, append(slices.Clone(cluster.Stores), cluster.Fronts[0]))
 				if err := cluster.AwaitServing(12 * time.Second); err != nil {
 					t.Fatal(err)
 				}
--- a/proof/simulator/replicacount_test.go
+++ b/proof/simulator/replicacount_test.go
@@ -54,11 +54,7 @@
 			}
 		}
 		check("-away")
-		for _, machine := range lost {
-			if err := machine.Start(); err != nil {
-				t.Fatal(err)
-			}
-		}
+		startAll(t, lost)
 		check("-back")
 	})
 }
--- a/proof/simulator/tenantnames_test.go
+++ b/proof/simulator/tenantnames_test.go
@@ -98,7 +98,7 @@
 		draw.t.Errorf("%q of %q: %d %v, %d tokens before", request.Program, tenant, answer.Status, answer.Err, draw.tokens[program])
 	default:
 		prompt := followed.chain + string(request.Body)
-		if got := bodyOf(draw.cluster, id); got != prompt {
+		if got := promptOf(draw.cluster, id); got != prompt {
 			draw.t.Errorf("UNASKED: %q of %q: the runner got %q, want %q", request.Program, tenant, got, prompt)
 		}
 		draw.tokens[program] += drawnTurnTokens
@@ -118,18 +118,6 @@
 	draw.bodies[operation] = string(answer.Body)
 }
 
-// bodyOf returns the body of a request that ran once.
-func bodyOf(cluster *Cluster, id string) string {
-	for _, machine := range cluster.Engines {
-		for _, execution := range machine.Engine.Executions() {
-			if execution.RequestID == id {
-				return execution.Body
-			}
-		}
-	}
-	return ""
-}
-
 // TestDrawnNamesShareNoRecord sends turns with budgets and operations of tenants, also of clients without
 // one, whose names and those of their programs and operations are drawn so that they meet when joined.
 func TestDrawnNamesShareNoRecord(t *testing.T) {
